build: lay down the workspace, the core types and the design page

Cause: the repository was empty. The folders, schemas and interfaces come first, so that the parts can be built side by side. Change: 21 packages by concern, schemas of jobs, configuration, history and direct requests, the interfaces of the platform, the view and the decisions of a placement pass, dprint, eslint and tap set up, docs/design.md. Figures: 3 assertions pass; formatter and linter report nothing. Conclusion: the parts can start.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,24 @@
+import { defineConfig } from "eslint/config";
+import tseslint from "typescript-eslint";
+
+export default defineConfig(
+    { ignores: ["**/dist/**", "**/node_modules/**", ".tap/**", "tap-snapshots/**"] },
+    tseslint.configs.strictTypeChecked,
+    {
+        languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+        rules: {
+            "@typescript-eslint/consistent-type-imports": "error",
+            "@typescript-eslint/switch-exhaustiveness-check": "error",
+            "@typescript-eslint/restrict-template-expressions": ["error", { allowNumber: true, allowBoolean: true }],
+            curly: "error",
+            eqeqeq: "error",
+            "one-var": ["error", "never"],
+        },
+    },
+    // Scripts stand outside the TypeScript projects, so the rules that need types do not apply to them.
+    {
+        files: ["**/*.mjs"],
+        extends: [tseslint.configs.disableTypeChecked],
+        languageOptions: { parserOptions: { projectService: false } },
+    },
+);
--- /dev/null
+++ b/packages/findings/src/finding.ts
@@ -0,0 +1,33 @@
+import type { MessageData, MessageTable } from "./messageTable.js";
+import { formatMessage } from "./messageTable.js";
+
+/** Where a finding was made: a file and line, a key path, or both. */
+export interface Place {
+    readonly file?: string;
+    readonly line?: number;
+    readonly path?: string;
+}
+
+/** One fault found while checking an input. */
+export interface Finding {
+    readonly messageId: string;
+    readonly message: string;
+    readonly place: Place;
+}
+
+/** Makes findings from one message table. */
+export const findingOf = <Id extends string>(
+    messages: MessageTable<Id>,
+    messageId: Id,
+    place: Place,
+    data: MessageData = {},
+): Finding => ({ messageId, message: formatMessage(messages[messageId], data), place });
+
+const formatPlace = ({ file, line, path }: Place): string => {
+    const position = file === undefined ? "" : line === undefined ? file : `${file}:${line}`;
+    return [position, path ?? ""].filter(part => part !== "").join(" ");
+};
+
+/** One line a finding: place, message and id. */
+export const formatFindings = (findings: readonly Finding[]): string =>
+    findings.map(({ messageId, message, place }) => `${formatPlace(place)}: ${message} [${messageId}]`).join("\n");
