feat(scheduler): add the inner protocol, the agent and the scheduling role

Cause: the path from an accepted job to its outcome needs all three. Change: typed JSON-RPC connections over TLS-PSK frames; the agent with its task table, worker watch and entry connections; the role lease, job rows, attempts and recovery of the role holder. Conclusion: the entry process can be built on it.

--- /dev/null
+++ b/packages/agent/src/orderHandlers.ts
@@ -0,0 +1,119 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Worker } from "@persimmonpitch/platform/worker.js";
+import type { HandlerTable } from "@persimmonpitch/protocol/method.js";
+import type { OrderMethods, Refusal } from "@persimmonpitch/protocol/taskMessages.js";
+import type { LeaseTracker } from "./leaseTracker.js";
+import type { TaskTable } from "./taskTable.js";
+import { holdsResources } from "./taskTable.js";
+import { applyWorkerTask } from "./workerWatch.js";
+
+const REFUSAL_DETAILS: Readonly<Record<Refusal, string>> = {
+    staleEpoch: "A newer holder of the scheduling role exists.",
+    leaving: "The VM is leaving and takes no new work.",
+    noCapacity: "The free accelerators, cores or memory do not suffice.",
+    noReservation: "The attempt has no reservation here, or it has lapsed.",
+    revoked: "The attempt was revoked.",
+    duplicate: "The attempt is known here already.",
+    workerUnavailable: "The worker runtime did not start the task.",
+    leaseLapsed: "The lease of this agent has lapsed.",
+};
+
+/** What the order handlers work on. */
+export interface OrderContext {
+    readonly instanceId: string;
+    readonly table: TaskTable;
+    readonly lease: LeaseTracker;
+    readonly worker: Worker;
+    readonly logger: Logger;
+    readonly isLeaving: () => boolean;
+    /** Sends a report soon. */
+    readonly notify: () => void;
+}
+
+const refused = (reason: Refusal) => ({ kind: "refused" as const, reason, detail: REFUSAL_DETAILS[reason] });
+
+/** Lease that a task gets at its start; the worker watch renews it. */
+export const WORKER_LEASE_MS: Millis = 10_000;
+
+/** Handlers of the orders that the holder of the scheduling role sends. */
+export const createOrderHandlers = (context: OrderContext): HandlerTable<OrderMethods> => {
+    const { table, lease, worker, logger } = context;
+    const refuse = (reason: Refusal, attemptId: string) => {
+        logger.log("info", "order.refused", { attempt: attemptId, reason });
+        return refused(reason);
+    };
+    return {
+        "task.fence": ({ epoch }) => {
+            if (!lease.acceptEpoch(epoch)) {
+                return Promise.resolve(refuse("staleEpoch", ""));
+            }
+            const tasks = table.all().map(task => task.report);
+            return Promise.resolve({ kind: "fenced", instanceId: context.instanceId, tasks });
+        },
+        "task.reserve": params => {
+            if (!lease.acceptEpoch(params.epoch)) {
+                return Promise.resolve(refuse("staleEpoch", params.attemptId));
+            }
+            const reason = context.isLeaving() ? "leaving" : table.reserve(params);
+            return Promise.resolve(reason === undefined ? { kind: "reserved" } : refuse(reason, params.attemptId));
+        },
+        "task.start": async ({ epoch, attemptId, payload, checkpoint }) => {
+            if (!lease.acceptEpoch(epoch)) {
+                return refuse("staleEpoch", attemptId);
+            }
+            const leaseMs = Math.min(WORKER_LEASE_MS, lease.remaining());
+            if (leaseMs <= 0) {
+                return refuse("leaseLapsed", attemptId);
+            }
+            const task = table.markStarted(attemptId);
+            if (task === undefined) {
+                return refuse("noReservation", attemptId);
+            }
+            const resume = checkpoint === undefined ? {} : { checkpoint };
+            const { jobId } = task.report;
+            const started = await worker.start({
+                attemptId,
+                jobId,
+                devices: [...task.devices],
+                leaseMs,
+                payload,
+                ...resume,
+            });
+            if (started.isErr && started.error.kind === "refused") {
+                table.revoke(attemptId);
+                return refuse("workerUnavailable", attemptId);
+            }
+            // An unclear start counts as started: the worker watch finds out what became of it.
+            context.notify();
+            return { kind: "started" };
+        },
+        "task.stop": async ({ epoch, attemptId, checkpoint, graceMs }) => {
+            if (!lease.acceptEpoch(epoch)) {
+                return refuse("staleEpoch", attemptId);
+            }
+            const task = table.get(attemptId);
+            if (task === undefined || task.report.state === "reserved") {
+                table.revoke(attemptId);
+                context.notify();
+                return { kind: "neverStarted" };
+            }
+            if (holdsResources(task.report.state)) {
+                table.update(attemptId, { state: "stopping" });
+                const stopped = await worker.stop(attemptId, checkpoint, graceMs);
+                if (stopped.isOk) {
+                    applyWorkerTask(table, stopped.value);
+                }
+                context.notify();
+            }
+            return { kind: "stopped", task: table.get(attemptId)?.report ?? task.report };
+        },
+        "task.forget": ({ epoch, attemptIds }) => {
+            if (!lease.acceptEpoch(epoch)) {
+                return Promise.resolve(refuse("staleEpoch", attemptIds.join(",")));
+            }
+            table.forget(attemptIds);
+            return Promise.resolve({ kind: "forgotten" });
+        },
+    };
+};
--- /dev/null
+++ b/packages/protocol/src/connection.ts
@@ -0,0 +1,139 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { withTimeout } from "@persimmonpitch/clock/deadline.js";
+import {
+    createJSONRPCErrorResponse,
+    JSONRPCClient,
+    JSONRPCErrorCode,
+    JSONRPCServer,
+    JSONRPCServerAndClient,
+} from "json-rpc-2.0";
+import { Result } from "true-myth";
+import type { Link } from "./link.js";
+import type { HandlerTable, MethodTable, ParamsOf, ResultOf } from "./method.js";
+
+/** Why a call brought no answer. */
+export type CallError =
+    /** The call never left this process. */
+    | { readonly kind: "notSent"; readonly detail: string; }
+    /** The call may have reached the other side and may have taken effect. */
+    | { readonly kind: "unclear"; readonly detail: string; };
+
+/** Options of a connection. */
+export interface ConnectionOptions<Local extends MethodTable, Remote extends MethodTable> {
+    readonly link: Link;
+    readonly clock: Clock;
+    readonly local: Local;
+    readonly remote: Remote;
+    readonly handlers: HandlerTable<Local>;
+    /** Called for each message that cannot be understood. */
+    readonly onMalformed?: (detail: string) => void;
+}
+
+/** Typed calls in both directions over one link. */
+export class Connection<Local extends MethodTable, Remote extends MethodTable> {
+    private readonly rpc: JSONRPCServerAndClient;
+    private readonly link: Link;
+    private readonly clock: Clock;
+    private readonly remote: Remote;
+    private readonly onMalformed: (detail: string) => void;
+
+    constructor(options: ConnectionOptions<Local, Remote>) {
+        this.link = options.link;
+        this.clock = options.clock;
+        this.remote = options.remote;
+        this.onMalformed = options.onMalformed ?? (() => undefined);
+        // A handler's failure is reported by the connection's owner, not written to the console by the library.
+        const server = new JSONRPCServer({ errorListener: () => undefined });
+        for (const name of Object.keys(options.local)) {
+            this.serve(server, name, options.local, options.handlers);
+        }
+        const client = new JSONRPCClient((payload: unknown) => {
+            this.link.send(JSON.stringify(payload));
+        });
+        this.rpc = new JSONRPCServerAndClient(server, client, { errorListener: () => undefined });
+    }
+
+    get isOpen(): boolean {
+        return this.link.isOpen;
+    }
+
+    /** Bytes sent over the link so far, before encryption. */
+    get bytesSent(): number {
+        return this.link.bytesSent;
+    }
+
+    /** Serves the other side until the link closes; calls that still wait then end as unclear. */
+    async run(): Promise<void> {
+        for await (const frame of this.link.frames()) {
+            this.receive(frame);
+        }
+        this.rpc.rejectAllPendingRequests("The connection closed.");
+    }
+
+    close(): void {
+        this.link.close();
+    }
+
+    /** Calls a method of the other side and waits for its answer for at most `timeoutMs`. */
+    async call<Name extends keyof Remote & string>(
+        name: Name,
+        params: ParamsOf<Remote[Name]>,
+        timeoutMs: Millis,
+    ): Promise<Result<ResultOf<Remote[Name]>, CallError>> {
+        const method = this.remote[name];
+        if (!this.link.isOpen || method === undefined) {
+            return Result.err({ kind: "notSent", detail: "The connection is closed." });
+        }
+        const answer = Promise.resolve(this.rpc.request(name, params)).then(
+            (value: unknown) => ({ ok: true as const, value }),
+            (err: unknown) => ({ ok: false as const, detail: err instanceof Error ? err.message : String(err) }),
+        );
+        const timed = await withTimeout(this.clock, timeoutMs, answer);
+        if (timed.kind === "timeout") {
+            return Result.err({ kind: "unclear", detail: `No answer to ${name} within ${timeoutMs} ms.` });
+        }
+        if (!timed.value.ok) {
+            return Result.err({ kind: "unclear", detail: timed.value.detail });
+        }
+        const parsed = method.result.safeParse(timed.value.value);
+        return parsed.success
+            ? Result.ok(parsed.data as ResultOf<Remote[Name]>)
+            : Result.err({ kind: "unclear", detail: `The answer to ${name} does not match its schema.` });
+    }
+
+    private serve(server: JSONRPCServer, name: string, local: Local, handlers: HandlerTable<Local>): void {
+        server.addMethodAdvanced(name, async req => {
+            const parsed = local[name]?.params.safeParse(req.params);
+            if (parsed?.success !== true) {
+                const detail = `Parameters of ${name} do not match their schema.`;
+                this.onMalformed(detail);
+                return createJSONRPCErrorResponse(req.id ?? null, JSONRPCErrorCode.InvalidParams, detail);
+            }
+            const result = await handlers[name as keyof Local](parsed.data as ParamsOf<Local[keyof Local]>);
+            return { jsonrpc: "2.0", id: req.id ?? null, result: result as unknown };
+        });
+    }
+
+    private receive(frame: string): void {
+        const payload = parseJson(frame);
+        if (typeof payload !== "object" || payload === null) {
+            this.onMalformed("A frame is not a JSON object.");
+            return;
+        }
+        // Handlers run side by side, so a slow one does not hold up the connection.
+        this.rpc.receiveAndSend(payload as Parameters<JSONRPCServerAndClient["receiveAndSend"]>[0]).catch(
+            (err: unknown) => {
+                this.onMalformed(err instanceof Error ? err.message : String(err));
+            },
+        );
+    }
+}
+
+const parseJson = (frame: string): unknown => {
+    try {
+        return JSON.parse(frame);
+    }
+    catch {
+        return undefined;
+    }
+};
--- /dev/null
+++ b/packages/protocol/src/transport.ts
@@ -0,0 +1,97 @@
+import type { Server, Socket } from "node:net";
+import type { ConnectionOptions as TlsConnectOptions, TLSSocket } from "node:tls";
+import { connect as connectTls, createServer as createTlsServer } from "node:tls";
+import { Result } from "true-myth";
+import type { Link } from "./link.js";
+import { deriveProcessKey } from "./processKey.js";
+import { SocketLink } from "./socketLink.js";
+
+/** Where a process listens. */
+export interface Address {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** A link whose other side has proved its name. */
+export interface AuthenticatedLink {
+    readonly link: Link;
+    readonly peerName: string;
+    readonly socket: Socket;
+}
+
+/** Pre-shared keys exist only up to TLS 1.2 in Node.js; ECDHE adds forward secrecy. */
+const TLS_OPTIONS = {
+    minVersion: "TLSv1.2",
+    maxVersion: "TLSv1.2",
+    ciphers: "ECDHE-PSK-CHACHA20-POLY1305",
+} as const;
+
+const CONNECT_TIMEOUT_MS = 3_000;
+
+const peerNames = new WeakMap<Socket, string>();
+
+/** Listens for authenticated links; each one is handed to `onLink`. */
+export const listen = async (
+    address: Address,
+    deploymentKey: Buffer,
+    onLink: (authenticated: AuthenticatedLink) => void,
+): Promise<{ readonly server: Server; readonly port: number; }> => {
+    const server = createTlsServer({
+        ...TLS_OPTIONS,
+        pskCallback: (socket, identity) => {
+            peerNames.set(socket, identity);
+            return deriveProcessKey(deploymentKey, identity);
+        },
+    }, (socket: TLSSocket) => {
+        const peerName = peerNames.get(socket);
+        if (peerName === undefined) {
+            socket.destroy();
+            return;
+        }
+        socket.setNoDelay(true);
+        onLink({ link: new SocketLink(socket), peerName, socket });
+    });
+    // A handshake that fails ends that socket only.
+    server.on("tlsClientError", () => undefined);
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(address.port, address.host, resolve);
+    });
+    const bound = server.address();
+    return { server, port: typeof bound === "object" && bound !== null ? bound.port : address.port };
+};
+
+/** Opens an authenticated link to a listening process. */
+export const connect = (
+    address: Address,
+    processName: string,
+    processKey: Buffer,
+): Promise<Result<Link, string>> =>
+    new Promise(resolve => {
+        const options: TlsConnectOptions = {
+            ...TLS_OPTIONS,
+            host: address.host,
+            port: address.port,
+            pskCallback: () => ({ psk: processKey, identity: processName }),
+            // The shared key proves the server; there is no certificate whose name could be checked.
+            checkServerIdentity: () => undefined,
+        };
+        const socket = connectTls(options);
+        const fail = (detail: string) => {
+            socket.destroy();
+            resolve(Result.err(detail));
+        };
+        const onError = (err: Error) => {
+            fail(err.message);
+        };
+        socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+            fail("The connection attempt timed out.");
+        });
+        socket.once("error", onError);
+        socket.once("secureConnect", () => {
+            socket.setTimeout(0);
+            socket.off("error", onError);
+            socket.setNoDelay(true);
+            resolve(Result.ok(new SocketLink(socket)));
+        });
+    });
--- /dev/null
+++ b/packages/scheduler/src/agentGateway.ts
@@ -0,0 +1,28 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { AgentIdentity } from "@persimmonpitch/protocol/agentMessages.js";
+import type { CallError } from "@persimmonpitch/protocol/connection.js";
+import type { ParamsOf, ResultOf } from "@persimmonpitch/protocol/method.js";
+import type { OrderMethods, TaskReport } from "@persimmonpitch/protocol/taskMessages.js";
+import type { Result } from "true-myth";
+
+/** What an entry process knows of one worker's agent, directly or through a peer. */
+export interface KnownAgent {
+    readonly identity: AgentIdentity;
+    readonly connected: boolean;
+    /** Monotonic time of the last report. */
+    readonly lastReportAt: Millis;
+    readonly leaving: boolean;
+    readonly tasks: ReadonlyMap<string, TaskReport>;
+}
+
+/** How the holder of the scheduling role sees and reaches the agents of the region. */
+export interface AgentGateway {
+    workers(): readonly KnownAgent[];
+    worker(vmId: string): KnownAgent | undefined;
+    order<Name extends keyof OrderMethods & string>(
+        vmId: string,
+        name: Name,
+        params: ParamsOf<OrderMethods[Name]>,
+        timeoutMs: Millis,
+    ): Promise<Result<ResultOf<OrderMethods[Name]>, CallError>>;
+}
--- /dev/null
+++ b/packages/scheduler/src/buildClusterView.ts
@@ -0,0 +1,107 @@
+import type {
+    ClusterView,
+    GuaranteeBinding,
+    PlacedJob,
+    QueuedJob,
+    RunTimeCorrection,
+    VmCondition,
+    VmView,
+} from "@persimmonpitch/placement/clusterView.js";
+import type { Configuration, InventoryVm } from "@persimmonpitch/schema/configuration.js";
+import type { FencedAgents } from "./fencedAgents.js";
+import type { RoleContext } from "./roleContext.js";
+
+interface Usage {
+    accelerators: number;
+    cores: number;
+    memoryMb: number;
+}
+
+const NO_CORRECTION: RunTimeCorrection = {
+    expected: ({ declaredRunMs }) => declaredRunMs,
+    upper: ({ declaredRunMs }) => declaredRunMs,
+};
+
+const conditionOf = (
+    context: RoleContext,
+    configuration: Configuration,
+    fenced: FencedAgents,
+    vmId: string,
+): VmCondition => {
+    const agent = context.gateway.worker(vmId);
+    if (agent?.connected !== true || !fenced.isFenced(agent)) {
+        return "unknown";
+    }
+    return agent.leaving || configuration.body.drained.includes(vmId) ? "draining" : "ready";
+};
+
+const usageByVm = (context: RoleContext, fenced: FencedAgents): ReadonlyMap<string, Usage> => {
+    const usage = new Map<string, Usage>();
+    const add = (vmId: string, accelerators: number, cores: number, memoryMb: number) => {
+        const used = usage.get(vmId) ?? { accelerators: 0, cores: 0, memoryMb: 0 };
+        used.accelerators += accelerators;
+        used.cores += cores;
+        used.memoryMb += memoryMb;
+        usage.set(vmId, used);
+    };
+    for (const { members, stored } of context.book.all()) {
+        const { coresPerVm, memoryMbPerVm } = stored.record.spec.gang;
+        members?.forEach(({ vmId, accelerators }) => {
+            add(vmId, accelerators, coresPerVm, memoryMbPerVm);
+        });
+    }
+    for (const agent of context.gateway.workers()) {
+        fenced.unknownTasks(agent).forEach(({ accelerators, cores, memoryMb }) => {
+            add(agent.identity.vmId, accelerators, cores, memoryMb);
+        });
+    }
+    return usage;
+};
+
+const viewVm = (vm: InventoryVm, condition: VmCondition, used: Usage | undefined): VmView => ({
+    vmId: vm.id,
+    rack: vm.rack,
+    dataCentre: vm.dataCentre,
+    condition,
+    accelerators: vm.accelerators,
+    freeAccelerators: Math.max(0, vm.accelerators - (used?.accelerators ?? 0)),
+    cores: vm.cores,
+    freeCores: Math.max(0, vm.cores - (used?.cores ?? 0)),
+    memoryMb: vm.memoryMb,
+    freeMemoryMb: Math.max(0, vm.memoryMb - (used?.memoryMb ?? 0)),
+});
+
+/** Puts together what a placement pass decides on. */
+export const buildClusterView = (
+    context: RoleContext,
+    configuration: Configuration,
+    fenced: FencedAgents,
+    bindings: readonly GuaranteeBinding[],
+): ClusterView => {
+    const { body } = configuration;
+    const usage = usageByVm(context, fenced);
+    const placed: PlacedJob[] = [];
+    const queued: QueuedJob[] = [];
+    for (const { stored, members, startedAt, stopReason, notBefore, savedProgress } of context.book.all()) {
+        const { jobId, spec, submittedAt, failedOn } = stored.record;
+        if (members !== undefined) {
+            placed.push({ jobId, spec, members, startedAt, stopping: stopReason !== undefined });
+        }
+        else if (notBefore <= context.clock.now() && stopReason === undefined) {
+            queued.push({ jobId, spec, submittedAt, failedOn, savedProgress });
+        }
+    }
+    return {
+        now: context.clock.wallTime(),
+        vms: body.vms
+            .filter(({ kind }) => kind === "worker")
+            .map(vm => viewVm(vm, conditionOf(context, configuration, fenced, vm.id), usage.get(vm.id))),
+        placed,
+        queued: queued.sort((a, b) => a.submittedAt - b.submittedAt),
+        guarantees: body.guarantees,
+        bindings,
+        teams: body.teams,
+        rules: body.rules,
+        runTimes: NO_CORRECTION,
+    };
+};
--- /dev/null
+++ b/packages/scheduler/src/fencedAgents.ts
@@ -0,0 +1,99 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { TaskReport } from "@persimmonpitch/protocol/taskMessages.js";
+import type { KnownAgent } from "./agentGateway.js";
+import type { RoleContext } from "./roleContext.js";
+
+const FENCE_TIMEOUT_MS: Millis = 5_000;
+
+/** What a fenced agent had at the time of its answer. */
+interface Fence {
+    readonly instanceId: string;
+    readonly state: "pending" | "fenced";
+}
+
+/**
+ * The agents that have accepted the epoch of this holder and told all their tasks under it.
+ * Nothing is placed on any other, because an order of an older holder could still arrive there.
+ */
+export class FencedAgents {
+    private readonly fences = new Map<string, Fence>();
+    private readonly stopping = new Set<string>();
+
+    constructor(private readonly context: RoleContext) {}
+
+    isFenced({ identity }: KnownAgent): boolean {
+        const fence = this.fences.get(identity.vmId);
+        return fence?.state === "fenced" && fence.instanceId === identity.instanceId;
+    }
+
+    /** Fences agents that are new or were replaced; each answer wakes the placement task. */
+    fenceNew(): void {
+        for (const { identity, connected } of this.context.gateway.workers()) {
+            const { vmId, instanceId } = identity;
+            if (connected && this.fences.get(vmId)?.instanceId !== instanceId) {
+                this.fences.set(vmId, { instanceId, state: "pending" });
+                void this.fence(vmId, instanceId);
+            }
+        }
+    }
+
+    /** Stops tasks that belong to no attempt in the books, such as those of an older holder. */
+    stopUnknown(): void {
+        for (const agent of this.context.gateway.workers()) {
+            if (this.isFenced(agent)) {
+                [...agent.tasks.values()].filter(task => this.isUnknown(task)).forEach(task => {
+                    void this.stop(agent.identity.vmId, task);
+                });
+            }
+        }
+    }
+
+    /** Tasks that hold accelerators without an attempt in the books. */
+    unknownTasks(agent: KnownAgent): readonly TaskReport[] {
+        return [...agent.tasks.values()].filter(task => this.isUnknown(task) && !hasEnded(task));
+    }
+
+    private isUnknown({ attemptId, jobId }: TaskReport): boolean {
+        const job = this.context.book.get(jobId);
+        // An attempt whose reservations are being made is not in the row yet.
+        const isBeingPlaced = job?.members !== undefined && job.stored.record.attempt === undefined;
+        return !isBeingPlaced && job?.stored.record.attempt?.attemptId !== attemptId;
+    }
+
+    private async fence(vmId: string, instanceId: string): Promise<void> {
+        const { gateway, role, logger, wake } = this.context;
+        const answer = await gateway.order(vmId, "task.fence", { epoch: role.epoch }, FENCE_TIMEOUT_MS);
+        if (answer.isOk && answer.value.kind === "fenced" && answer.value.instanceId === instanceId) {
+            this.fences.set(vmId, { instanceId, state: "fenced" });
+            wake.wake();
+            return;
+        }
+        const detail = answer.isErr ? answer.error.detail : answer.value.kind;
+        logger.log("info", "fence.failed", { vm: vmId, detail });
+        this.fences.delete(vmId);
+    }
+
+    private async stop(vmId: string, task: TaskReport): Promise<void> {
+        const { gateway, role, logger } = this.context;
+        const key = `${vmId}/${task.attemptId}`;
+        if (this.stopping.has(key)) {
+            return;
+        }
+        this.stopping.add(key);
+        const { epoch } = role;
+        const { attemptId } = task;
+        if (!hasEnded(task)) {
+            logger.log("info", "task.unknown", { vm: vmId, attempt: attemptId });
+            await gateway.order(
+                vmId,
+                "task.stop",
+                { epoch, attemptId, checkpoint: false, graceMs: 0 },
+                FENCE_TIMEOUT_MS,
+            );
+        }
+        await gateway.order(vmId, "task.forget", { epoch, attemptIds: [attemptId] }, FENCE_TIMEOUT_MS);
+        this.stopping.delete(key);
+    }
+}
+
+const hasEnded = ({ state }: TaskReport): boolean => state === "stopped" || state === "finished" || state === "failed";
--- /dev/null
+++ b/packages/scheduler/src/jobStore.ts
@@ -0,0 +1,265 @@
+import type { Clock } from "@persimmonpitch/clock/clock.js";
+import { historyPut } from "@persimmonpitch/history/historyRow.js";
+import type { Check, Table, TableError, Transaction } from "@persimmonpitch/platform/table.js";
+import type { HistoryEvent, HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
+import type { Attempt, JobOutcome, JobRecord, JobSpec, JobState } from "@persimmonpitch/schema/job.js";
+import { isTerminal, jobRecordSchema } from "@persimmonpitch/schema/job.js";
+import { randomUUID } from "node:crypto";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { rowKeys } from "./rowKeys.js";
+
+/** A job with the version of its row. */
+export interface StoredJob {
+    readonly record: JobRecord;
+    readonly version: number;
+}
+
+/** What is written to a caller's request key. */
+export const keyRowSchema = z.object({ kind: z.enum(["job", "request"]), subjectId: z.string() });
+
+/** The epoch row that a holder's writes depend on. */
+export interface EpochCheck {
+    readonly region: string;
+    readonly epochRowVersion: number;
+}
+
+/** What became of a submission. */
+export type Submission =
+    | { readonly kind: "accepted"; readonly job: StoredJob; }
+    /** The request key was used before. */
+    | { readonly kind: "known"; readonly job: StoredJob; }
+    /** The request key belongs to a direct request. */
+    | { readonly kind: "keyTaken"; };
+
+/** What became of a cancellation. */
+export type Cancellation =
+    | { readonly kind: "cancelled" | "requested" | "alreadyEnded"; readonly job: StoredJob; }
+    | { readonly kind: "missing"; };
+
+/** Attempts at a compare-and-set that others win. */
+const MAX_CONFLICTS = 8;
+
+const parseJob = (value: unknown, version: number): StoredJob => ({ record: jobRecordSchema.parse(value), version });
+
+/** All reads and writes of job rows; each change is one transaction with the history record that tells it. */
+export class JobStore {
+    constructor(
+        private readonly table: Table,
+        private readonly clock: Clock,
+        private readonly region: string,
+    ) {}
+
+    /** Makes a job durable; the same request key of the same team always names the same job. */
+    async accept(spec: JobSpec, jobId: string): Promise<Result<Submission, TableError>> {
+        const record: JobRecord = {
+            jobId,
+            spec,
+            state: "queued",
+            submittedAt: this.clock.wallTime(),
+            attempts: 0,
+            cancelRequested: false,
+            failedOn: [],
+        };
+        const key = rowKeys.requestKey(spec.team, spec.requestKey);
+        const written = await this.table.commit({
+            writeId: randomUUID(),
+            checks: [{ key, version: 0 }],
+            puts: [
+                { key, value: { kind: "job", subjectId: jobId } },
+                { key: rowKeys.job(jobId), value: record },
+                { key: rowKeys.active(this.region, jobId), value: {} },
+                { key: rowKeys.teamJob(spec.team, jobId), value: {} },
+                historyPut(this.historyOf(record, 0, "accepted", {})),
+            ],
+            deletes: [],
+        });
+        if (written.isOk) {
+            const version = written.value[rowKeys.job(jobId)] ?? 1;
+            return Result.ok({ kind: "accepted", job: { record, version } });
+        }
+        return written.error.kind === "conflict" ? this.findByKey(key) : Result.err(written.error);
+    }
+
+    async read(jobId: string): Promise<Result<StoredJob | undefined, TableError>> {
+        const row = await this.table.read(rowKeys.job(jobId));
+        return row.map(found => found === undefined ? undefined : parseJob(found.value, found.version));
+    }
+
+    /** Jobs of the region that have not ended, page by page. */
+    async *active(): AsyncGenerator<Result<StoredJob, TableError>> {
+        const prefix = rowKeys.activePrefix(this.region);
+        for await (const key of scanKeys(this.table, prefix)) {
+            const job = key.isErr
+                ? Result.err<StoredJob, TableError>(key.error)
+                : await this.read(key.value.slice(prefix.length));
+            if (job.isErr) {
+                yield Result.err(job.error);
+                return;
+            }
+            if (job.value !== undefined) {
+                yield Result.ok(job.value);
+            }
+        }
+    }
+
+    /** Records the start of an attempt before anything runs. */
+    claim(job: StoredJob, attempt: Attempt, epoch: EpochCheck): Promise<Result<StoredJob, TableError>> {
+        const record: JobRecord = { ...job.record, state: "running", attempts: job.record.attempts + 1, attempt };
+        return this.change(job, record, epoch, "claimed", { attemptId: attempt.attemptId });
+    }
+
+    /** Puts a job back into the queue after an attempt that ended without an outcome. */
+    requeue(
+        job: StoredJob,
+        change: { readonly checkpoint?: string; readonly failedOn?: readonly string[]; },
+        event: HistoryEvent,
+        detail: string,
+        epoch: EpochCheck,
+    ): Promise<Result<StoredJob, TableError>> {
+        const { attempt, ...rest } = job.record;
+        const record: JobRecord = {
+            ...rest,
+            state: "queued",
+            failedOn: [...new Set([...rest.failedOn, ...(change.failedOn ?? [])])],
+            ...(change.checkpoint === undefined ? {} : { checkpoint: change.checkpoint }),
+        };
+        return this.change(job, record, epoch, event, { detail, attemptId: attempt?.attemptId });
+    }
+
+    /** Ends a job. */
+    conclude(
+        job: StoredJob,
+        state: "finished" | "failed" | "cancelled" | "refused",
+        outcome: Omit<JobOutcome, "at">,
+        epoch: EpochCheck,
+    ): Promise<Result<StoredJob, TableError>> {
+        const record: JobRecord = { ...job.record, state, outcome: { ...outcome, at: this.clock.wallTime() } };
+        const { ran, detail } = outcome;
+        return this.change(job, record, epoch, state, { ran, detail, attemptId: job.record.attempt?.attemptId });
+    }
+
+    /** Cancels a waiting job, or asks the role holder to stop a running one. Exactly one of cancel and finish wins. */
+    async cancel(jobId: string): Promise<Result<Cancellation, TableError>> {
+        for (let attempt = 0; attempt < MAX_CONFLICTS; attempt += 1) {
+            const read = await this.read(jobId);
+            if (read.isErr) {
+                return Result.err(read.error);
+            }
+            if (read.value === undefined) {
+                return Result.ok({ kind: "missing" });
+            }
+            const written = await this.cancelStored(read.value);
+            if (written.isOk || written.error.kind !== "conflict") {
+                return written;
+            }
+        }
+        return Result.err({ kind: "conflict", keys: [rowKeys.job(jobId)] });
+    }
+
+    private async cancelStored(job: StoredJob): Promise<Result<Cancellation, TableError>> {
+        if (isTerminal(job.record.state)) {
+            return Result.ok({ kind: "alreadyEnded", job });
+        }
+        if (job.record.cancelRequested) {
+            return Result.ok({ kind: "requested", job });
+        }
+        if (job.record.state !== "queued") {
+            const record = { ...job.record, cancelRequested: true };
+            const written = await this.change(job, record, undefined, "cancelRequested", {});
+            return written.map(changed => ({ kind: "requested" as const, job: changed }));
+        }
+        // The attempts of a queued job have all ended, so the answer depends on whether there was one.
+        const ran = job.record.attempts === 0 ? "no" : "unknown";
+        const outcome = {
+            ran,
+            code: "cancelled",
+            detail: "Cancelled while waiting.",
+            at: this.clock.wallTime(),
+        } as const;
+        const record: JobRecord = { ...job.record, state: "cancelled", outcome };
+        const written = await this.change(job, record, undefined, "cancelled", { ran });
+        return written.map(changed => ({ kind: "cancelled" as const, job: changed }));
+    }
+
+    private async change(
+        job: StoredJob,
+        record: JobRecord,
+        epoch: EpochCheck | undefined,
+        event: HistoryEvent,
+        history: {
+            readonly ran?: JobOutcome["ran"];
+            readonly detail?: string;
+            readonly attemptId?: string | undefined;
+        },
+    ): Promise<Result<StoredJob, TableError>> {
+        const key = rowKeys.job(record.jobId);
+        const { attemptId, ...rest } = history;
+        const fields = { ...rest, ...(attemptId === undefined ? {} : { attemptId }) };
+        const transaction: Transaction = {
+            writeId: randomUUID(),
+            checks: [{ key, version: job.version }, ...epochChecks(epoch)],
+            // The version of the row rises with each change, so it numbers the events of the job.
+            puts: [{ key, value: record }, historyPut(this.historyOf(record, job.version, event, fields))],
+            deletes: isTerminal(record.state) ? [rowKeys.active(this.region, record.jobId)] : [],
+        };
+        const written = await this.table.commit(transaction);
+        return written.map(versions => ({ record, version: versions[key] ?? job.version + 1 }));
+    }
+
+    private historyOf(
+        { jobId, spec }: JobRecord,
+        sequence: number,
+        event: HistoryEvent,
+        fields: Partial<HistoryRecord>,
+    ): HistoryRecord {
+        return {
+            team: spec.team,
+            kind: "job",
+            subjectId: jobId,
+            sequence,
+            event,
+            at: this.clock.wallTime(),
+            requestKey: spec.requestKey,
+            detail: "",
+            ...fields,
+        };
+    }
+
+    private async findByKey(key: string): Promise<Result<Submission, TableError>> {
+        const row = await this.table.read(key);
+        if (row.isErr) {
+            return Result.err(row.error);
+        }
+        const found = keyRowSchema.safeParse(row.value?.value);
+        if (!found.success || found.data.kind !== "job") {
+            return Result.ok({ kind: "keyTaken" });
+        }
+        const job = await this.read(found.data.subjectId);
+        return job.andThen(stored =>
+            stored === undefined
+                ? Result.err<Submission, TableError>({ kind: "conflict", keys: [key] })
+                : Result.ok<Submission, TableError>({ kind: "known", job: stored })
+        );
+    }
+}
+
+const epochChecks = (epoch: EpochCheck | undefined): Check[] =>
+    epoch === undefined ? [] : [{ key: rowKeys.epoch(epoch.region), version: epoch.epochRowVersion }];
+
+const SCAN_PAGE_ROWS = 500;
+
+/** Keys under a prefix, page by page. */
+export async function* scanKeys(table: Table, prefix: string): AsyncGenerator<Result<string, TableError>> {
+    let after: string | undefined;
+    do {
+        const page = await table.scan(prefix, after, SCAN_PAGE_ROWS);
+        if (page.isErr) {
+            yield Result.err(page.error);
+            return;
+        }
+        yield* page.value.rows.map(row => Result.ok<string, TableError>(row.key));
+        after = page.value.next;
+    }
+    while (after !== undefined);
+}
--- /dev/null
+++ b/packages/scheduler/src/roleContext.ts
@@ -0,0 +1,43 @@
+import type { Clock } from "@persimmonpitch/clock/clock.js";
+import type { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Configuration } from "@persimmonpitch/schema/configuration.js";
+import type { AgentGateway } from "./agentGateway.js";
+import type { JobBook } from "./jobBook.js";
+import type { EpochCheck, JobStore } from "./jobStore.js";
+import type { HeldRole } from "./roleLease.js";
+
+/** What the tasks of a role holder share. */
+export interface RoleContext {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly region: string;
+    readonly gateway: AgentGateway;
+    readonly store: JobStore;
+    readonly book: JobBook;
+    readonly role: HeldRole;
+    readonly configuration: () => Configuration | undefined;
+    /** Wakes the placement task. */
+    readonly wake: WakeSignal;
+    /** Monotonic time at which the role was taken. */
+    readonly heldSince: number;
+    /** Called when a job changes, for callers that wait for it. */
+    readonly onJobChanged: (jobId: string) => void;
+    /** Called when an attempt has ended, for what the holder learns of run times and health. */
+    readonly onAttemptEnded: (ended: EndedAttempt) => void;
+}
+
+/** What the holder learns from an attempt. */
+export interface EndedAttempt {
+    readonly jobId: string;
+    readonly outcome: "finished" | "failed" | "stopped" | "lost" | "neverStarted";
+    readonly ranMs: number;
+    readonly vmIds: readonly string[];
+    readonly failedVmIds: readonly string[];
+}
+
+/** The check that makes a write of an older holder fail. */
+export const epochCheckOf = ({ region, role }: RoleContext): EpochCheck => ({
+    region,
+    epochRowVersion: role.epochRowVersion,
+});
--- /dev/null
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -0,0 +1,267 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { GuaranteeBinding } from "@persimmonpitch/placement/clusterView.js";
+import type { UnmetGuarantee } from "@persimmonpitch/placement/placementDecisions.js";
+import { placementPass } from "@persimmonpitch/placement/placementPass.js";
+import type { Table } from "@persimmonpitch/platform/table.js";
+import type { Configuration } from "@persimmonpitch/schema/configuration.js";
+import { isTerminal } from "@persimmonpitch/schema/job.js";
+import type { AgentGateway } from "./agentGateway.js";
+import { runAttempt, superviseAttempt } from "./attempt.js";
+import { buildClusterView } from "./buildClusterView.js";
+import { FencedAgents } from "./fencedAgents.js";
+import type { BookedJob } from "./jobBook.js";
+import { JobBook } from "./jobBook.js";
+import { JobStore } from "./jobStore.js";
+import type { RoleContext } from "./roleContext.js";
+import { epochCheckOf } from "./roleContext.js";
+import type { HeldRole } from "./roleLease.js";
+import { acquireRole } from "./roleLease.js";
+
+/** What the scheduling role needs from its entry process. */
+export interface SchedulingRoleOptions {
+    readonly table: Table;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly region: string;
+    readonly holderId: string;
+    readonly gateway: AgentGateway;
+    readonly configuration: () => Configuration | undefined;
+    readonly onJobChanged: (jobId: string) => void;
+}
+
+/** Shortest time between two placement passes; events within it share a pass. */
+const MIN_PASS_INTERVAL_MS: Millis = 50;
+
+/** Longest time between two placement passes, for what no event announces, such as a needed-by time. */
+const MAX_PASS_INTERVAL_MS: Millis = 1_000;
+
+/** Interval at which the active rows are read again, for jobs whose announcement was lost. */
+const RESCAN_MS: Millis = 5_000;
+
+const RETRY_MS: Millis = 500;
+
+/** The task that takes the scheduling role of a region, holds it, and takes it again after a loss. */
+export class SchedulingRole {
+    private held: HeldRole | undefined;
+    private context: RoleContext | undefined;
+    private bindings: readonly GuaranteeBinding[] = [];
+    private unmet: readonly UnmetGuarantee[] = [];
+    private readonly announced = new Set<string>();
+    private readonly wake = new WakeSignal();
+
+    constructor(private readonly options: SchedulingRoleOptions) {}
+
+    /** The epoch while the role is held and may act. */
+    get epoch(): number | undefined {
+        return this.held?.mayAct() === true ? this.held.epoch : undefined;
+    }
+
+    /** Waiting and running jobs, for explanations; empty on a process that does not hold the role. */
+    get jobs(): readonly BookedJob[] {
+        return this.context === undefined ? [] : [...this.context.book.all()];
+    }
+
+    get unmetGuarantees(): readonly UnmetGuarantee[] {
+        return this.unmet;
+    }
+
+    /** Tells the role that a job was accepted, cancelled or has otherwise changed. */
+    announce(jobIds: readonly string[]): void {
+        jobIds.forEach(jobId => this.announced.add(jobId));
+        this.wake.wake();
+    }
+
+    /** Tells the role that an agent reported something. */
+    notifyAgentChange(attemptIds: readonly string[]): void {
+        const changed = new Set(attemptIds);
+        for (const job of this.context?.book.all() ?? []) {
+            if (changed.has(job.stored.record.attempt?.attemptId ?? "")) {
+                job.wake.wake();
+            }
+        }
+        this.wake.wake();
+    }
+
+    /** Runs until `signal` aborts; then the role is given back. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const held = await acquireRole(this.options, signal);
+            if (held !== undefined) {
+                await this.hold(held, signal);
+            }
+        }
+    }
+
+    private async hold(role: HeldRole, signal: AbortSignal): Promise<void> {
+        const { clock, table, region } = this.options;
+        this.held = role;
+        const context: RoleContext = {
+            ...this.options,
+            store: new JobStore(table, clock, region),
+            book: new JobBook(),
+            role,
+            wake: this.wake,
+            heldSince: clock.now(),
+            onAttemptEnded: () => undefined,
+        };
+        this.context = context;
+        const end = new AbortController();
+        const either = AbortSignal.any([signal, end.signal]);
+        const kept = role.keep(either).then(() => {
+            end.abort();
+            this.wake.wake();
+        });
+        await this.schedule(context, either);
+        if (signal.aborted) {
+            await role.release();
+        }
+        role.isLost = true;
+        [...context.book.all()].forEach(job => {
+            job.wake.wake();
+        });
+        end.abort();
+        await kept;
+        this.held = undefined;
+        this.context = undefined;
+        this.bindings = [];
+    }
+
+    private async schedule(context: RoleContext, signal: AbortSignal): Promise<void> {
+        const fenced = new FencedAgents(context);
+        await this.recover(context, signal);
+        let rescanAt = context.clock.now() + RESCAN_MS;
+        while (!signal.aborted && !context.role.isLost) {
+            if (context.clock.now() >= rescanAt) {
+                rescanAt = context.clock.now() + RESCAN_MS;
+                await this.scanActive(context);
+            }
+            await this.takeAnnounced(context);
+            fenced.fenceNew();
+            fenced.stopUnknown();
+            this.place(context, fenced);
+            await context.clock.sleep(MIN_PASS_INTERVAL_MS, signal);
+            await this.wake.wait(context.clock, MAX_PASS_INTERVAL_MS, signal);
+        }
+    }
+
+    /** Learns all active jobs from their rows; attempts in progress are followed from then on. */
+    private async recover(context: RoleContext, signal: AbortSignal): Promise<void> {
+        while (!signal.aborted && !context.role.isLost) {
+            if (await this.scanActive(context)) {
+                context.logger.log("info", "role.recovered", { jobs: context.book.size });
+                return;
+            }
+            await context.clock.sleep(RETRY_MS, signal);
+        }
+    }
+
+    private async scanActive(context: RoleContext): Promise<boolean> {
+        for await (const job of context.store.active()) {
+            if (job.isErr) {
+                context.logger.log("warn", "scan.failed", { kind: job.error.kind });
+                return false;
+            }
+            this.adopt(context, job.value.record.jobId, job.value);
+        }
+        return true;
+    }
+
+    private adopt(context: RoleContext, jobId: string, stored: BookedJob["stored"]): void {
+        const isKnown = context.book.get(jobId) !== undefined;
+        if (!isKnown && isTerminal(stored.record.state)) {
+            return;
+        }
+        const job = context.book.put(stored);
+        const { attempt, cancelRequested, state } = stored.record;
+        if (isTerminal(state) && job.members === undefined) {
+            context.book.remove(jobId);
+            return;
+        }
+        if (cancelRequested && job.stopReason !== "cancelled") {
+            job.stopReason = "cancelled";
+            job.wake.wake();
+        }
+        if (!isKnown && attempt !== undefined) {
+            void superviseAttempt(context, job, attempt);
+        }
+    }
+
+    private async takeAnnounced(context: RoleContext): Promise<void> {
+        const jobIds = [...this.announced];
+        this.announced.clear();
+        await Promise.all(jobIds.map(async jobId => {
+            const read = await context.store.read(jobId);
+            if (read.isOk && read.value !== undefined) {
+                this.adopt(context, jobId, read.value);
+            }
+        }));
+    }
+
+    private place(context: RoleContext, fenced: FencedAgents): void {
+        const configuration = context.configuration();
+        if (configuration === undefined || !context.role.mayAct()) {
+            return;
+        }
+        const view = buildClusterView(context, configuration, fenced, this.bindings);
+        const decisions = placementPass(view);
+        this.bindings = decisions.bindings;
+        this.reportUnmet(context, decisions.unmet);
+        for (const { jobId, reason, detail } of decisions.waiting) {
+            const job = context.book.get(jobId);
+            if (job !== undefined) {
+                job.explanation = { reason, detail };
+            }
+        }
+        for (const { jobId, forJobId } of decisions.preemptions) {
+            const job = context.book.get(jobId);
+            if (job !== undefined && job.stopReason === undefined) {
+                context.logger.log("info", "job.preempted", { job: jobId, for: forJobId });
+                job.stopReason = "preempted";
+                job.wake.wake();
+            }
+        }
+        for (const { jobId, members } of decisions.starts) {
+            const job = context.book.get(jobId);
+            if (job !== undefined) {
+                job.explanation = undefined;
+                void runAttempt(context, job, members);
+            }
+        }
+        for (const { jobId, reason, detail } of decisions.refusals) {
+            const job = context.book.get(jobId);
+            if (job !== undefined) {
+                void this.refuse(context, job, reason, detail);
+            }
+        }
+    }
+
+    private async refuse(context: RoleContext, job: BookedJob, code: string, detail: string): Promise<void> {
+        const ran = job.stored.record.attempts === 0 ? "no" : "yes";
+        const refused = await context.store.conclude(
+            job.stored,
+            "refused",
+            { ran, code, detail },
+            epochCheckOf(context),
+        );
+        if (refused.isOk) {
+            context.book.remove(job.stored.record.jobId);
+            context.logger.log("info", "job.refused", { job: job.stored.record.jobId, code });
+            context.onJobChanged(job.stored.record.jobId);
+        }
+        else {
+            this.announce([job.stored.record.jobId]);
+        }
+    }
+
+    private reportUnmet(context: RoleContext, unmet: readonly UnmetGuarantee[]): void {
+        const known = new Set(this.unmet.map(({ team, name, instance }) => `${team}/${name}/${instance}`));
+        for (const { team, name, instance } of unmet) {
+            if (!known.has(`${team}/${name}/${instance}`)) {
+                context.logger.log("error", "guarantee.unmet", { team, guarantee: name, instance });
+            }
+        }
+        this.unmet = unmet;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/settledCommit.ts
@@ -0,0 +1,50 @@
+import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
+import type { TableError } from "@persimmonpitch/platform/table.js";
+import { isTerminal } from "@persimmonpitch/schema/job.js";
+import type { Result } from "true-myth";
+import type { BookedJob } from "./jobBook.js";
+import type { StoredJob } from "./jobStore.js";
+import type { RoleContext } from "./roleContext.js";
+
+const RETRY = { baseMs: 100, maxMs: 5_000 };
+
+/**
+ * Writes a change of a job until it is durable, however long the store is out. After a conflict the row is read
+ * again: another write of ours may have taken effect, or a caller may have asked for cancellation.
+ */
+export const commitUntilSettled = async (
+    context: RoleContext,
+    job: BookedJob,
+    write: (stored: StoredJob) => Promise<Result<StoredJob, TableError>>,
+): Promise<void> => {
+    const { jobId, attempt } = job.stored.record;
+    for (let failures = 0; !context.role.isLost; failures += 1) {
+        const written = await write(job.stored);
+        if (written.isOk) {
+            job.stored = written.value;
+            return;
+        }
+        if (written.error.kind !== "unavailable") {
+            const read = await context.store.read(jobId);
+            if (read.isOk && read.value !== undefined) {
+                const isDone = isTerminal(read.value.record.state)
+                    || (attempt !== undefined && read.value.record.attempt?.attemptId !== attempt.attemptId
+                        && read.value.record.attempts >= job.stored.record.attempts);
+                job.stored = isDone ? read.value : mergeDeferredClaim(job.stored, read.value);
+                if (isDone) {
+                    return;
+                }
+            }
+        }
+        context.logger.log("warn", "job.writeFailed", { job: jobId, kind: written.error.kind });
+        await context.clock.sleep(backoffDelay(RETRY, failures, Math.random));
+    }
+};
+
+/** Keeps an attempt that started during an outage, whose claim is not in the row yet. */
+const mergeDeferredClaim = (known: StoredJob, read: StoredJob): StoredJob => {
+    const { attempt, attempts, state } = known.record;
+    return attempt === undefined || read.record.attempts >= attempts
+        ? read
+        : { ...read, record: { ...read.record, attempt, attempts, state } };
+};
