feat(standins): add in-memory platform services, HTTP servers and clients

Cause: entries and agents need the platform's table, object store, worker and executor in tests and in the demo. Change: memory stand-ins with faults, fastify servers over them, and undici clients in the platform package. The table's client settles a lost answer by its write id, retries within a budget and has a circuit breaker.

--- /dev/null
+++ b/packages/platform/src/httpExecutor.ts
@@ -0,0 +1,39 @@
+import { Result } from "true-myth";
+import type { HttpClientOptions } from "./httpClient.js";
+import { HttpClient, parseAnswer, problemDetail } from "./httpClient.js";
+import type { Executor, ExecutorRequest, WorkerError } from "./worker.js";
+import { executorAnswerSchema } from "./workerProtocol.js";
+
+/** Client of the executor on one VM; `refused` means that the request was certainly not run. */
+export class HttpExecutor implements Executor {
+    private readonly client: HttpClient;
+
+    constructor(options: HttpClientOptions) {
+        this.client = new HttpClient(options);
+    }
+
+    async run(request: ExecutorRequest, signal: AbortSignal): Promise<Result<string, WorkerError>> {
+        const answer = await this.client.call({ method: "POST", path: "/requests", body: request, signal });
+        if (answer.isErr) {
+            const { mayBeSent, detail } = answer.error;
+            return Result.err({ kind: mayBeSent ? "unavailable" : "refused", detail });
+        }
+        if (answer.value.status !== 200) {
+            const kind = answer.value.status === 409 ? "refused" : "unavailable";
+            return Result.err({ kind, detail: problemDetail(answer.value) });
+        }
+        const parsed = parseAnswer(executorAnswerSchema, answer.value);
+        if (parsed.isErr) {
+            return Result.err({ kind: "unavailable", detail: parsed.error });
+        }
+        const { attemptId, answer: text } = parsed.value;
+        return attemptId === request.attemptId
+            ? Result.ok(text)
+            : Result.err({ kind: "unavailable", detail: `answer of another attempt, ${attemptId}` });
+    }
+
+    /** Ends all connections. */
+    close(): Promise<void> {
+        return this.client.close();
+    }
+}
--- /dev/null
+++ b/packages/standins/src/memoryWorker.ts
@@ -0,0 +1,273 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { TaskRun } from "@persimmonpitch/platform/runRecord.js";
+import type { TaskStart, Worker, WorkerError, WorkerTask } from "@persimmonpitch/platform/worker.js";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { parseJson } from "./parseJson.js";
+
+/** Faults that a test can cause. */
+export const workerFaultsSchema = z.object({
+    /** Every call answers `unavailable`; tasks go on until their leases lapse. */
+    down: z.boolean(),
+    /** Delay before each call takes effect, in milliseconds. */
+    slow: z.number().nonnegative(),
+    /** Every task fails when it would have finished. */
+    failAll: z.boolean(),
+});
+export type WorkerFaults = z.infer<typeof workerFaultsSchema>;
+
+/** Size and delays of a worker. */
+export interface WorkerOptions {
+    readonly vmId: string;
+    readonly accelerators: number;
+    /** Age of the progress that the worker reports. */
+    readonly progressLagMs?: Millis;
+    /** Time that a task takes to write a checkpoint. */
+    readonly checkpointMs?: Millis;
+}
+
+const DEFAULT_PROGRESS_LAG_MS = 200;
+const DEFAULT_CHECKPOINT_MS = 50;
+
+/** Ended tasks that the worker still lists; the oldest is forgotten first. */
+const MAX_ENDED_TASKS = 1_000;
+
+const payloadSchema = z.object({
+    runMs: z.number().nonnegative().default(100),
+    fail: z.boolean().default(false),
+    result: z.string().default(""),
+});
+type Payload = z.infer<typeof payloadSchema>;
+
+const checkpointSchema = z.object({ workMs: z.number().nonnegative() });
+
+interface Stop {
+    readonly at: Millis;
+    readonly writesCheckpoint: boolean;
+}
+
+/** A task with the state that the worker does not report. */
+interface RunningTask {
+    readonly task: WorkerTask;
+    readonly run: TaskRun;
+    readonly payload: Payload;
+    readonly wake: WakeSignal;
+    done: Promise<void>;
+    leaseEnd: Millis;
+    stop: Stop | undefined;
+    /** Work done up to `measuredAt`; it grows by `share` for each millisecond. */
+    workMs: Millis;
+    measuredAt: Millis;
+    share: number;
+}
+
+/** The worker runtime of one VM, in memory. */
+export class MemoryWorker implements Worker {
+    readonly faults: WorkerFaults = { down: false, slow: 0, failAll: false };
+    /** Every task that was started, in order of its start. */
+    readonly runs: TaskRun[] = [];
+    private readonly tasksById = new Map<string, RunningTask>();
+    private readonly progressLagMs: Millis;
+    private readonly checkpointMs: Millis;
+
+    constructor(private readonly clock: Clock, private readonly options: WorkerOptions) {
+        this.progressLagMs = options.progressLagMs ?? DEFAULT_PROGRESS_LAG_MS;
+        this.checkpointMs = options.checkpointMs ?? DEFAULT_CHECKPOINT_MS;
+    }
+
+    async start(start: TaskStart): Promise<Result<WorkerTask, WorkerError>> {
+        const fault = await this.delayOrFail();
+        if (fault !== undefined) {
+            return Result.err(fault);
+        }
+        const known = this.tasksById.get(start.attemptId);
+        if (known !== undefined) {
+            return Result.ok(this.report(known));
+        }
+        const reason = this.refusalOf(start);
+        if (reason !== undefined) {
+            return refused(reason);
+        }
+        return Result.ok(this.report(this.launch(start)));
+    }
+
+    async renew(attemptIds: readonly string[], leaseMs: number): Promise<Result<undefined, WorkerError>> {
+        const fault = await this.delayOrFail();
+        if (fault !== undefined) {
+            return Result.err(fault);
+        }
+        for (const attemptId of attemptIds) {
+            const running = this.tasksById.get(attemptId);
+            if (running !== undefined) {
+                running.leaseEnd = this.clock.now() + leaseMs;
+                running.wake.wake();
+            }
+        }
+        return Result.ok(undefined);
+    }
+
+    async stop(attemptId: string, checkpoint: boolean, graceMs: number): Promise<Result<WorkerTask, WorkerError>> {
+        const fault = await this.delayOrFail();
+        if (fault !== undefined) {
+            return Result.err(fault);
+        }
+        const running = this.tasksById.get(attemptId);
+        if (running === undefined) {
+            return refused(`no task ${attemptId}`);
+        }
+        if (running.task.state === "running") {
+            const writesCheckpoint = checkpoint && this.checkpointMs <= graceMs;
+            const delayMs = checkpoint ? Math.min(this.checkpointMs, graceMs) : 0;
+            running.stop ??= { at: this.clock.now() + delayMs, writesCheckpoint };
+            running.wake.wake();
+            await running.done;
+        }
+        return Result.ok(this.report(running));
+    }
+
+    async throttle(attemptId: string, share: number): Promise<Result<undefined, WorkerError>> {
+        const fault = await this.delayOrFail();
+        if (fault !== undefined) {
+            return Result.err(fault);
+        }
+        const running = this.tasksById.get(attemptId);
+        if (running === undefined) {
+            return refused(`no task ${attemptId}`);
+        }
+        this.measure(running);
+        running.share = share;
+        running.wake.wake();
+        return Result.ok(undefined);
+    }
+
+    async tasks(): Promise<Result<readonly WorkerTask[], WorkerError>> {
+        const fault = await this.delayOrFail();
+        if (fault !== undefined) {
+            return Result.err(fault);
+        }
+        return Result.ok([...this.tasksById.values()].map(running => this.report(running)));
+    }
+
+    private async delayOrFail(): Promise<WorkerError | undefined> {
+        if (this.faults.slow > 0) {
+            await this.clock.sleep(this.faults.slow);
+        }
+        return this.faults.down ? { kind: "unavailable", detail: "the worker is down" } : undefined;
+    }
+
+    private refusalOf({ devices }: TaskStart): string | undefined {
+        const unknown = devices.filter(device => device >= this.options.accelerators);
+        if (unknown.length > 0) {
+            return `no accelerators ${unknown.join(", ")}`;
+        }
+        const taken = [...this.tasksById.values()]
+            .filter(({ task }) => task.state === "running")
+            .flatMap(({ task }) => task.devices);
+        const busy = devices.filter(device => taken.includes(device));
+        return busy.length > 0 ? `accelerators ${busy.join(", ")} are taken` : undefined;
+    }
+
+    private launch(start: TaskStart): RunningTask {
+        const { attemptId, jobId, devices } = start;
+        const now = this.clock.now();
+        const run: TaskRun = {
+            vmId: this.options.vmId,
+            attemptId,
+            jobId,
+            devices: [...devices],
+            startedAt: now,
+            state: "running",
+        };
+        const running: RunningTask = {
+            task: { attemptId, jobId, devices: [...devices], state: "running", progress: 0 },
+            run,
+            payload: parseJson(payloadSchema, start.payload) ?? payloadSchema.parse({}),
+            wake: new WakeSignal(),
+            done: Promise.resolve(),
+            leaseEnd: now + start.leaseMs,
+            stop: undefined,
+            workMs: parseJson(checkpointSchema, start.checkpoint ?? "")?.workMs ?? 0,
+            measuredAt: now,
+            share: 1,
+        };
+        this.runs.push(run);
+        this.tasksById.set(attemptId, running);
+        running.done = this.runTask(running);
+        return running;
+    }
+
+    /** Runs one task until it finishes, is stopped or its lease lapses. */
+    private async runTask(running: RunningTask): Promise<void> {
+        for (;;) {
+            this.measure(running);
+            const now = this.clock.now();
+            const remainingMs = Math.max(0, running.payload.runMs - running.workMs);
+            const finishAt = remainingMs === 0 ? now : now + remainingMs / running.share;
+            const stopAt = running.stop?.at ?? Infinity;
+            const endAt = Math.min(finishAt, stopAt, running.leaseEnd);
+            if (endAt <= now) {
+                this.end(running, finishAt <= now ? "work" : stopAt <= now ? "stop" : "lease");
+                return;
+            }
+            await running.wake.wait(this.clock, endAt - now);
+        }
+    }
+
+    private end(running: RunningTask, cause: EndCause): void {
+        const { task, run } = running;
+        Object.assign(task, END_HANDLERS[cause](running, this.faults.failAll));
+        running.share = 0;
+        run.endedAt = this.clock.now();
+        run.state = task.state === "finished" || task.state === "failed" ? task.state : "stopped";
+        if (task.result !== undefined) {
+            run.result = task.result;
+        }
+        this.forgetOldTasks();
+    }
+
+    private forgetOldTasks(): void {
+        const ended = [...this.tasksById.values()].filter(({ task }) => task.state !== "running");
+        for (const { task } of ended.slice(0, Math.max(0, ended.length - MAX_ENDED_TASKS))) {
+            this.tasksById.delete(task.attemptId);
+        }
+    }
+
+    private measure(running: RunningTask): void {
+        const now = this.clock.now();
+        running.workMs += (now - running.measuredAt) * running.share;
+        running.measuredAt = now;
+    }
+
+    private report(running: RunningTask): WorkerTask {
+        const { task, payload, workMs, measuredAt, share } = running;
+        if (task.state !== "running") {
+            return structuredClone(task);
+        }
+        const knownWorkMs = workMs + (this.clock.now() - this.progressLagMs - measuredAt) * share;
+        const progress = payload.runMs === 0 ? 0 : Math.min(1, Math.max(0, knownWorkMs / payload.runMs));
+        return { ...structuredClone(task), progress };
+    }
+}
+
+type EndCause = "work" | "stop" | "lease";
+
+/** How a task ends, by the event that ends it. */
+const END_HANDLERS: { readonly [C in EndCause]: (running: RunningTask, failAll: boolean) => Partial<WorkerTask>; } = {
+    work: ({ payload }, failAll) =>
+        payload.fail || failAll
+            ? { state: "failed", progress: 1, error: "the task failed" }
+            : { state: "finished", progress: 1, result: payload.result },
+    stop: ({ stop, workMs, payload }) => ({
+        state: "stopped",
+        progress: Math.min(1, workMs / payload.runMs),
+        ...(stop?.writesCheckpoint === true ? { checkpoint: JSON.stringify({ workMs }) } : {}),
+    }),
+    lease: ({ workMs, payload }) => ({
+        state: "stopped",
+        progress: Math.min(1, workMs / payload.runMs),
+        error: "the lease lapsed",
+    }),
+};
+
+const refused = <T>(detail: string): Result<T, WorkerError> => Result.err({ kind: "refused", detail });
--- /dev/null
+++ b/packages/standins/src/workerServer.ts
@@ -0,0 +1,46 @@
+import type { WorkerError } from "@persimmonpitch/platform/worker.js";
+import { taskStartSchema } from "@persimmonpitch/platform/worker.js";
+import { renewalSchema, stopSchema, throttleSchema } from "@persimmonpitch/platform/workerProtocol.js";
+import type { FastifyReply } from "fastify";
+import type { Result } from "true-myth";
+import { z } from "zod";
+import type { MemoryWorker } from "./memoryWorker.js";
+import { workerFaultsSchema } from "./memoryWorker.js";
+import type { ListenOptions, RunningServer } from "./server.js";
+import { createServer, listen, serveFaults } from "./server.js";
+
+const STATUSES: Readonly<Record<WorkerError["kind"], number>> = { refused: 409, unavailable: 503 };
+
+/** Answers with the value of a result, or with the status of its error. */
+export const sendResult = <T>(res: FastifyReply, result: Result<T, WorkerError>): FastifyReply =>
+    result.match({
+        Ok: value => res.send(value ?? {}),
+        Err: ({ kind, detail }) => res.code(STATUSES[kind]).send({ code: kind, detail }),
+    });
+
+const idSchema = z.object({ id: z.string() });
+
+/** Serves a worker runtime over HTTP on loopback. */
+export const startWorkerServer = (worker: MemoryWorker, options: ListenOptions = {}): Promise<RunningServer> => {
+    const server = createServer();
+    serveFaults(server, workerFaultsSchema, worker.faults);
+    server.get("/runs", () => ({ runs: worker.runs }));
+    server.post("/tasks", async (req, res) => sendResult(res, await worker.start(taskStartSchema.parse(req.body))));
+    server.get("/tasks", async (req, res) => {
+        const listed = await worker.tasks();
+        return sendResult(res, listed.map(tasks => ({ tasks })));
+    });
+    server.post("/leases", async (req, res) => {
+        const { attemptIds, leaseMs } = renewalSchema.parse(req.body);
+        return sendResult(res, await worker.renew(attemptIds, leaseMs));
+    });
+    server.post("/tasks/:id/stop", async (req, res) => {
+        const { checkpoint, graceMs } = stopSchema.parse(req.body);
+        return sendResult(res, await worker.stop(idSchema.parse(req.params).id, checkpoint, graceMs));
+    });
+    server.post("/tasks/:id/throttle", async (req, res) => {
+        const { share } = throttleSchema.parse(req.body);
+        return sendResult(res, await worker.throttle(idSchema.parse(req.params).id, share));
+    });
+    return listen(server, options);
+};
--- /dev/null
+++ b/packages/standins/tests/httpTable.test.ts
@@ -0,0 +1,81 @@
+import { systemClock } from "@persimmonpitch/clock/systemClock.js";
+import { HttpTable } from "@persimmonpitch/platform/httpTable.js";
+import type { Transaction } from "@persimmonpitch/platform/table.js";
+import type { Test } from "tap";
+import t from "tap";
+import type { TableFaults } from "../src/memoryTable.js";
+import { MemoryTable } from "../src/memoryTable.js";
+import { startTableServer } from "../src/tableServer.js";
+
+const TIMEOUT_MS = 5_000;
+/** Longer than any run, so that the breaker stays as the first failures left it. */
+const BREAKER_OPEN_MS = 600_000;
+
+const open = async (t: Test) => {
+    const table = new MemoryTable(systemClock);
+    const server = await startTableServer(table);
+    const client = new HttpTable({
+        baseUrl: server.url,
+        clock: systemClock,
+        timeoutMs: TIMEOUT_MS,
+        random: () => 0,
+        breakerOpenMs: BREAKER_OPEN_MS,
+    });
+    t.teardown(async () => {
+        await client.close();
+        await server.close();
+    });
+    return { table, server, client };
+};
+
+const put = (writeId: string, key: string, value: unknown, version?: number): Transaction => ({
+    writeId,
+    checks: version === undefined ? [] : [{ key, version }],
+    puts: [{ key, value }],
+    deletes: [],
+});
+
+// Guards against rows, versions and pages that change on their way through HTTP.
+void t.test("reads, scans and commits", async t => {
+    const { table, client } = await open(t);
+    const steps = [
+        await client.commit(put("w1", "a/1", { n: 1 }, 0)),
+        await client.commit(put("w2", "a/2 ü?&", "text", 0)),
+        await client.commit(put("w3", "a/1", null, 1)),
+        await client.commit(put("w4", "a/1", 4, 1)),
+        await client.commit(put("w3", "a/1", "again", 1)),
+        await client.commit({ writeId: "w5", checks: [], puts: [{ key: "b", value: 1 }], deletes: [] }),
+        await client.read("a/2 ü?&"),
+        await client.read("c"),
+        await client.scan("a/", undefined, 1),
+        await client.scan("a/", "a/1", 1),
+        await client.commit({ writeId: "w6", checks: [], puts: [], deletes: ["a/1"] }),
+        await client.commit(put("w7", "a/1", "after deletion", 0)),
+    ];
+    t.matchSnapshot(steps.map(step => step.toJSON()));
+    t.matchSnapshot(table.counts);
+});
+
+interface FaultCase {
+    readonly name: string;
+    readonly faults: Partial<TableFaults>;
+}
+
+const FAULT_CASES: readonly FaultCase[] = [
+    { name: "no fault", faults: {} },
+    { name: "one lost answer", faults: { loseAnswers: 1 } },
+    { name: "down", faults: { down: true } },
+    { name: "stale read", faults: { staleReads: 1 } },
+];
+
+// Guards against a commit that is reported wrongly, or applied twice, when the table fails.
+void t.test("commits and reads under faults", async t => {
+    for (const { name, faults } of FAULT_CASES) {
+        const { table, client } = await open(t);
+        await client.commit(put("first", "key", "old"));
+        Object.assign(table.faults, faults);
+        const committed = await client.commit(put("second", "key", "new", 1));
+        const read = await client.read("key");
+        t.matchSnapshot({ committed: committed.toJSON(), read: read.toJSON(), writes: table.counts.writes }, name);
+    }
+});
