--- a/packages/findings/src/finding.ts
+++ b/packages/findings/src/finding.ts
@@ -1,10 +1,11 @@
 import type { MessageData, MessageTable } from "./messageTable.js";
 import { formatMessage } from "./messageTable.js";
 
-/** Where a finding was made: a file and line, a key path, or both. */
+/** Where a finding was made: a file with line and column, a key path, or both. */
 export interface Place {
     readonly file?: string;
     readonly line?: number;
+    readonly column?: number;
     readonly path?: string;
 }
 
@@ -23,8 +24,8 @@
     data: MessageData = {},
 ): Finding => ({ messageId, message: formatMessage(messages[messageId], data), place });
 
-const formatPlace = ({ file, line, path }: Place): string => {
-    const position = file === undefined ? "" : line === undefined ? file : `${file}:${line}`;
+const formatPlace = ({ file, line, column, path }: Place): string => {
+    const position = [file, line, column].filter(part => part !== undefined).join(":");
     return [position, path ?? ""].filter(part => part !== "").join(" ");
 };
 
