--- /dev/null
+++ b/packages/routing/src/directRequest.ts
@@ -0,0 +1,14 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { WorkClass } from "@persimmonpitch/schema/job.js";
+
+/** A direct request as the routing decisions see it. */
+export interface RoutedRequest {
+    readonly requestId: string;
+    readonly team: string;
+    readonly workClass: WorkClass;
+    readonly idempotent: boolean;
+    /** Monotonic time after which the caller no longer waits. */
+    readonly deadline: Millis;
+    /** Endpoints that this request has already been sent to. */
+    readonly tried: ReadonlySet<string>;
+}
--- /dev/null
+++ b/packages/routing/src/serviceRouter.ts
@@ -0,0 +1,319 @@
+/** What one entry remembers of one service, with the decisions that its tasks ask for. */
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { AdmissionDecision, AdmissionOptions, AdmissionState } from "./admission.js";
+import { canMeetDeadline, decideAdmission, DEFAULT_ADMISSION_OPTIONS, shed } from "./admission.js";
+import type { ChoiceOptions, RandomPair } from "./chooseEndpoint.js";
+import { chooseEndpoint, DEFAULT_CHOICE_OPTIONS } from "./chooseEndpoint.js";
+import type { CircuitBreakerOptions } from "./circuitBreaker.js";
+import { CircuitBreaker, DEFAULT_CIRCUIT_BREAKER_OPTIONS } from "./circuitBreaker.js";
+import type { RoutedRequest } from "./directRequest.js";
+import type { EndpointAnnouncement, EndpointState, EndpointView, LoadReport } from "./endpointView.js";
+import { announcedEndpoint, hasRoom, withBusy, withEnded, withReport, withSent } from "./endpointView.js";
+import type { OutlierEjectionOptions } from "./outlierEjection.js";
+import { DEFAULT_OUTLIER_EJECTION_OPTIONS, OutlierEjection } from "./outlierEjection.js";
+import type { RequestQueueOptions } from "./requestQueue.js";
+import { DEFAULT_REQUEST_QUEUE_OPTIONS, RequestQueue } from "./requestQueue.js";
+import type { RetryBudgetOptions } from "./retryBudget.js";
+import { DEFAULT_RETRY_BUDGET_OPTIONS, RetryBudget } from "./retryBudget.js";
+import type { ServiceRateOptions } from "./serviceRate.js";
+import { DEFAULT_SERVICE_RATE_OPTIONS, ServiceRate } from "./serviceRate.js";
+
+/** Options of all decisions on one service. */
+export interface RoutingOptions {
+    readonly choice: ChoiceOptions;
+    readonly queue: RequestQueueOptions;
+    readonly admission: AdmissionOptions;
+    readonly retryBudget: RetryBudgetOptions;
+    readonly circuitBreaker: CircuitBreakerOptions;
+    readonly outlierEjection: OutlierEjectionOptions;
+    readonly serviceRate: ServiceRateOptions;
+}
+
+export const DEFAULT_ROUTING_OPTIONS: RoutingOptions = {
+    choice: DEFAULT_CHOICE_OPTIONS,
+    queue: DEFAULT_REQUEST_QUEUE_OPTIONS,
+    admission: DEFAULT_ADMISSION_OPTIONS,
+    retryBudget: DEFAULT_RETRY_BUDGET_OPTIONS,
+    circuitBreaker: DEFAULT_CIRCUIT_BREAKER_OPTIONS,
+    outlierEjection: DEFAULT_OUTLIER_EJECTION_OPTIONS,
+    serviceRate: DEFAULT_SERVICE_RATE_OPTIONS,
+};
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+    | "answered"
+    /** The executor ran the request and failed. */
+    | "failed"
+    /** The agent refused because all slots or connections were taken; the request was not run. */
+    | "busy"
+    /** The agent refused because it is leaving; the request was not run. */
+    | "leaving"
+    /** The connection ended or the time ran out without an answer; the request may have run. */
+    | "unknown";
+
+/** The next step of the dispatch loop. */
+export type DispatchStep =
+    | {
+        readonly kind: "send";
+        readonly request: RoutedRequest;
+        readonly endpoint: EndpointView;
+        readonly crossing: boolean;
+    }
+    | {
+        readonly kind: "shed";
+        readonly request: RoutedRequest;
+        readonly decision: AdmissionDecision & { readonly kind: "shed"; };
+    }
+    /** Nothing can be sent until an attempt ends, a report arrives or a request is submitted. */
+    | { readonly kind: "idle"; };
+
+/** What follows the end of an attempt. */
+export type AttemptVerdict =
+    /** The outcome goes to the caller. */
+    | { readonly kind: "final"; }
+    /** The request waits at the front of its queue for another endpoint. */
+    | { readonly kind: "retried"; }
+    /** No attempt ran and none follows. */
+    | { readonly kind: "shed"; readonly decision: AdmissionDecision & { readonly kind: "shed"; }; };
+
+interface Endpoint {
+    view: EndpointView;
+    readonly breaker: CircuitBreaker;
+}
+
+interface OutcomeHandler {
+    /** Whether it is certain that the attempt did not run. */
+    readonly isNotRun: boolean;
+    readonly isRetryable: (request: RoutedRequest) => boolean;
+    readonly apply: (router: ServiceRouter, vmId: string, now: Millis) => void;
+}
+
+const OUTCOME_HANDLERS: { readonly [K in AttemptOutcome]: OutcomeHandler; } = {
+    answered: {
+        isNotRun: false,
+        isRetryable: () => false,
+        apply: (router, vmId, now) => {
+            router.recordHealth(vmId, true, now);
+        },
+    },
+    failed: {
+        isNotRun: false,
+        isRetryable: request => request.idempotent,
+        apply: (router, vmId, now) => {
+            router.recordHealth(vmId, false, now);
+        },
+    },
+    busy: {
+        isNotRun: true,
+        isRetryable: () => true,
+        apply: (router, vmId, now) => {
+            router.recordBusy(vmId, now);
+        },
+    },
+    leaving: {
+        isNotRun: true,
+        isRetryable: () => true,
+        apply: (router, vmId, now) => {
+            router.setState(vmId, "leaving", now);
+        },
+    },
+    unknown: {
+        isNotRun: false,
+        isRetryable: request => request.idempotent,
+        apply: (router, vmId, now) => {
+            router.recordHealth(vmId, false, now);
+        },
+    },
+};
+
+/** Routing of one service in one entry. */
+export class ServiceRouter {
+    private readonly endpoints = new Map<string, Endpoint>();
+    private readonly queue: RequestQueue;
+    private readonly budget: RetryBudget;
+    private readonly ejection: OutlierEjection;
+    private readonly rate: ServiceRate;
+
+    constructor(
+        private readonly service: string,
+        private readonly dataCentre: string,
+        now: Millis,
+        private readonly options: RoutingOptions = DEFAULT_ROUTING_OPTIONS,
+    ) {
+        this.queue = new RequestQueue(options.queue);
+        this.budget = new RetryBudget(now, options.retryBudget);
+        this.ejection = new OutlierEjection(options.outlierEjection);
+        this.rate = new ServiceRate(options.serviceRate);
+    }
+
+    /** Requests that wait. */
+    get waiting(): number {
+        return this.queue.length;
+    }
+
+    /** Adds an endpoint, or replaces one whose VM has started again; attempts on the older one must have ended. */
+    announce(announcement: EndpointAnnouncement): void {
+        const breaker = new CircuitBreaker(this.options.circuitBreaker);
+        this.endpoints.set(announcement.vmId, { view: announcedEndpoint(announcement), breaker });
+        this.ejection.add(announcement.vmId);
+    }
+
+    /** Takes in a load report. */
+    report(vmId: string, report: LoadReport): void {
+        this.update(vmId, view => withReport(view, report));
+    }
+
+    /** Changes the state of an endpoint; one that is lost is forgotten. */
+    setState(vmId: string, state: EndpointState, now: Millis): void {
+        this.update(vmId, view => ({ ...view, state }));
+        if (state === "lost") {
+            this.endpoints.delete(vmId);
+            this.ejection.remove(vmId, now);
+        }
+    }
+
+    /** Decides on a new request; unless it is shed, it waits for `nextStep`. */
+    submit(request: RoutedRequest, now: Millis): AdmissionDecision {
+        const decision = decideAdmission(request, this.admissionState(now), now, this.options.admission);
+        if (decision.kind !== "shed") {
+            this.budget.recordRequest();
+            this.queue.push(request, this.rate.expectedServiceMs(request.workClass));
+        }
+        return decision;
+    }
+
+    /** Takes the next waiting request for which something can be done; call it until it answers `idle`. */
+    nextStep(now: Millis, random: RandomPair): DispatchStep {
+        if (!this.hasFreeSlot(now)) {
+            return { kind: "idle" };
+        }
+        const entry = this.queue.take();
+        if (entry === undefined) {
+            return { kind: "idle" };
+        }
+        const { request } = entry;
+        if (!this.isWorthSending(request, now)) {
+            return { kind: "shed", request, decision: shed("deadlineUnreachable", 0, this.options.admission) };
+        }
+        const choice = chooseEndpoint(this.views(), this.queryFor(request, now, random), now, this.options.choice);
+        if (choice.kind === "none") {
+            return { kind: "shed", request, decision: shed("noEndpoint", 0, this.options.admission) };
+        }
+        if (choice.kind === "full") {
+            this.queue.putBack(request, entry.workMs);
+            return { kind: "idle" };
+        }
+        this.recordSent(request, choice.endpoint.vmId, now);
+        return { kind: "send", request, endpoint: choice.endpoint, crossing: choice.crossing };
+    }
+
+    /** Takes in the end of an attempt and decides whether the request is retried. */
+    attemptEnded(
+        request: RoutedRequest,
+        vmId: string,
+        outcome: AttemptOutcome,
+        sentAt: Millis,
+        now: Millis,
+    ): AttemptVerdict {
+        this.update(vmId, withEnded);
+        const handler = OUTCOME_HANDLERS[outcome];
+        handler.apply(this, vmId, now);
+        if (outcome === "answered") {
+            this.rate.recordServiceTime(request.workClass, now - sentAt);
+        }
+        if (!handler.isRetryable(request)) {
+            return { kind: "final" };
+        }
+        if (this.budget.tryRetry(now)) {
+            const retried = { ...request, tried: new Set([...request.tried, vmId]) };
+            this.queue.putBack(retried, this.rate.expectedServiceMs(request.workClass));
+            return { kind: "retried" };
+        }
+        return handler.isNotRun
+            ? { kind: "shed", decision: shed("retryBudgetSpent", 0, this.options.admission) }
+            : { kind: "final" };
+    }
+
+    /** Removes waiting requests whose deadline can no longer be met. */
+    removeExpired(now: Millis): readonly RoutedRequest[] {
+        return this.queue.removeWhere(request => !canMeetDeadline(request, this.rate, now, this.options.admission));
+    }
+
+    /** Counts an answer or a failure for the endpoint's breaker and for outlier ejection. */
+    recordHealth(vmId: string, succeeded: boolean, now: Millis): void {
+        const breaker = this.endpoints.get(vmId)?.breaker;
+        if (succeeded) {
+            breaker?.recordSuccess();
+        }
+        else {
+            breaker?.recordFailure(now);
+        }
+        this.ejection.record(vmId, succeeded, now);
+    }
+
+    /** Counts a refusal for lack of slots; it says nothing about health. */
+    recordBusy(vmId: string, now: Millis): void {
+        this.update(vmId, view => withBusy(view, now));
+        this.endpoints.get(vmId)?.breaker.recordNoVerdict(now);
+    }
+
+    /** While nobody else waits, a doubtful request is sent all the same, because only answers correct the estimate. */
+    private isWorthSending(request: RoutedRequest, now: Millis): boolean {
+        return this.queue.length === 0
+            ? now < request.deadline
+            : canMeetDeadline(request, this.rate, now, this.options.admission);
+    }
+
+    private recordSent(request: RoutedRequest, vmId: string, now: Millis): void {
+        this.update(vmId, withSent);
+        this.endpoints.get(vmId)?.breaker.recordSent(now);
+        this.rate.recordDispatch(request.workClass, now);
+    }
+
+    private queryFor(request: RoutedRequest, now: Millis, random: RandomPair) {
+        return {
+            service: this.service,
+            dataCentre: this.dataCentre,
+            excluded: request.tried,
+            isHealthy: (vmId: string) => this.isHealthy(vmId, now),
+            expectedLocalWaitMs: this.expectedLocalWaitMs(request),
+            random,
+        };
+    }
+
+    private expectedLocalWaitMs(request: RoutedRequest): Millis {
+        const local = this.views().filter(view => view.dataCentre === this.dataCentre && view.state === "ready");
+        const busy = local.reduce((sum, view) => sum + view.ownInFlight, 0);
+        return busy === 0 ? Infinity : this.rate.expectedServiceMs(request.workClass) / busy;
+    }
+
+    private admissionState(now: Millis): AdmissionState {
+        return {
+            queue: this.queue,
+            rate: this.rate,
+            usableEndpoints:
+                this.views().filter(view => view.state === "ready" && this.isHealthy(view.vmId, now)).length,
+            hasFreeSlot: this.hasFreeSlot(now),
+            busySlots: this.views().reduce((sum, view) => sum + view.ownInFlight, 0),
+        };
+    }
+
+    private hasFreeSlot(now: Millis): boolean {
+        return this.views().some(view => hasRoom(view, now) && this.isHealthy(view.vmId, now));
+    }
+
+    private isHealthy(vmId: string, now: Millis): boolean {
+        return this.endpoints.get(vmId)?.breaker.allows(now) === true && !this.ejection.isEjected(vmId, now);
+    }
+
+    private views(): readonly EndpointView[] {
+        return [...this.endpoints.values()].map(({ view }) => view);
+    }
+
+    private update(vmId: string, change: (view: EndpointView) => EndpointView): void {
+        const endpoint = this.endpoints.get(vmId);
+        if (endpoint !== undefined) {
+            endpoint.view = change(endpoint.view);
+        }
+    }
+}
