--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -55,7 +55,6 @@
             executor: options.executor,
             records: this.records,
             isLeaving: () => this.isLeaving,
-            notify: this.notify,
         });
     }
 
--- a/packages/agent/src/requestHandler.ts
+++ b/packages/agent/src/requestHandler.ts
@@ -20,8 +20,6 @@
     readonly records: RecordStore;
     readonly logger: Logger;
     readonly isLeaving: () => boolean;
-    /** Sends a report soon, so that entries learn of the load. */
-    readonly notify: () => void;
 }
 
 /** Runs direct requests on the executor, within its slots and each attempt at most once. */
@@ -54,7 +52,6 @@
         }
         finally {
             this.running -= 1;
-            this.context.notify();
         }
     }
 
--- /dev/null
+++ b/packages/entry/src/adminRoutes.ts
@@ -0,0 +1,118 @@
+import { rowKeys } from "@persimmonpitch/scheduler/rowKeys.js";
+import type { ConfigHistoryAnswer, DrainAnswer, StatusAnswer } from "@persimmonpitch/schema/apiAnswers.js";
+import type { Configuration, ConfigurationBody } from "@persimmonpitch/schema/configuration.js";
+import { configurationBodySchema, configurationSchema } from "@persimmonpitch/schema/configuration.js";
+import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
+import type { FastifyInstance } from "fastify";
+import { z } from "zod";
+import type { ApiContext } from "./apiContext.js";
+import { requireConfiguration, requireOperator } from "./apiContext.js";
+import { checkBody } from "./checkBody.js";
+import { sendHistory } from "./historyRoutes.js";
+import { cancelJob, parseOrThrow, tableProblem } from "./jobRoutes.js";
+import { ProblemError } from "./problems.js";
+import { buildStatus } from "./statusReport.js";
+
+const IF_MATCH = /^"?(\d+)"?$/;
+const VERSIONS_PAGE = 500;
+
+const load = async (
+    context: ApiContext,
+    body: ConfigurationBody,
+    over: number,
+    operator: string,
+): Promise<Configuration> => {
+    const findings = checkBody(body);
+    if (findings.length > 0) {
+        throw new ProblemError("invalidConfiguration", { count: findings.length }, { findings: [...findings] });
+    }
+    const loaded = await context.config.load(body, over, operator);
+    if (loaded.isErr && loaded.error.kind === "versionConflict") {
+        const { currentVersion } = loaded.error;
+        throw new ProblemError("versionConflict", { currentVersion }, { currentVersion });
+    }
+    if (loaded.isErr) {
+        throw tableProblem(
+            loaded.error.kind === "storeUnavailable" ? loaded.error.error : { kind: "unclear", detail: "" },
+            true,
+        );
+    }
+    context.logger.log("info", "config.loaded", { version: loaded.value.version, by: operator });
+    return loaded.value;
+};
+
+const listVersions = async (context: ApiContext): Promise<ConfigHistoryAnswer> => {
+    const versions: ConfigHistoryAnswer["versions"] = [];
+    let after: string | undefined;
+    do {
+        const page = await context.table.scan(rowKeys.configVersionPrefix, after, VERSIONS_PAGE);
+        if (page.isErr) {
+            throw tableProblem(page.error, false);
+        }
+        for (const { value } of page.value.rows) {
+            const { version, loadedAt, loadedBy } = configurationSchema.parse(value);
+            versions.push({ version, loadedAt, loadedBy });
+        }
+        after = page.value.next;
+    }
+    while (after !== undefined);
+    return { versions };
+};
+
+const drain = async (context: ApiContext, vmId: string, operator: string): Promise<DrainAnswer> => {
+    const { body, version } = requireConfiguration(context);
+    if (!body.vms.some(({ id }) => id === vmId)) {
+        throw new ProblemError("notFound", { what: `VM ${vmId}` });
+    }
+    if (body.drained.includes(vmId)) {
+        return { vmId, configVersion: version };
+    }
+    const drained = { ...body, drained: [...body.drained, vmId] };
+    return { vmId, configVersion: (await load(context, drained, version, operator)).version };
+};
+
+/** Adds the operators' routes. */
+export const addAdminRoutes = (server: FastifyInstance, context: ApiContext): void => {
+    server.get("/v1/admin/config", (req, res) => {
+        requireOperator(context, req);
+        const configuration = requireConfiguration(context);
+        return res.header("etag", `"${configuration.version}"`).send(configuration);
+    });
+    server.put("/v1/admin/config", async (req, res) => {
+        const operator = requireOperator(context, req);
+        const over = IF_MATCH.exec(req.headers["if-match"] ?? "")?.[1];
+        if (over === undefined) {
+            throw new ProblemError("versionRequired");
+        }
+        const body = parseOrThrow(configurationBodySchema, req.body);
+        const configuration = await load(context, body, Number(over), operator);
+        return res.header("etag", `"${configuration.version}"`).send(configuration);
+    });
+    server.get("/v1/admin/config/history", req => {
+        requireOperator(context, req);
+        return listVersions(context);
+    });
+    server.get("/v1/admin/status", (req): Promise<StatusAnswer> => {
+        requireOperator(context, req);
+        return buildStatus(context);
+    });
+    server.get("/v1/admin/burn", req => {
+        requireOperator(context, req);
+        return context.levels.report(context.clock);
+    });
+    server.post("/v1/admin/vms/:vmId/drain", req => {
+        const operator = requireOperator(context, req);
+        const { vmId } = parseOrThrow(z.object({ vmId: identifierSchema }), req.params);
+        return drain(context, vmId, operator);
+    });
+    server.post("/v1/admin/jobs/:jobId/cancel", req => {
+        requireOperator(context, req);
+        const { jobId } = parseOrThrow(z.object({ jobId: identifierSchema }), req.params);
+        return cancelJob(context, jobId, () => true);
+    });
+    server.get("/v1/admin/teams/:team/history", (req, res) => {
+        requireOperator(context, req);
+        const { team } = parseOrThrow(z.object({ team: identifierSchema }), req.params);
+        return sendHistory(context, team, res);
+    });
+};
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,197 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Table } from "@persimmonpitch/platform/table.js";
+import type { Link } from "@persimmonpitch/protocol/link.js";
+import { JobStore } from "@persimmonpitch/scheduler/jobStore.js";
+import { SchedulingRole } from "@persimmonpitch/scheduler/schedulingRole.js";
+import type { Configuration } from "@persimmonpitch/schema/configuration.js";
+import type { FastifyInstance } from "fastify";
+import { Result } from "true-myth";
+import { AgentRegistry } from "./agentRegistry.js";
+import type { ApiContext } from "./apiContext.js";
+import { ConfigWatch } from "./configWatch.js";
+import { DirectRequests } from "./directRequests.js";
+import type { EntrySettings } from "./entrySettings.js";
+import { createHttpServer } from "./httpServer.js";
+import type { InnerServerContext } from "./innerServer.js";
+import { serveInbound } from "./innerServer.js";
+import { JobWaiters } from "./jobWaiters.js";
+import { LeaseGranter } from "./leaseGranter.js";
+import type { OpenPeerLink } from "./peerConnection.js";
+import { Peers } from "./peerConnection.js";
+import { createRecorder } from "./requestRecorder.js";
+import type { RequestRecorder } from "./requestRecorder.js";
+import { createServiceLevels } from "./serviceLevels.js";
+
+/** Everything an entry needs from outside. */
+export interface EntryOptions {
+    readonly settings: Pick<EntrySettings, "id" | "region" | "dataCentre" | "peers" | "bootstrapOperator">;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly table: Table;
+    readonly openPeerLink: OpenPeerLink;
+    readonly random?: () => number;
+}
+
+const PUSH_TIMEOUT_MS: Millis = 3_000;
+const DRAIN_POLL_MS: Millis = 50;
+
+/** One entry process: callers, operators, agents, peers and, when it holds it, the scheduling role. */
+export class Entry {
+    readonly http: FastifyInstance;
+    readonly role: SchedulingRole;
+    readonly config: ConfigWatch;
+    readonly registry: AgentRegistry;
+    private readonly direct: DirectRequests;
+    private readonly peers: Peers;
+    private readonly recorder: RequestRecorder;
+    private readonly inner: InnerServerContext;
+    private readonly waiters: JobWaiters;
+    private readonly stopController = new AbortController();
+    private readonly inbound = new Set<Link>();
+    private isShuttingDown = false;
+
+    constructor(private readonly options: EntryOptions) {
+        const { settings, clock, logger, table } = options;
+        const { id: entryId, region, dataCentre } = settings;
+        const common = { entryId, region, clock, logger };
+        const { signal } = this.stopController;
+        this.config = new ConfigWatch(table, clock, logger);
+        this.registry = new AgentRegistry(clock, async (peerId, agent, method, params, timeoutMs) => {
+            const answer = await this.peers.link(peerId)?.call(
+                "peer.order",
+                { vmId: agent.vmId, instanceId: agent.instanceId, method, params, timeoutMs },
+                timeoutMs + DRAIN_POLL_MS,
+            );
+            if (answer === undefined || answer.isErr) {
+                return Result.err(answer?.error ?? { kind: "notSent", detail: `There is no connection to ${peerId}.` });
+            }
+            return answer.value.kind === "answered" ? Result.ok(answer.value.result) : Result.err(answer.value);
+        });
+        const store = new JobStore(table, clock, region);
+        this.waiters = new JobWaiters(store, clock);
+        this.role = new SchedulingRole({
+            ...common,
+            table,
+            holderId: entryId,
+            gateway: this.registry,
+            configuration: () => this.config.configuration,
+            onJobChanged: jobId => {
+                this.waiters.notify(jobId);
+            },
+        });
+        const granter = new LeaseGranter(clock, () => this.role.epoch);
+        this.peers = new Peers(
+            { ...common, registry: this.registry, granter, config: this.config, openLink: options.openPeerLink },
+            settings.peers,
+        );
+        this.direct = new DirectRequests({
+            clock,
+            logger,
+            dataCentre,
+            slots: () => this.config.configuration?.body.rules.slotsPerExecutor ?? 1,
+            connections: () => this.config.configuration?.body.rules.connectionsPerExecutor ?? 1,
+            random: options.random ?? Math.random,
+        }, signal);
+        this.recorder = createRecorder(table);
+        this.inner = {
+            ...common,
+            registry: this.registry,
+            granter,
+            config: this.config,
+            role: this.role,
+            onOrphanedRecords: records => {
+                records.forEach(record => {
+                    this.recorder.add(record, () => undefined);
+                });
+            },
+        };
+        const api: ApiContext = {
+            ...common,
+            table,
+            store,
+            role: this.role,
+            granter,
+            registry: this.registry,
+            peers: this.peers,
+            config: this.config,
+            direct: this.direct,
+            recorder: this.recorder,
+            waiters: this.waiters,
+            levels: createServiceLevels(),
+            bootstrapOperator: settings.bootstrapOperator,
+            isShuttingDown: () => this.isShuttingDown,
+        };
+        this.http = createHttpServer(api);
+        this.connectParts();
+    }
+
+    /** Runs all tasks of the process until `shutdown` or `kill`. */
+    async run(): Promise<void> {
+        const { signal } = this.stopController;
+        await Promise.all([this.config.run(signal), this.peers.run(signal), this.role.run(signal)]);
+    }
+
+    /** Serves one inbound connection whose other side has proved its name. */
+    serve(link: Link, peerName: string): void {
+        this.inbound.add(link);
+        void serveInbound(this.inner, link, peerName).then(() => {
+            this.inbound.delete(link);
+        });
+    }
+
+    /** Takes nothing new, finishes what is in progress, gives the role back and closes all connections. */
+    async shutdown(): Promise<void> {
+        const { logger, clock } = this.options;
+        logger.log("info", "entry.shutdown", { active: this.direct.active });
+        this.isShuttingDown = true;
+        while (this.direct.active > 0) {
+            await clock.sleep(DRAIN_POLL_MS);
+        }
+        await this.http.close();
+        await this.recorder.drain();
+        this.kill();
+    }
+
+    /** Ends all tasks at once. */
+    kill(): void {
+        this.stopController.abort();
+        this.inbound.forEach(link => {
+            link.close();
+        });
+    }
+
+    private connectParts(): void {
+        this.registry.onChange((agent, attemptIds) => {
+            this.role.notifyAgentChange(attemptIds);
+            this.peers.notify();
+            const { vmId, kind, service, instanceId, dataCentre } = agent.identity;
+            if (kind !== "executor" || service === undefined) {
+                return;
+            }
+            const here = this.registry.connectedHere().find(({ identity }) => identity.vmId === vmId);
+            if (here === undefined) {
+                this.direct.removeExecutor(service, vmId);
+            }
+            else {
+                this.direct.reportExecutor(
+                    { vmId, instanceId, dataCentre, service, link: here.link },
+                    this.registry.loadOf(vmId),
+                );
+            }
+        });
+        this.config.onChange(configuration => {
+            this.role.announce([]);
+            this.peers.notify();
+            this.push(configuration);
+        });
+    }
+
+    /** Pushes a configuration to all agents; one that misses it gets it with its next hello. */
+    private push({ version, body }: Configuration): void {
+        const limits = { slots: body.rules.slotsPerExecutor, connections: body.rules.connectionsPerExecutor };
+        this.registry.connectedHere().forEach(({ link }) => {
+            void link.call("config.changed", { version, limits }, PUSH_TIMEOUT_MS);
+        });
+    }
+}
--- /dev/null
+++ b/packages/entry/src/httpServer.ts
@@ -0,0 +1,59 @@
+import type { FastifyError, FastifyInstance } from "fastify";
+import fastify from "fastify";
+import { addAdminRoutes } from "./adminRoutes.js";
+import type { ApiContext } from "./apiContext.js";
+import { addHistoryRoutes } from "./historyRoutes.js";
+import { addJobRoutes } from "./jobRoutes.js";
+import { ProblemError } from "./problems.js";
+import { addRequestRoutes } from "./requestRoutes.js";
+import { addServiceRoutes } from "./serviceRoutes.js";
+
+const MAX_BODY_BYTES = 1024 * 1024;
+
+/** A caller that sends its headers slowly must not hold a connection. */
+const HEADERS_TIMEOUT_MS = 10_000;
+const MS_PER_SECOND = 1_000;
+
+const toProblem = (error: FastifyError | ProblemError): ProblemError => {
+    if (error instanceof ProblemError) {
+        return error;
+    }
+    if (error.statusCode === 413) {
+        return new ProblemError("bodyTooLarge");
+    }
+    const isClientFault = error.statusCode !== undefined && error.statusCode < 500;
+    return isClientFault
+        ? new ProblemError("invalidBody", {}, { status: error.statusCode ?? 400, detail: error.message })
+        : new ProblemError("internal");
+};
+
+/** Makes the HTTP server for callers and operators. */
+export const createHttpServer = (context: ApiContext): FastifyInstance => {
+    const server = fastify({
+        bodyLimit: MAX_BODY_BYTES,
+        forceCloseConnections: "idle",
+        http: { headersTimeout: HEADERS_TIMEOUT_MS },
+    });
+    server.setErrorHandler((error: FastifyError | ProblemError, req, res) => {
+        const { problem } = toProblem(error);
+        if (problem.code === "internal") {
+            context.logger.log("error", "http.failed", { method: req.method, url: req.url, detail: error.message });
+        }
+        if (problem.retryAfterMs !== undefined) {
+            res.header("retry-after", Math.ceil(problem.retryAfterMs / MS_PER_SECOND));
+        }
+        return res.code(problem.status).type("application/problem+json").send(problem);
+    });
+    server.setNotFoundHandler(req => {
+        throw new ProblemError("notFound", { what: `resource ${req.url}` });
+    });
+    server.addHook("onRequest", (req, _res, done) => {
+        done(context.isShuttingDown() && req.method !== "GET" ? new ProblemError("shuttingDown") : undefined);
+    });
+    addServiceRoutes(server, context);
+    addJobRoutes(server, context);
+    addRequestRoutes(server, context);
+    addHistoryRoutes(server, context);
+    addAdminRoutes(server, context);
+    return server;
+};
--- /dev/null
+++ b/packages/entry/src/innerServer.ts
@@ -0,0 +1,160 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { AgentIdentity, ExecutorLimits } from "@persimmonpitch/protocol/agentMessages.js";
+import { agentToEntryMethods, entryToAgentMethods, PROTOCOL_VERSION } from "@persimmonpitch/protocol/agentMessages.js";
+import { Connection } from "@persimmonpitch/protocol/connection.js";
+import type { Link } from "@persimmonpitch/protocol/link.js";
+import type { HandlerTable } from "@persimmonpitch/protocol/method.js";
+import type { PeerMethods } from "@persimmonpitch/protocol/peerMessages.js";
+import { peerMethods } from "@persimmonpitch/protocol/peerMessages.js";
+import { orderMethods } from "@persimmonpitch/protocol/taskMessages.js";
+import type { SchedulingRole } from "@persimmonpitch/scheduler/schedulingRole.js";
+import type { Configuration } from "@persimmonpitch/schema/configuration.js";
+import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
+import type { AgentLink, AgentRegistry } from "./agentRegistry.js";
+import type { ConfigWatch } from "./configWatch.js";
+import { explainRole } from "./explainRole.js";
+import type { LeaseGranter } from "./leaseGranter.js";
+
+/** What the tasks of inbound connections share. */
+export interface InnerServerContext {
+    readonly entryId: string;
+    readonly region: string;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly registry: AgentRegistry;
+    readonly granter: LeaseGranter;
+    readonly config: ConfigWatch;
+    readonly role: SchedulingRole;
+    readonly onOrphanedRecords: (records: readonly HistoryRecord[]) => void;
+}
+
+/** A worker reports what changed at once; the heartbeat only renews its lease. */
+const WORKER_HEARTBEAT_MS: Millis = 5_000;
+
+/** The load of an executor is reported at this interval. */
+const EXECUTOR_HEARTBEAT_MS: Millis = 1_000;
+
+/** An agent that is silent for this long has lost its lease. */
+const SILENCE_MS: Millis = 15_000;
+
+const limitsOf = (configuration: Configuration | undefined): ExecutorLimits => ({
+    slots: configuration?.body.rules.slotsPerExecutor ?? 8,
+    connections: configuration?.body.rules.connectionsPerExecutor ?? 64,
+});
+
+/** The task of one inbound connection, of an agent or of another entry, from the handshake to its end. */
+export const serveInbound = async (context: InnerServerContext, link: Link, peerName: string): Promise<void> => {
+    const { clock, logger, registry } = context;
+    let agent: AgentIdentity | undefined;
+    let heardAt = clock.now();
+    const heard = () => {
+        heardAt = clock.now();
+    };
+    const connection: AgentLink = new Connection({
+        link,
+        clock,
+        local: { ...agentToEntryMethods, ...peerMethods },
+        remote: entryToAgentMethods,
+        handlers: {
+            ...peerHandlers(context, peerName, heard),
+            "agent.hello": ({ identity, protocolVersion }) => {
+                heard();
+                if (identity.vmId !== peerName || protocolVersion !== PROTOCOL_VERSION) {
+                    connection.close();
+                    return Promise.reject(new Error("The identity or the protocol version does not match."));
+                }
+                agent = identity;
+                registry.connect(identity, connection);
+                logger.log("info", "agent.connected", { vm: identity.vmId, instance: identity.instanceId });
+                return Promise.resolve({
+                    entryId: context.entryId,
+                    heartbeatMs: identity.kind === "worker" ? WORKER_HEARTBEAT_MS : EXECUTOR_HEARTBEAT_MS,
+                    limits: limitsOf(context.config.configuration),
+                    grant: context.granter.grant(context.config.version),
+                });
+            },
+            "agent.report": report => {
+                heard();
+                registry.report(peerName, connection, report);
+                if (report.orphanedRecords.length > 0) {
+                    context.onOrphanedRecords(report.orphanedRecords);
+                }
+                return Promise.resolve(context.granter.grant(context.config.version));
+            },
+        },
+        onMalformed: detail => {
+            logger.log("warn", "message.malformed", { from: peerName, detail });
+        },
+    });
+    const ended = new AbortController();
+    void closeWhenSilent(clock, connection, () => heardAt, ended.signal);
+    await connection.run();
+    ended.abort();
+    if (agent !== undefined) {
+        registry.disconnect(agent.vmId, connection);
+        logger.log("info", "agent.disconnected", { vm: agent.vmId });
+    }
+};
+
+const closeWhenSilent = async (
+    clock: Clock,
+    connection: AgentLink,
+    heardAt: () => Millis,
+    signal: AbortSignal,
+): Promise<void> => {
+    while (!signal.aborted) {
+        const left = heardAt() + SILENCE_MS - clock.now();
+        if (left <= 0) {
+            connection.close();
+            return;
+        }
+        await clock.sleep(left, signal);
+    }
+};
+
+const peerHandlers = (
+    context: InnerServerContext,
+    peerName: string,
+    heard: () => void,
+): HandlerTable<PeerMethods> => ({
+    "peer.hello": () => {
+        heard();
+        return Promise.resolve({ entryId: context.entryId, region: context.region });
+    },
+    "peer.report": async ({ agents, configVersion, jobIds }) => {
+        heard();
+        context.registry.heardFrom(peerName);
+        agents.forEach(news => {
+            context.registry.learn(peerName, news);
+        });
+        if (jobIds.length > 0) {
+            context.role.announce(jobIds);
+        }
+        if (configVersion > context.config.version) {
+            await context.config.refresh();
+        }
+        const { epoch } = context.role;
+        const { grantMs, epoch: known } = context.granter.grant(context.config.version);
+        return {
+            isHolder: epoch !== undefined,
+            epoch: epoch ?? known,
+            grantMs: epoch === undefined ? 0 : grantMs,
+            configVersion: context.config.version,
+            fullTeams: [...context.role.fullTeams(context.config.configuration)],
+        };
+    },
+    "peer.order": async ({ vmId, instanceId, method, params, timeoutMs }) => {
+        const agent = context.registry.connectedHere().find(({ identity }) => identity.vmId === vmId);
+        const known = orderMethods[method as keyof typeof orderMethods] as {
+            params: (typeof orderMethods)["task.fence"]["params"];
+        } | undefined;
+        const parsed = known?.params.safeParse(params);
+        if (agent?.identity.instanceId !== instanceId || parsed?.success !== true) {
+            return { kind: "notSent", detail: `The agent of ${vmId} is not connected here.` };
+        }
+        const answer = await agent.link.call(method as "task.fence", parsed.data, timeoutMs);
+        return answer.isOk ? { kind: "answered", result: answer.value } : answer.error;
+    },
+    "peer.explain": () => Promise.resolve(explainRole(context)),
+});
--- /dev/null
+++ b/packages/entry/src/jobRoutes.ts
@@ -0,0 +1,155 @@
+import type { TableError } from "@persimmonpitch/platform/table.js";
+import type { Cancellation, StoredJob } from "@persimmonpitch/scheduler/jobStore.js";
+import { scanKeys } from "@persimmonpitch/scheduler/jobStore.js";
+import { rowKeys } from "@persimmonpitch/scheduler/rowKeys.js";
+import type { CancelAnswer, JobsAnswer } from "@persimmonpitch/schema/apiAnswers.js";
+import { identifierSchema, millisSchema } from "@persimmonpitch/schema/identifier.js";
+import type { JobRecord } from "@persimmonpitch/schema/job.js";
+import { jobRequestSchema } from "@persimmonpitch/schema/job.js";
+import type { FastifyInstance } from "fastify";
+import { randomUUID } from "node:crypto";
+import { z } from "zod";
+import type { ApiContext } from "./apiContext.js";
+import { requireConfiguration, requireTeam } from "./apiContext.js";
+import { findingsOf, ProblemError } from "./problems.js";
+
+const jobParamsSchema = z.object({ jobId: identifierSchema });
+const MAX_WAIT_MS = 60_000;
+const waitQuerySchema = z.object({ timeoutMs: z.coerce.number().pipe(millisSchema.max(MAX_WAIT_MS)).default(30_000) });
+const MAX_LISTED_JOBS = 1_000;
+const RETRY_AFTER_MS = 5_000;
+
+/** Parses a body or parameters, or answers with all findings. */
+export const parseOrThrow = <S extends z.ZodType>(schema: S, value: unknown): z.output<S> => {
+    const parsed = schema.safeParse(value);
+    if (!parsed.success) {
+        throw new ProblemError("invalidBody", {}, { findings: findingsOf(parsed.error) });
+    }
+    return parsed.data;
+};
+
+/** The problem for a call that the table did not serve; `isWrite` when it may have taken effect. */
+export const tableProblem = (error: TableError, isWrite: boolean): ProblemError =>
+    isWrite && error.kind === "unclear"
+        ? new ProblemError("storeUnclear", {}, { retryAfterMs: RETRY_AFTER_MS })
+        : new ProblemError("storeUnavailable", {}, { retryAfterMs: RETRY_AFTER_MS });
+
+/** Ids begin with the time, so that a team's jobs are listed and exported in order. */
+const TIME_ID_DIGITS = 9;
+export const createSubjectId = (prefix: string, wallTime: number): string =>
+    `${prefix}${Math.floor(wallTime).toString(36).padStart(TIME_ID_DIGITS, "0")}-${randomUUID().slice(0, 13)}`;
+
+const CANCEL_RESULTS = {
+    cancelled: "cancelled",
+    requested: "stopping",
+    alreadyEnded: "alreadyEnded",
+} as const satisfies Readonly<Record<Exclude<Cancellation["kind"], "missing">, CancelAnswer["result"]>>;
+
+/** Cancels a job that the caller may see. */
+export const cancelJob = async (
+    context: ApiContext,
+    jobId: string,
+    isVisible: (job: JobRecord) => boolean,
+): Promise<CancelAnswer> => {
+    await readVisible(context, jobId, isVisible);
+    const cancelled = await context.store.cancel(jobId);
+    if (cancelled.isErr) {
+        throw tableProblem(cancelled.error, true);
+    }
+    if (cancelled.value.kind === "missing") {
+        throw new ProblemError("notFound", { what: `job ${jobId}` });
+    }
+    announce(context, jobId);
+    return { result: CANCEL_RESULTS[cancelled.value.kind], job: cancelled.value.job.record };
+};
+
+const announce = (context: ApiContext, jobId: string): void => {
+    context.role.announce([jobId]);
+    context.peers.notify([jobId]);
+    context.waiters.notify(jobId);
+};
+
+const readVisible = async (
+    context: ApiContext,
+    jobId: string,
+    isVisible: (job: JobRecord) => boolean,
+): Promise<StoredJob> => {
+    const read = await context.store.read(jobId);
+    if (read.isErr) {
+        throw tableProblem(read.error, false);
+    }
+    if (read.value === undefined || !isVisible(read.value.record)) {
+        throw new ProblemError("notFound", { what: `job ${jobId}` });
+    }
+    return read.value;
+};
+
+const checkQueue = (context: ApiContext, team: string): void => {
+    const configuration = requireConfiguration(context);
+    if (context.role.fullTeams(configuration).has(team) || context.granter.isQueueFull(team)) {
+        const limit = configuration.body.rules.queueLengthPerTeam;
+        throw new ProblemError("queueFull", { limit }, { retryAfterMs: RETRY_AFTER_MS });
+    }
+};
+
+const listJobs = async (context: ApiContext, team: string): Promise<JobsAnswer> => {
+    const prefix = rowKeys.teamJobPrefix(team);
+    const jobIds: string[] = [];
+    for await (const key of scanKeys(context.table, prefix)) {
+        if (key.isErr) {
+            throw tableProblem(key.error, false);
+        }
+        jobIds.push(key.value.slice(prefix.length));
+        // Keys come in order of time; only the newest jobs are listed.
+        if (jobIds.length > MAX_LISTED_JOBS) {
+            jobIds.shift();
+        }
+    }
+    const jobs: JobRecord[] = [];
+    for (const jobId of jobIds) {
+        jobs.push((await readVisible(context, jobId, job => job.spec.team === team)).record);
+    }
+    return { jobs };
+};
+
+/** Adds the callers' routes for jobs. */
+export const addJobRoutes = (server: FastifyInstance, context: ApiContext): void => {
+    server.post("/v1/jobs", async (req, res) => {
+        const team = requireTeam(context, req);
+        const body = parseOrThrow(jobRequestSchema, req.body);
+        checkQueue(context, team);
+        const jobId = createSubjectId("j", context.clock.wallTime());
+        const submitted = await context.store.accept({ ...body, team }, jobId);
+        if (submitted.isErr) {
+            throw tableProblem(submitted.error, true);
+        }
+        if (submitted.value.kind === "keyTaken") {
+            throw new ProblemError("keyTaken", { key: body.requestKey });
+        }
+        const { record } = submitted.value.job;
+        announce(context, record.jobId);
+        return res.code(202).header("location", `/v1/jobs/${record.jobId}`).send(record);
+    });
+    server.get("/v1/jobs", req => listJobs(context, requireTeam(context, req)));
+    server.get("/v1/jobs/:jobId", async req => {
+        const team = requireTeam(context, req);
+        const { jobId } = parseOrThrow(jobParamsSchema, req.params);
+        return (await readVisible(context, jobId, job => job.spec.team === team)).record;
+    });
+    server.get("/v1/jobs/:jobId/wait", async req => {
+        const team = requireTeam(context, req);
+        const { jobId } = parseOrThrow(jobParamsSchema, req.params);
+        const { timeoutMs } = parseOrThrow(waitQuerySchema, req.query);
+        await readVisible(context, jobId, job => job.spec.team === team);
+        const job = await context.waiters.wait(jobId, timeoutMs);
+        if (job === undefined) {
+            throw tableProblem({ kind: "unavailable", detail: "" }, false);
+        }
+        return job.record;
+    });
+    server.post("/v1/jobs/:jobId/cancel", req => {
+        const team = requireTeam(context, req);
+        const { jobId } = parseOrThrow(jobParamsSchema, req.params);
+        return cancelJob(context, jobId, job => job.spec.team === team);
+    });
+};
--- /dev/null
+++ b/packages/entry/src/problems.ts
@@ -0,0 +1,104 @@
+import type { MessageData } from "@persimmonpitch/findings/messageTable.js";
+import { formatMessage } from "@persimmonpitch/findings/messageTable.js";
+import type { Ran } from "@persimmonpitch/schema/job.js";
+import type { FindingBody, Problem } from "@persimmonpitch/schema/problem.js";
+import type { ZodError } from "zod";
+
+interface ProblemKind {
+    readonly status: number;
+    readonly title: string;
+    readonly detail: string;
+    readonly ran: Ran;
+}
+
+/** All problems that the API answers with, keyed by their stable code. */
+const PROBLEMS = {
+    invalidBody: { status: 400, title: "Invalid body", detail: "The body does not match its schema.", ran: "no" },
+    unauthenticated: {
+        status: 401,
+        title: "Unauthenticated",
+        detail: "The bearer token is missing or unknown.",
+        ran: "no",
+    },
+    forbidden: { status: 403, title: "Forbidden", detail: "The token does not allow this call.", ran: "no" },
+    notFound: { status: 404, title: "Not found", detail: "There is no {what}.", ran: "no" },
+    keyTaken: {
+        status: 409,
+        title: "Request key in use",
+        detail: "The request key {key} names another request.",
+        ran: "no",
+    },
+    duplicateRequest: {
+        status: 409,
+        title: "Duplicate request",
+        detail: "A non-idempotent request with the key {key} was claimed before as {requestId}.",
+        ran: "unknown",
+    },
+    versionConflict: {
+        status: 412,
+        title: "Version conflict",
+        detail: "The configuration is at version {currentVersion}; it was changed since it was read.",
+        ran: "no",
+    },
+    versionRequired: {
+        status: 428,
+        title: "Version required",
+        detail: "Name the version that was read in an If-Match header.",
+        ran: "no",
+    },
+    bodyTooLarge: { status: 413, title: "Body too large", detail: "The body is larger than 1 MiB.", ran: "no" },
+    invalidConfiguration: {
+        status: 422,
+        title: "Invalid configuration",
+        detail: "The configuration has {count} findings.",
+        ran: "no",
+    },
+    queueFull: {
+        status: 429,
+        title: "Queue full",
+        detail: "The team has {limit} jobs waiting, which is its limit.",
+        ran: "no",
+    },
+    overloaded: { status: 503, title: "Overloaded", detail: "{detail}", ran: "no" },
+    executorFailed: { status: 502, title: "Executor failed", detail: "{detail}", ran: "unknown" },
+    timeout: { status: 504, title: "Timeout", detail: "{detail}", ran: "unknown" },
+    storeUnavailable: {
+        status: 503,
+        title: "Store unavailable",
+        detail: "The platform's table cannot be reached, so the request could not be made durable.",
+        ran: "no",
+    },
+    storeUnclear: {
+        status: 503,
+        title: "Outcome unclear",
+        detail: "The platform's table did not confirm the write. Repeat the request with the same request key.",
+        ran: "unknown",
+    },
+    noConfiguration: {
+        status: 503,
+        title: "No configuration",
+        detail: "This process has no configuration yet and cannot check the request.",
+        ran: "no",
+    },
+    shuttingDown: { status: 503, title: "Shutting down", detail: "This process takes no new requests.", ran: "no" },
+    internal: { status: 500, title: "Internal error", detail: "An unexpected error occurred.", ran: "unknown" },
+} as const satisfies Readonly<Record<string, ProblemKind>>;
+
+/** Stable codes of problems. */
+export type ProblemCode = keyof typeof PROBLEMS;
+
+/** An RFC 9457 problem that ends the handling of a request. */
+export class ProblemError extends Error {
+    readonly problem: Problem;
+
+    constructor(code: ProblemCode, data: MessageData = {}, extra: Partial<Problem> = {}) {
+        const { status, title, detail, ran } = PROBLEMS[code];
+        const text = formatMessage(detail, data);
+        super(text);
+        this.problem = { type: "about:blank", title, status, detail: text, code, ran, ...extra };
+    }
+}
+
+/** The findings of a body that does not match its schema. */
+export const findingsOf = ({ issues }: ZodError): FindingBody[] =>
+    issues.map(({ code, message, path }) => ({ messageId: code, message, place: { path: path.join(".") } }));
--- /dev/null
+++ b/packages/entry/src/requestRoutes.ts
@@ -0,0 +1,136 @@
+import { keyRowSchema } from "@persimmonpitch/scheduler/jobStore.js";
+import { rowKeys } from "@persimmonpitch/scheduler/rowKeys.js";
+import type { DirectRequestBody } from "@persimmonpitch/schema/directRequest.js";
+import { directRequestBodySchema } from "@persimmonpitch/schema/directRequest.js";
+import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
+import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
+import type { FastifyInstance } from "fastify";
+import { randomUUID } from "node:crypto";
+import { z } from "zod";
+import type { ApiContext } from "./apiContext.js";
+import { requireTeam } from "./apiContext.js";
+import type { DirectOutcome } from "./directRequests.js";
+import { createSubjectId, parseOrThrow, tableProblem } from "./jobRoutes.js";
+import type { ProblemCode } from "./problems.js";
+import { ProblemError } from "./problems.js";
+
+const serviceParamsSchema = z.object({ service: identifierSchema });
+const RETRY_AFTER_MS = 5_000;
+
+/** Codes of the routing package that mean that the caller sent too much or too late. */
+const SHED_CODES: Readonly<Record<string, ProblemCode>> = {
+    deadlinePassed: "overloaded",
+    deadlineUnreachable: "overloaded",
+    teamQueueFull: "overloaded",
+    noEndpoint: "overloaded",
+    retryBudgetSpent: "overloaded",
+    executorFailed: "executorFailed",
+};
+
+interface Claim {
+    readonly key: string;
+    readonly version: number;
+}
+
+/** Claims a non-idempotent request before anything is sent; a repeated key is refused. */
+const claimRequest = async (
+    context: ApiContext,
+    team: string,
+    requestId: string,
+    { requestKey }: DirectRequestBody,
+): Promise<Claim> => {
+    const key = rowKeys.requestKey(team, requestKey);
+    const written = await context.table.commit({
+        writeId: randomUUID(),
+        checks: [{ key, version: 0 }],
+        puts: [{ key, value: { kind: "request", subjectId: requestId } }],
+        deletes: [],
+    });
+    if (written.isOk) {
+        return { key, version: written.value[key] ?? 1 };
+    }
+    if (written.error.kind !== "conflict") {
+        // Nothing was sent to an executor, so nothing ran whatever became of the claim.
+        throw new ProblemError("storeUnavailable", {}, { retryAfterMs: RETRY_AFTER_MS });
+    }
+    const row = await context.table.read(key);
+    if (row.isErr) {
+        throw tableProblem(row.error, false);
+    }
+    const found = keyRowSchema.safeParse(row.value?.value);
+    if (found.success && found.data.kind === "request") {
+        throw new ProblemError("duplicateRequest", { key: requestKey, requestId: found.data.subjectId });
+    }
+    throw new ProblemError("keyTaken", { key: requestKey });
+};
+
+/** Gives a claim back after a request that certainly did not run, so that the caller may repeat it. */
+const releaseClaim = async (context: ApiContext, { key, version }: Claim): Promise<void> => {
+    await context.table.commit({ writeId: randomUUID(), checks: [{ key, version }], puts: [], deletes: [key] });
+};
+
+const recordOf = (
+    context: ApiContext,
+    team: string,
+    requestId: string,
+    { requestKey }: DirectRequestBody,
+    outcome: DirectOutcome,
+): HistoryRecord => {
+    const common = {
+        team,
+        kind: "request" as const,
+        subjectId: requestId,
+        sequence: 0,
+        at: context.clock.wallTime(),
+        requestKey,
+    };
+    return outcome.kind === "answered"
+        ? { ...common, event: "finished", ran: "yes", attemptId: outcome.attemptId, detail: "" }
+        : {
+            ...common,
+            event: outcome.ran === "no" ? "refused" : "failed",
+            ran: outcome.ran,
+            detail: `${outcome.code}: ${outcome.detail}`,
+        };
+};
+
+const confirmToAgent = (context: ApiContext, outcome: DirectOutcome, requestId: string): void => {
+    if (outcome.kind === "answered") {
+        const agent = context.registry.connectedHere().find(({ identity }) => identity.vmId === outcome.vmId);
+        void agent?.link.call("request.recorded", { requestIds: [requestId] }, RETRY_AFTER_MS);
+    }
+};
+
+/** Adds the route for direct requests. */
+export const addRequestRoutes = (server: FastifyInstance, context: ApiContext): void => {
+    server.post("/v1/services/:service/requests", async (req, res) => {
+        const team = requireTeam(context, req);
+        const { service } = parseOrThrow(serviceParamsSchema, req.params);
+        const body = parseOrThrow(directRequestBodySchema, req.body);
+        if (!context.direct.hasService(service)) {
+            throw new ProblemError("notFound", { what: `service ${service}` });
+        }
+        if (context.recorder.isFull) {
+            const detail = "Too many records wait for the platform's table.";
+            throw new ProblemError("overloaded", { detail }, { retryAfterMs: RETRY_AFTER_MS });
+        }
+        const startedAt = context.clock.now();
+        const requestId = createSubjectId("r", context.clock.wallTime());
+        const claim = body.idempotent ? undefined : await claimRequest(context, team, requestId, body);
+        const outcome = await context.direct.run(service, team, requestId, body);
+        context.recorder.add(recordOf(context, team, requestId, body, outcome), () => {
+            confirmToAgent(context, outcome, requestId);
+        });
+        const isGood = outcome.kind === "answered";
+        context.levels.record(body.workClass, context.clock.now() - startedAt, isGood);
+        if (outcome.kind === "answered") {
+            return res.send(outcome.answer);
+        }
+        if (claim !== undefined && outcome.ran === "no") {
+            await releaseClaim(context, claim);
+        }
+        const { retryAfterMs, detail, ran } = outcome;
+        const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
+        throw new ProblemError(SHED_CODES[outcome.code] ?? "internal", { detail }, { ran, ...retry });
+    });
+};
--- /dev/null
+++ b/packages/entry/src/serviceRoutes.ts
@@ -0,0 +1,48 @@
+import {
+    cancelAnswerSchema,
+    configHistoryAnswerSchema,
+    directAnswerSchema,
+    jobsAnswerSchema,
+    statusAnswerSchema,
+} from "@persimmonpitch/schema/apiAnswers.js";
+import { configurationBodySchema, configurationSchema } from "@persimmonpitch/schema/configuration.js";
+import { directRequestBodySchema } from "@persimmonpitch/schema/directRequest.js";
+import { historyRecordSchema } from "@persimmonpitch/schema/historyRecord.js";
+import { jobRecordSchema, jobRequestSchema } from "@persimmonpitch/schema/job.js";
+import { problemSchema } from "@persimmonpitch/schema/problem.js";
+import type { FastifyInstance } from "fastify";
+import { z } from "zod";
+import type { ApiContext } from "./apiContext.js";
+
+const SCHEMAS = {
+    jobRequest: jobRequestSchema,
+    jobRecord: jobRecordSchema,
+    jobs: jobsAnswerSchema,
+    cancelAnswer: cancelAnswerSchema,
+    directRequest: directRequestBodySchema,
+    directAnswer: directAnswerSchema,
+    historyRecord: historyRecordSchema,
+    problem: problemSchema,
+    configuration: configurationSchema,
+    configurationBody: configurationBodySchema,
+    configHistory: configHistoryAnswerSchema,
+    status: statusAnswerSchema,
+} as const;
+
+/** Adds the routes that need no token: the schemas, liveness and readiness. */
+export const addServiceRoutes = (server: FastifyInstance, context: ApiContext): void => {
+    const schemas = Object.fromEntries(
+        Object.entries(SCHEMAS).map(([name, schema]) => [name, z.toJSONSchema(schema, { io: "input" })]),
+    );
+    server.get("/v1/schema", () => schemas);
+    server.get("/healthz", () => ({ status: "alive" }));
+    server.get("/readyz", (_req, res) => {
+        const isReady = context.config.configuration !== undefined && !context.isShuttingDown();
+        return res.code(isReady ? 200 : 503).send({
+            ready: isReady,
+            configVersion: context.config.version,
+            epoch: context.granter.highestEpoch,
+            holder: context.role.epoch === undefined ? context.granter.holderId : context.entryId,
+        });
+    });
+};
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -36,6 +36,8 @@
             epoch: z.number().int().nonnegative(),
             grantMs: millisSchema,
             configVersion: z.number().int().nonnegative(),
+            /** Teams whose queue is at its limit. */
+            fullTeams: z.array(identifierSchema),
         }),
     },
     /** An order of the role holder for an agent that is connected to the receiving entry. */
--- a/packages/scheduler/src/agentGateway.ts
+++ b/packages/scheduler/src/agentGateway.ts
@@ -19,7 +19,7 @@
 export interface AgentGateway {
     workers(): readonly KnownAgent[];
     worker(vmId: string): KnownAgent | undefined;
-    order<Name extends keyof OrderMethods & string>(
+    order<Name extends keyof OrderMethods>(
         vmId: string,
         name: Name,
         params: ParamsOf<OrderMethods[Name]>,
--- a/packages/scheduler/src/attempt.ts
+++ b/packages/scheduler/src/attempt.ts
@@ -120,7 +120,7 @@
     };
 };
 
-const order = <Name extends keyof OrderMethods & string>(
+const order = <Name extends keyof OrderMethods>(
     context: RoleContext,
     vmId: string,
     name: Name,
--- a/packages/scheduler/src/jobStore.ts
+++ b/packages/scheduler/src/jobStore.ts
@@ -2,7 +2,7 @@
 import { historyPut } from "@persimmonpitch/history/historyRow.js";
 import type { Check, Table, TableError, Transaction } from "@persimmonpitch/platform/table.js";
 import type { HistoryEvent, HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
-import type { Attempt, JobOutcome, JobRecord, JobSpec, JobState } from "@persimmonpitch/schema/job.js";
+import type { Attempt, JobOutcome, JobRecord, JobSpec } from "@persimmonpitch/schema/job.js";
 import { isTerminal, jobRecordSchema } from "@persimmonpitch/schema/job.js";
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
--- a/packages/scheduler/src/roleLease.ts
+++ b/packages/scheduler/src/roleLease.ts
@@ -66,11 +66,11 @@
 
     /** Renews the role until it is lost or `signal` aborts. */
     async keep(signal: AbortSignal): Promise<void> {
+        const { clock } = this.context;
+        await clock.sleep(RENEW_MS, signal);
         while (!signal.aborted && !this.isLost) {
-            await this.context.clock.sleep(RENEW_MS, signal);
-            if (!signal.aborted) {
-                await this.renew(false);
-            }
+            await this.renew(false);
+            await clock.sleep(RENEW_MS, signal);
         }
     }
 
--- a/packages/scheduler/src/schedulingRole.ts
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -1,7 +1,7 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { GuaranteeBinding } from "@persimmonpitch/placement/clusterView.js";
+import type { GuaranteeBinding, VmCondition } from "@persimmonpitch/placement/clusterView.js";
 import type { UnmetGuarantee } from "@persimmonpitch/placement/placementDecisions.js";
 import { placementPass } from "@persimmonpitch/placement/placementPass.js";
 import type { Table } from "@persimmonpitch/platform/table.js";
@@ -48,6 +48,7 @@
     private context: RoleContext | undefined;
     private bindings: readonly GuaranteeBinding[] = [];
     private unmet: readonly UnmetGuarantee[] = [];
+    private vmConditions = new Map<string, VmCondition>();
     private readonly announced = new Set<string>();
     private readonly wake = new WakeSignal();
 
@@ -67,6 +68,22 @@
         return this.unmet;
     }
 
+    /** Teams whose waiting jobs have reached the limit; empty on a process that does not hold the role. */
+    fullTeams(configuration: Configuration | undefined): ReadonlySet<string> {
+        const limit = configuration?.body.rules.queueLengthPerTeam ?? Infinity;
+        const waiting = new Map<string, number>();
+        for (const { stored, members } of this.context?.book.all() ?? []) {
+            const { team } = stored.record.spec;
+            waiting.set(team, (waiting.get(team) ?? 0) + (members === undefined ? 1 : 0));
+        }
+        return new Set([...waiting].filter(([, count]) => count >= limit).map(([team]) => team));
+    }
+
+    /** Conditions of the VMs at the last placement pass. */
+    get conditions(): ReadonlyMap<string, VmCondition> {
+        return this.vmConditions;
+    }
+
     /** Tells the role that a job was accepted, cancelled or has otherwise changed. */
     announce(jobIds: readonly string[]): void {
         jobIds.forEach(jobId => this.announced.add(jobId));
@@ -205,6 +222,7 @@
             return;
         }
         const view = buildClusterView(context, configuration, fenced, this.bindings);
+        this.vmConditions = new Map(view.vms.map(({ vmId, condition }) => [vmId, condition]));
         const decisions = placementPass(view);
         this.bindings = decisions.bindings;
         this.reportUnmet(context, decisions.unmet);
--- /dev/null
+++ b/packages/settings/src/runBinary.ts
@@ -0,0 +1,38 @@
+import type { Finding } from "@persimmonpitch/findings/finding.js";
+import { formatFindings } from "@persimmonpitch/findings/finding.js";
+import type { Result } from "true-myth/result";
+
+/** Exit codes of all binaries. */
+export const EXIT_CODES = { success: 0, failure: 1, usage: 2 } as const;
+
+/** A running process that can be shut down. */
+export interface RunningProcess {
+    /** Finishes what is in progress and ends. */
+    shutdown(): Promise<void>;
+}
+
+/** Starts a daemon from its settings, and shuts it down on SIGTERM or SIGINT; wrong settings end with exit code 2. */
+export const runDaemon = async <T>(
+    settings: Result<T, readonly Finding[]>,
+    start: (settings: T) => Promise<RunningProcess>,
+): Promise<void> => {
+    if (settings.isErr) {
+        process.stderr.write(`${formatFindings(settings.error)}\n`);
+        process.exitCode = EXIT_CODES.usage;
+        return;
+    }
+    try {
+        const running = await start(settings.value);
+        const stop = () => {
+            void running.shutdown().then(() => {
+                process.exit(EXIT_CODES.success);
+            });
+        };
+        process.once("SIGTERM", stop);
+        process.once("SIGINT", stop);
+    }
+    catch (err) {
+        process.stderr.write(`${err instanceof Error ? err.message : String(err)}\n`);
+        process.exitCode = EXIT_CODES.failure;
+    }
+};
