--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -4,7 +4,7 @@
 import type { RequestQueue } from "./requestQueue.js";
 import type { ServiceRate } from "./serviceRate.js";
 
-/** Why a request was refused. Every reason means that the request was not run. */
+/** Why a request was refused. On arrival every reason means that the request was not run. */
 export type ShedReason =
     /** The deadline had passed on arrival. */
     | "deadlinePassed"
@@ -27,7 +27,7 @@
 export interface AdmissionOptions {
     /** Off only in comparisons: requests are refused for their deadline only once it has passed. */
     readonly deadlineShedding: boolean;
-    /** Part of the time until the deadline that a request may be expected to wait; the rest covers estimation errors. */
+    /** Part of the slack before the deadline that a request may be expected to wait; bursts use up the rest. */
     readonly waitShare: number;
     readonly minRetryAfterMs: Millis;
     readonly maxRetryAfterMs: Millis;
@@ -35,7 +35,7 @@
 
 export const DEFAULT_ADMISSION_OPTIONS: AdmissionOptions = {
     deadlineShedding: true,
-    waitShare: 0.8,
+    waitShare: 0.5,
     minRetryAfterMs: 100,
     maxRetryAfterMs: 30_000,
 };
@@ -62,12 +62,16 @@
     retryAfterMs: Math.ceil(Math.min(options.maxRetryAfterMs, Math.max(options.minRetryAfterMs, retryAfterMs))),
 });
 
-/** Time until a new request would get a slot. */
+/**
+ * Time until a new request would get a slot.
+ * The team's queue drains at the share of the slots that it has had lately, or at its fair share if that is more.
+ */
 export const expectedWaitMs = (request: RoutedRequest, { queue, rate, busySlots }: AdmissionState): Millis => {
     const { workClass, team } = request;
     const { minimumShare } = queue.options;
     const left = rate.shareLeftTo(workClass) - minimumShare * queue.waitingBelow(workClass);
-    const share = Math.max(minimumShare, left, Number.EPSILON);
+    const fairShare = Math.max(minimumShare, left) * queue.fairShareOf(team, workClass);
+    const share = Math.max(fairShare, rate.shareOf(workClass, queue.queueKey(team)), Number.EPSILON);
     return queue.workAheadOf(team, workClass) / (Math.max(1, busySlots) * share);
 };
 
--- a/packages/routing/src/directRequest.ts
+++ b/packages/routing/src/directRequest.ts
@@ -11,4 +11,6 @@
     readonly deadline: Millis;
     /** Endpoints that this request has already been sent to. */
     readonly tried: ReadonlySet<string>;
+    /** An earlier attempt failed or its outcome is unknown; the caller must not be told that nothing ran. */
+    readonly mayHaveRun: boolean;
 }
--- a/packages/routing/src/requestQueue.ts
+++ b/packages/routing/src/requestQueue.ts
@@ -63,15 +63,25 @@
         return this.lengthOf(team) < this.options.lengthPerTeam;
     }
 
-    /** Work that is dispatched before a new request of this team and class, as far as its class is concerned. */
+    /** Name of the queue that the team's requests wait in. */
+    queueKey(team: string): string {
+        return this.options.fairOverTeams ? team : SHARED_QUEUE;
+    }
+
+    /** Work that waits in the team's queue of this class. */
     workAheadOf(team: string, workClass: WorkClass): Millis {
-        const queues = [...this.classes[workClass].teams].filter(([, queue]) => queue.length > 0);
-        const total = queues.reduce((sum, [, queue]) => sum + queue.workMs, 0);
+        return this.classes[workClass].teams.get(this.queueKey(team))?.workMs ?? 0;
+    }
+
+    /** Part of the class's work that fair queueing gives to the team while the present teams wait. */
+    fairShareOf(team: string, workClass: WorkClass): number {
         const key = this.queueKey(team);
         const weight = this.weightOf(key);
-        const othersWeight = queues.reduce((sum, [other]) => sum + (other === key ? 0 : this.weightOf(other)), 0);
-        const own = this.classes[workClass].teams.get(key)?.workMs ?? 0;
-        return Math.min(total, own * (weight + othersWeight) / weight);
+        let othersWeight = 0;
+        this.classes[workClass].teams.forEach((queue, other) => {
+            othersWeight += queue.length > 0 && other !== key ? this.weightOf(other) : 0;
+        });
+        return weight / (weight + othersWeight);
     }
 
     /** Classes below `workClass` in which requests wait. */
@@ -171,10 +181,6 @@
         return queue;
     }
 
-    private queueKey(team: string): string {
-        return this.options.fairOverTeams ? team : SHARED_QUEUE;
-    }
-
     private weightOf(team: string): number {
         return this.options.weights.get(team) ?? 1;
     }
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -7,18 +7,26 @@
     readonly ratio: number;
     /** Retries allowed for each second without regard to requests, so that a quiet service can retry at all. */
     readonly floorPerSecond: number;
+    /** Retries allowed from the start: an entry that has just started has counted no requests yet. */
+    readonly initial: number;
     /** Most retries that can be saved up. */
     readonly capacity: number;
 }
 
-export const DEFAULT_RETRY_BUDGET_OPTIONS: RetryBudgetOptions = { ratio: 0.1, floorPerSecond: 1, capacity: 50 };
+export const DEFAULT_RETRY_BUDGET_OPTIONS: RetryBudgetOptions = {
+    ratio: 0.1,
+    floorPerSecond: 1,
+    initial: 10,
+    capacity: 50,
+};
 
 /** A token bucket that requests and time fill and retries empty. */
 export class RetryBudget {
-    private tokens = 0;
+    private tokens: number;
     private filledAt: Millis;
 
     constructor(now: Millis, private readonly options: RetryBudgetOptions = DEFAULT_RETRY_BUDGET_OPTIONS) {
+        this.tokens = options.initial;
         this.filledAt = now;
     }
 
--- a/packages/routing/src/serviceRate.ts
+++ b/packages/routing/src/serviceRate.ts
@@ -32,7 +32,7 @@
 /** What one entry has learned of a service. */
 export class ServiceRate {
     private readonly times: PerClass<SmoothedTime | undefined> = perClass(() => undefined);
-    private readonly dispatchedWork: PerClass<number> = perClass(() => 0);
+    private readonly dispatchedWork: PerClass<Map<string, number>> = perClass(() => new Map());
     private decayedAt: Millis = 0;
 
     constructor(private readonly options: ServiceRateOptions = DEFAULT_SERVICE_RATE_OPTIONS) {}
@@ -47,14 +47,15 @@
         };
     }
 
-    /** Counts work that was given a slot. */
-    recordDispatch(workClass: WorkClass, now: Millis): void {
+    /** Counts work that was given a slot, for the queue it came from. */
+    recordDispatch(workClass: WorkClass, queueKey: string, now: Millis): void {
         const factor = Math.exp(-Math.max(0, now - this.decayedAt) / this.options.shareTimeMs);
         WORK_CLASSES.forEach(other => {
-            this.dispatchedWork[other] *= factor;
+            this.dispatchedWork[other].forEach((work, key, byQueue) => byQueue.set(key, work * factor));
         });
         this.decayedAt = Math.max(now, this.decayedAt);
-        this.dispatchedWork[workClass] += this.expectedServiceMs(workClass);
+        const byQueue = this.dispatchedWork[workClass];
+        byQueue.set(queueKey, (byQueue.get(queueKey) ?? 0) + this.expectedServiceMs(workClass));
     }
 
     /** Mean service time of the class. */
@@ -72,8 +73,23 @@
 
     /** Share of the present work that the classes above leave to this class. */
     shareLeftTo(workClass: WorkClass): number {
-        const total = WORK_CLASSES.reduce((sum, other) => sum + this.dispatchedWork[other], 0);
-        const above = classesAbove(workClass).reduce((sum, other) => sum + this.dispatchedWork[other], 0);
-        return total === 0 ? 1 : 1 - above / total;
+        const total = this.workOf(WORK_CLASSES);
+        return total === 0 ? 1 : 1 - this.workOf(classesAbove(workClass)) / total;
+    }
+
+    /** Share of the present work that one queue of a class gets. */
+    shareOf(workClass: WorkClass, queueKey: string): number {
+        const total = this.workOf(WORK_CLASSES);
+        return total === 0 ? 0 : (this.dispatchedWork[workClass].get(queueKey) ?? 0) / total;
+    }
+
+    private workOf(workClasses: readonly WorkClass[]): number {
+        let sum = 0;
+        workClasses.forEach(workClass => {
+            this.dispatchedWork[workClass].forEach(work => {
+                sum += work;
+            });
+        });
+        return sum;
     }
 }
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -73,7 +73,7 @@
     | { readonly kind: "final"; }
     /** The request waits at the front of its queue for another endpoint. */
     | { readonly kind: "retried"; }
-    /** No attempt ran and none follows. */
+    /** No further attempt follows; nothing ran unless `mayHaveRun` of the request is set. */
     | { readonly kind: "shed"; readonly decision: AdmissionDecision & { readonly kind: "shed"; }; };
 
 interface Endpoint {
@@ -225,11 +225,15 @@
             return { kind: "final" };
         }
         if (this.budget.tryRetry(now)) {
-            const retried = { ...request, tried: new Set([...request.tried, vmId]) };
+            const retried = {
+                ...request,
+                tried: new Set([...request.tried, vmId]),
+                mayHaveRun: request.mayHaveRun || !handler.isNotRun,
+            };
             this.queue.putBack(retried, this.rate.expectedServiceMs(request.workClass));
             return { kind: "retried" };
         }
-        return handler.isNotRun
+        return handler.isNotRun && !request.mayHaveRun
             ? { kind: "shed", decision: shed("retryBudgetSpent", 0, this.options.admission) }
             : { kind: "final" };
     }
@@ -267,7 +271,7 @@
     private recordSent(request: RoutedRequest, vmId: string, now: Millis): void {
         this.update(vmId, withSent);
         this.endpoints.get(vmId)?.breaker.recordSent(now);
-        this.rate.recordDispatch(request.workClass, now);
+        this.rate.recordDispatch(request.workClass, this.queue.queueKey(request.team), now);
     }
 
     private queryFor(request: RoutedRequest, now: Millis, random: RandomPair) {
