feat(placement): bind guarantees, reclaim, reserve and backfill

Cause: the thin pass took the first VMs that fit and knew no guarantees. Change: the pass binds guaranteed instances to cells, places guaranteed work first, reclaims from borrowers, orders the rest by class, needed-by slack, ageing, fair share and length, reserves VMs for large jobs and backfills. Run-time learner, worker health, job health and the inventory check are units of their own. Each idea is an option.

--- /dev/null
+++ b/packages/placement/src/clusterState.ts
@@ -0,0 +1,190 @@
+import type { JobSpec } from "@persimmonpitch/schema/job.js";
+import type { Amount, MutableAmount } from "./amount.js";
+import { addTo, commonPart, difference, isPositive, noAmount } from "./amount.js";
+import type { ClusterView, PlacedJob, VmView } from "./clusterView.js";
+import type { FitNode } from "./fitIndex.js";
+import { FitIndex } from "./fitIndex.js";
+import { isStoppable } from "./jobTraits.js";
+
+/** A placed job as a pass sees it. */
+export interface PlacedState {
+    readonly job: PlacedJob;
+    readonly stoppable: boolean;
+    readonly parts: readonly PlacedPart[];
+    /** Uses a guaranteed instance of its team; it is then no borrower. */
+    claimed: boolean;
+    stopping: boolean;
+}
+
+/** The share of a placed job on one VM. */
+export interface PlacedPart {
+    readonly vm: VmState;
+    readonly amount: Amount;
+}
+
+/** VMs kept for a job that does not fit now. */
+export interface Reservation {
+    readonly jobId: string;
+    /** Wall time at which the VMs are expected to be free. */
+    readonly readyAt: number;
+    /** Whether work of this spec can be stopped when the VMs are needed. */
+    readonly mayStop: (spec: JobSpec) => boolean;
+    /** The wait is bounded by the work in the way now, so no further work that cannot be stopped may join it. */
+    readonly isWaitBounded: boolean;
+}
+
+/** A VM as a pass sees it. */
+export interface VmState {
+    readonly vm: VmView;
+    readonly node: FitNode;
+    /** Held by jobs that are stopping and promised to no one yet. */
+    readonly coming: MutableAmount;
+    /** Bound to guarantees. */
+    readonly bound: MutableAmount;
+    /** Held by work that cannot be stopped and uses no guaranteed instance. */
+    readonly unstoppable: MutableAmount;
+    /** Bound to guarantees and used by no work of the owner. */
+    readonly idleBound: MutableAmount;
+    readonly placed: PlacedState[];
+    reservation: Reservation | undefined;
+}
+
+const capacityOf = ({ accelerators, cores, memoryMb }: VmView): MutableAmount => ({ accelerators, cores, memoryMb });
+
+const freeOf = (vm: VmView): MutableAmount => ({
+    accelerators: vm.freeAccelerators,
+    cores: vm.freeCores,
+    memoryMb: vm.freeMemoryMb,
+});
+
+/** Whether a VM takes new work. */
+export const isReady = ({ condition }: VmView): boolean => condition === "ready";
+
+/** What is left for guarantees and work that cannot be stopped. */
+export const unboundRoom = ({ vm, bound, unstoppable }: VmState): MutableAmount => {
+    const room = difference(vm, bound);
+    addTo(room, unstoppable, -1);
+    return room;
+};
+
+/** What is free beyond idle bound cells; negative where borrowers are in them. */
+export const unboundFree = ({ node, idleBound }: VmState): MutableAmount => difference(node.available, idleBound);
+
+/** VMs and placed jobs of one pass; decisions change them as they are made. */
+export class ClusterState {
+    readonly free: FitIndex;
+    readonly vms: readonly VmState[];
+    readonly placed = new Map<string, PlacedState>();
+    readonly #byId = new Map<string, VmState>();
+
+    constructor(view: ClusterView) {
+        this.free = new FitIndex(view.vms, freeOf, isReady);
+        this.vms = this.free.nodes.map((node): VmState => ({
+            vm: node.vm,
+            node,
+            coming: noAmount(),
+            bound: noAmount(),
+            unstoppable: noAmount(),
+            idleBound: noAmount(),
+            placed: [],
+            reservation: undefined,
+        }));
+        for (const vm of this.vms) {
+            this.#byId.set(vm.vm.vmId, vm);
+        }
+        for (const job of view.placed) {
+            this.#addPlaced(job);
+        }
+        for (const vm of this.vms) {
+            this.#addUnknownUse(vm);
+        }
+    }
+
+    vmById(vmId: string): VmState | undefined {
+        return this.#byId.get(vmId);
+    }
+
+    vmOf(node: FitNode): VmState {
+        const vm = this.vms[node.position];
+        if (vm === undefined) {
+            throw new RangeError(`Node ${node.position} is not part of this cluster.`);
+        }
+        return vm;
+    }
+
+    /** Marks placed work as a user of its team's guaranteed instance. */
+    claim(placed: PlacedState): void {
+        this.#setClaimed(placed, true);
+    }
+
+    /** Marks placed work as using no guaranteed instance. */
+    unclaim(placed: PlacedState): void {
+        this.#setClaimed(placed, false);
+    }
+
+    /** Takes free resources for a job that starts. */
+    take(vm: VmState, need: Amount): void {
+        this.free.take(vm.node, need);
+    }
+
+    /** Keeps free and coming resources for a job that waits for others to stop. */
+    hold(vm: VmState, need: Amount): void {
+        const fromFree = commonPart(vm.node.available, need);
+        this.free.take(vm.node, fromFree);
+        addTo(vm.coming, difference(need, fromFree), -1);
+    }
+
+    /** Counts the resources of a job that is told to stop as coming free. */
+    stop(placed: PlacedState): void {
+        placed.stopping = true;
+        for (const { vm, amount } of placed.parts) {
+            addTo(vm.coming, amount);
+        }
+    }
+
+    #setClaimed(placed: PlacedState, claimed: boolean): void {
+        if (placed.claimed !== claimed && !placed.stoppable && !placed.stopping) {
+            for (const { vm, amount } of placed.parts) {
+                addTo(vm.unstoppable, amount, claimed ? -1 : 1);
+            }
+        }
+        placed.claimed = claimed;
+    }
+
+    #addPlaced(job: PlacedJob): void {
+        const { coresPerVm, memoryMbPerVm } = job.spec.gang;
+        const parts: PlacedPart[] = [];
+        const placed: PlacedState = {
+            job,
+            stoppable: isStoppable(job.spec),
+            parts,
+            claimed: false,
+            stopping: job.stopping,
+        };
+        for (const { vmId, accelerators } of job.members) {
+            const vm = this.#byId.get(vmId);
+            if (vm !== undefined) {
+                const amount: Amount = { accelerators, cores: coresPerVm, memoryMb: memoryMbPerVm };
+                parts.push({ vm, amount });
+                vm.placed.push(placed);
+                addTo(vm.coming, amount, placed.stopping ? 1 : 0);
+                addTo(vm.unstoppable, amount, placed.stopping || placed.stoppable ? 0 : 1);
+            }
+        }
+        this.placed.set(job.jobId, placed);
+    }
+
+    /** Resources in use that no placed job accounts for cannot be reclaimed, so nothing may rely on them. */
+    #addUnknownUse({ vm, placed, node, unstoppable }: VmState): void {
+        const unknown = difference(vm, node.available);
+        for (const { job } of placed) {
+            const member = job.members.find(({ vmId }) => vmId === vm.vmId);
+            const { coresPerVm, memoryMbPerVm } = job.spec.gang;
+            addTo(unknown, { accelerators: member?.accelerators ?? 0, cores: coresPerVm, memoryMb: memoryMbPerVm }, -1);
+        }
+        const excess = commonPart(unknown, capacityOf(vm));
+        if (isPositive(excess)) {
+            addTo(unstoppable, excess);
+        }
+    }
+}
--- /dev/null
+++ b/packages/placement/src/decisionLog.ts
@@ -0,0 +1,56 @@
+import type { MessageData } from "@persimmonpitch/findings/messageTable.js";
+import { formatMessage } from "@persimmonpitch/findings/messageTable.js";
+import type { VmState } from "./clusterState.js";
+import type { QueuedJob } from "./clusterView.js";
+import type {
+    PreemptDecision,
+    RefuseDecision,
+    StartDecision,
+    WaitExplanation,
+    WaitReason,
+} from "./placementDecisions.js";
+import { PLACEMENT_MESSAGES } from "./placementMessages.js";
+
+/** Decisions of a pass as they are made. */
+export class DecisionLog {
+    readonly starts: StartDecision[] = [];
+    readonly preemptions: PreemptDecision[] = [];
+    readonly refusals: RefuseDecision[] = [];
+    readonly #waiting = new Map<string, WaitExplanation>();
+
+    start({ jobId, spec: { gang } }: QueuedJob, vms: readonly VmState[]): void {
+        const members = vms.map(({ vm }) => ({ vmId: vm.vmId, accelerators: gang.acceleratorsPerVm }));
+        this.starts.push({ jobId, members });
+        this.#waiting.delete(jobId);
+    }
+
+    preempt(jobId: string, forJobId: string): void {
+        this.preemptions.push({ jobId, forJobId });
+    }
+
+    refuse(
+        { jobId }: QueuedJob,
+        reason: WaitReason,
+        messageId: keyof typeof PLACEMENT_MESSAGES,
+        data: MessageData,
+    ): void {
+        this.refusals.push({ jobId, reason, detail: formatMessage(PLACEMENT_MESSAGES[messageId], data) });
+    }
+
+    wait(
+        { jobId }: QueuedJob,
+        reason: WaitReason,
+        messageId: keyof typeof PLACEMENT_MESSAGES,
+        data: MessageData = {},
+    ): void {
+        this.#waiting.set(jobId, { jobId, reason, detail: formatMessage(PLACEMENT_MESSAGES[messageId], data) });
+    }
+
+    isWaiting(jobId: string): boolean {
+        return this.#waiting.has(jobId);
+    }
+
+    waiting(): readonly WaitExplanation[] {
+        return [...this.#waiting.values()];
+    }
+}
--- /dev/null
+++ b/packages/placement/src/gangFit.ts
@@ -0,0 +1,92 @@
+import type { Adjacency } from "@persimmonpitch/schema/gang.js";
+import { pipe } from "fp-ts/lib/function.js";
+import * as N from "fp-ts/lib/number.js";
+import * as Ord from "fp-ts/lib/Ord.js";
+import type { Amount } from "./amount.js";
+import { covers } from "./amount.js";
+import type { FitDomain, FitIndex, FitNode } from "./fitIndex.js";
+
+/** What a gang needs, which VMs it accepts, and what it costs to use each. */
+export interface FitRequest {
+    readonly vms: number;
+    readonly need: Amount;
+    readonly adjacency: Adjacency;
+    readonly accepts: (node: FitNode) => boolean;
+    readonly cost: (node: FitNode) => number;
+    /** Compares every VM instead of the tightest few. */
+    readonly exhaustive?: boolean;
+}
+
+interface Candidate {
+    readonly node: FitNode;
+    readonly cost: number;
+}
+
+interface Choice {
+    readonly nodes: readonly FitNode[];
+    readonly cost: number;
+}
+
+/** Candidates compared beyond those that the gang needs; bounds the cost of a fit on a large cluster. */
+const SPARE_CANDIDATES = 16;
+
+/** Racks compared before the best is taken. */
+const RACK_CANDIDATES = 8;
+
+const byCost: Ord.Ord<Candidate> = pipe(N.Ord, Ord.contramap(({ cost }: Candidate) => cost));
+
+const chooseIn = (domain: FitDomain, request: FitRequest): Choice | undefined => {
+    const { vms, need, accepts, cost, exhaustive } = request;
+    if (domain.availableAccelerators < vms * need.accelerators) {
+        return undefined;
+    }
+    const wanted = exhaustive === true ? Infinity : vms + SPARE_CANDIDATES;
+    const candidates: Candidate[] = [];
+    domain.nodes.scan(need.accelerators, node => {
+        if (covers(node.available, need) && accepts(node)) {
+            candidates.push({ node, cost: cost(node) });
+        }
+        return candidates.length >= wanted;
+    });
+    if (candidates.length < vms) {
+        return undefined;
+    }
+    const chosen = candidates.sort(byCost.compare).slice(0, vms);
+    return { nodes: chosen.map(({ node }) => node), cost: chosen.reduce((sum, candidate) => sum + candidate.cost, 0) };
+};
+
+const cheaper = (left: Choice | undefined, right: Choice | undefined): Choice | undefined =>
+    left === undefined || (right !== undefined && right.cost < left.cost) ? right : left;
+
+const chooseDataCentre = (index: FitIndex, request: FitRequest): Choice | undefined =>
+    [...index.dataCentres.values()]
+        .map(domain => chooseIn(domain, request))
+        .reduce(cheaper, undefined);
+
+const chooseRack = (index: FitIndex, request: FitRequest): Choice | undefined => {
+    let best: Choice | undefined;
+    let compared = 0;
+    index.racksByAvailable.scan(request.vms * request.need.accelerators, rack => {
+        const choice = chooseIn(rack, request);
+        best = cheaper(best, choice);
+        compared += choice === undefined ? 0 : 1;
+        return compared >= RACK_CANDIDATES;
+    });
+    return best;
+};
+
+type DomainChooser = (index: FitIndex, request: FitRequest) => Choice | undefined;
+
+const CHOOSERS: { readonly [K in Adjacency]: DomainChooser; } = {
+    // Every member has a VM of its own, so a gang of more than one VM is never on one VM.
+    vm: () => undefined,
+    rack: chooseRack,
+    dataCentre: chooseDataCentre,
+    any: (index, request) => chooseIn(index.cluster, request),
+};
+
+/** Finds VMs for all members of a gang, or nothing. */
+export const fitGang = (index: FitIndex, request: FitRequest): readonly FitNode[] | undefined => {
+    const adjacency = request.vms === 1 ? "any" : request.adjacency;
+    return CHOOSERS[adjacency](index, request)?.nodes;
+};
--- /dev/null
+++ b/packages/placement/src/guaranteedWork.ts
@@ -0,0 +1,250 @@
+import * as B from "fp-ts/lib/boolean.js";
+import { pipe } from "fp-ts/lib/function.js";
+import * as N from "fp-ts/lib/number.js";
+import * as Ord from "fp-ts/lib/Ord.js";
+import type { Amount, MutableAmount } from "./amount.js";
+import { addTo, covers, needOf } from "./amount.js";
+import { cellCost } from "./cellCost.js";
+import type { PlacedState, VmState } from "./clusterState.js";
+import { isReady, unboundFree, unboundRoom } from "./clusterState.js";
+import type { QueuedJob } from "./clusterView.js";
+import { fitGang } from "./gangFit.js";
+import type { GuaranteedInstance } from "./guaranteedInstance.js";
+import { cellsFor, entitlementOn, nearer } from "./guaranteedInstance.js";
+import { gangAccelerators, isStoppable } from "./jobTraits.js";
+import type { PassContext } from "./passContext.js";
+import { startUnclaimed, stopAndHold } from "./passContext.js";
+import { isBorrower, selectVictims, workLost } from "./victimSelection.js";
+
+/** A job that fits an unused instance of its team. */
+interface Claimant {
+    readonly job: QueuedJob;
+    /** Accelerators of the job as a part of those of the tightest instance. */
+    readonly use: number;
+}
+
+interface ReclaimPlan {
+    readonly instance: GuaranteedInstance;
+    readonly vms: readonly VmState[];
+    readonly victims: readonly PlacedState[];
+    readonly lost: number;
+}
+
+/** A job that uses at most this part of an instance claims it only when it can start nowhere else. */
+const LOOSE_USE = 0.5;
+
+/** Instances compared for the least work lost. */
+const MAX_RECLAIM_PLANS = 8;
+
+const urgentFirst: Ord.Ord<Claimant> = pipe(
+    B.Ord,
+    Ord.reverse,
+    Ord.contramap(({ job }: Claimant) => job.spec.workClass === "urgent"),
+);
+
+const tightestFirst: Ord.Ord<Claimant> = pipe(N.Ord, Ord.reverse, Ord.contramap(({ use }: Claimant) => use));
+
+// Sorting is stable, so claimants that are equal in both stay in the order of the queue.
+const inClaimOrder = Ord.getMonoid<Claimant>().concat(urgentFirst, tightestFirst);
+
+const anyCell = (): boolean => true;
+
+const useOf = (job: QueuedJob, { guarantee: { shape } }: GuaranteedInstance): number =>
+    gangAccelerators(job.spec.gang) / Math.max(1, gangAccelerators(shape));
+
+/** Whether some instance of the team, in use or not, has the shape of the job. */
+export const isWithinGuarantee = ({ book }: PassContext, { spec }: QueuedJob): boolean =>
+    (book.byTeam.get(spec.team) ?? []).some(instance => cellsFor(spec, instance, anyCell) !== undefined);
+
+/** Free instances that the job fits, the tightest first. */
+const fittingInstances = (
+    job: QueuedJob,
+    instances: readonly GuaranteedInstance[],
+): readonly GuaranteedInstance[] =>
+    instances
+        .filter(instance => instance.jobId === undefined && cellsFor(job.spec, instance, anyCell) !== undefined)
+        .sort((left, right) => useOf(job, right) - useOf(job, left));
+
+const startClaimed = (
+    { book, cluster, teamUse, log }: PassContext,
+    job: QueuedJob,
+    instance: GuaranteedInstance,
+    vms: readonly VmState[],
+): void => {
+    const need = needOf(job.spec.gang);
+    for (const vm of vms) {
+        cluster.take(vm, need);
+    }
+    book.use(instance, job.jobId, vms, need);
+    teamUse.add(job.spec);
+    log.start(job, vms);
+};
+
+const startInCells = (context: PassContext, job: QueuedJob, instance: GuaranteedInstance, need: Amount): boolean => {
+    const vms = cellsFor(job.spec, instance, ({ vm, node }) => isReady(vm) && covers(node.available, need));
+    if (vms === undefined) {
+        return false;
+    }
+    startClaimed(context, job, instance, vms);
+    return true;
+};
+
+/** Room for an instance on a VM, where its own present cells count as free. */
+const roomFor = ({ guarantee, cells }: GuaranteedInstance, vm: VmState): MutableAmount => {
+    const room = unboundRoom(vm);
+    if (cells.includes(vm)) {
+        addTo(room, entitlementOn(guarantee.shape, vm.vm));
+    }
+    return room;
+};
+
+/** Starts the job on free VMs outside its cells, and moves the binding there. */
+const startElsewhere = (context: PassContext, job: QueuedJob, instance: GuaranteedInstance, need: Amount): boolean => {
+    const { cluster, book } = context;
+    const { shape, dataCentres } = instance.guarantee;
+    const nodes = fitGang(cluster.free, {
+        vms: shape.vms,
+        need,
+        adjacency: nearer(shape.adjacency, job.spec.gang.adjacency),
+        accepts: node => {
+            const entitlement = entitlementOn(shape, node.vm);
+            return (dataCentres === undefined || dataCentres.includes(node.vm.dataCentre))
+                && covers(entitlement, need) && covers(roomFor(instance, cluster.vmOf(node)), entitlement);
+        },
+        cost: cellCost(context, job, need),
+    });
+    if (nodes === undefined) {
+        return false;
+    }
+    const cells = nodes.map(node => cluster.vmOf(node));
+    book.move(instance, cells);
+    startClaimed(context, job, instance, cells.slice(0, job.spec.gang.vms));
+    return true;
+};
+
+const planReclaim = (
+    { options, view }: PassContext,
+    job: QueuedJob,
+    instance: GuaranteedInstance,
+    need: Amount,
+): ReclaimPlan | undefined => {
+    const vms = cellsFor(job.spec, instance, ({ vm }) => isReady(vm));
+    const victims = vms === undefined ? undefined : selectVictims({
+        vms,
+        need,
+        canStop: placed => options.reclaim && isBorrower(placed),
+        leastWorkLost: options.leastWorkLost,
+    });
+    return vms === undefined || victims === undefined
+        ? undefined
+        : { instance, vms, victims, lost: victims.reduce((sum, victim) => sum + workLost(victim, view.now), 0) };
+};
+
+const byLost: Ord.Ord<ReclaimPlan> = pipe(N.Ord, Ord.contramap(({ lost }: ReclaimPlan) => lost));
+
+const fewestVictims: Ord.Ord<ReclaimPlan> = pipe(N.Ord, Ord.contramap(({ victims }: ReclaimPlan) => victims.length));
+
+const cheapestPlan = Ord.getMonoid<ReclaimPlan>().concat(byLost, fewestVictims);
+
+/** Stops borrowers in the instance whose reclaim loses the least work. */
+const reclaim = (
+    context: PassContext,
+    job: QueuedJob,
+    instances: readonly GuaranteedInstance[],
+    need: Amount,
+): boolean => {
+    const plans = instances.slice(0, MAX_RECLAIM_PLANS).flatMap(instance =>
+        planReclaim(context, job, instance, need) ?? []
+    );
+    const [plan] = plans.sort(cheapestPlan.compare);
+    if (plan === undefined) {
+        return false;
+    }
+    stopAndHold(context, job, plan.vms, plan.victims);
+    context.book.use(plan.instance, job.jobId, plan.vms, need);
+    context.teamUse.add(job.spec);
+    return true;
+};
+
+/** Starts the job in free cells that belong to no guarantee, so that its instance stays free for larger work. */
+const startUnbound = (context: PassContext, job: QueuedJob, need: Amount): boolean => {
+    const { cluster, teamUse } = context;
+    if (teamUse.isOverQuota(job.spec)) {
+        return false;
+    }
+    const stoppable = isStoppable(job.spec);
+    const nodes = fitGang(cluster.free, {
+        vms: job.spec.gang.vms,
+        need,
+        adjacency: job.spec.gang.adjacency,
+        accepts: node => {
+            const vm = cluster.vmOf(node);
+            return covers(unboundFree(vm), need) && (stoppable || covers(unboundRoom(vm), need));
+        },
+        cost: cellCost(context, job, need),
+    });
+    if (nodes === undefined) {
+        return false;
+    }
+    startUnclaimed(context, job, nodes.map(node => cluster.vmOf(node)), stoppable);
+    return true;
+};
+
+const placeClaimant = (
+    context: PassContext,
+    { job, use }: Claimant,
+    instances: readonly GuaranteedInstance[],
+): boolean => {
+    const need = needOf(job.spec.gang);
+    const fitting = fittingInstances(job, instances);
+    if (fitting.length === 0) {
+        return false;
+    }
+    const isLoose = use <= LOOSE_USE && job.spec.workClass !== "urgent";
+    return (isLoose && startUnbound(context, job, need))
+        || fitting.some(instance => startInCells(context, job, instance, need))
+        || fitting.slice(0, 1).some(instance => startElsewhere(context, job, instance, need))
+        || reclaim(context, job, fitting, need);
+};
+
+/** Continues claims of earlier passes, whose cells are still coming free. */
+const continueClaims = (
+    context: PassContext,
+    jobs: readonly QueuedJob[],
+    instances: readonly GuaranteedInstance[],
+    placedJobs: Set<string>,
+): void => {
+    for (const instance of instances) {
+        const job = instance.jobId === undefined ? undefined : jobs.find(({ jobId }) => jobId === instance.jobId);
+        if (job !== undefined) {
+            instance.jobId = undefined;
+            const need = needOf(job.spec.gang);
+            if (startInCells(context, job, instance, need) || reclaim(context, job, [instance], need)) {
+                placedJobs.add(job.jobId);
+            }
+        }
+    }
+};
+
+/** Places the jobs of one team that fit its unused instances; gives the ids of those it started or holds cells for. */
+export const placeGuaranteed = (
+    context: PassContext,
+    jobs: readonly QueuedJob[],
+    instances: readonly GuaranteedInstance[],
+): ReadonlySet<string> => {
+    const placedJobs = new Set<string>();
+    continueClaims(context, jobs, instances, placedJobs);
+    const claimants = jobs
+        .filter(({ jobId }) => !placedJobs.has(jobId))
+        .flatMap((job): readonly Claimant[] => {
+            const [tightest] = fittingInstances(job, instances);
+            return tightest === undefined ? [] : [{ job, use: useOf(job, tightest) }];
+        })
+        .sort(inClaimOrder.compare);
+    for (const claimant of claimants) {
+        if (placeClaimant(context, claimant, instances)) {
+            placedJobs.add(claimant.job.jobId);
+        }
+    }
+    return placedJobs;
+};
--- /dev/null
+++ b/packages/placement/src/ordinaryWork.ts
@@ -0,0 +1,176 @@
+import { covers, needOf } from "./amount.js";
+import { cellCost } from "./cellCost.js";
+import type { Reservation, VmState } from "./clusterState.js";
+import { unboundRoom } from "./clusterState.js";
+import type { QueuedJob } from "./clusterView.js";
+import type { FitNode } from "./fitIndex.js";
+import { fitGang } from "./gangFit.js";
+import { isStoppable } from "./jobTraits.js";
+import type { PassContext } from "./passContext.js";
+import { shapeKey, startUnclaimed, stopAndHold } from "./passContext.js";
+import type { MayStop } from "./preemptionRight.js";
+import { isLargeGang, preemptionRight } from "./preemptionRight.js";
+import type { QueueOrder } from "./queueOrder.js";
+import type { ReservationPlan } from "./reservationPlan.js";
+import { planReservation } from "./reservationPlan.js";
+import { isBorrower, selectVictims } from "./victimSelection.js";
+
+/** Each plan looks at every VM, so one pass makes few; the next pass continues. */
+const MAX_PLANS = 8;
+
+const MS_PER_SECOND = 1_000;
+
+const mayStopNothing: MayStop = () => false;
+
+/** Places the jobs that no guarantee covers, in the order of the queue. */
+export class OrdinaryWork {
+    readonly #context: PassContext;
+    readonly #reservations: Reservation[] = [];
+    /** Needs that found no VMs earlier in the pass; free resources only shrink from then on. */
+    readonly #failed = new Set<string>();
+    #plansLeft = MAX_PLANS;
+    #largeGangSeen = false;
+
+    constructor(context: PassContext) {
+        this.#context = context;
+    }
+
+    placeAll(order: QueueOrder, isSettled: (jobId: string) => boolean): void {
+        for (let job = order.next(); job !== undefined; job = order.next()) {
+            if (!isSettled(job.jobId)) {
+                this.#place(job);
+            }
+        }
+    }
+
+    #place(job: QueuedJob): void {
+        const { teamUse, log } = this.#context;
+        const { team } = job.spec;
+        if (teamUse.isOverQuota(job.spec)) {
+            const data = { held: teamUse.held(team), quota: teamUse.quota(team) };
+            log.wait(job, "quotaReached", "quotaReached", data);
+            return;
+        }
+        const allowed = this.#reservations.filter(reservation => this.#mayBackfill(job, reservation));
+        const vms = this.#fit(job, allowed);
+        if (vms !== undefined) {
+            startUnclaimed(this.#context, job, vms, isStoppable(job.spec));
+            return;
+        }
+        if (!this.#makeRoom(job)) {
+            this.#explain(job, allowed.length < this.#reservations.length);
+        }
+    }
+
+    #mayBackfill(job: QueuedJob, { readyAt, mayStop, isWaitBounded }: Reservation): boolean {
+        const { options, estimates, view } = this.#context;
+        if (!options.backfill) {
+            return false;
+        }
+        const endsInTime = view.now + estimates.upper(job) <= readyAt;
+        return isStoppable(job.spec)
+            ? endsInTime || (job.spec.checkpointable && mayStop(job.spec))
+            : endsInTime && !isWaitBounded;
+    }
+
+    #fit(job: QueuedJob, allowed: readonly Reservation[]): readonly VmState[] | undefined {
+        const { cluster, options } = this.#context;
+        const { gang } = job.spec;
+        const stoppable = isStoppable(job.spec);
+        const key = `${shapeKey(gang)} ${stoppable}`;
+        const restrictedKey = `${key} ${allowed.map(({ jobId }) => jobId).join(" ")}`;
+        const isRestricted = allowed.length < this.#reservations.length;
+        if (this.#failed.has(key) || (isRestricted && this.#failed.has(restrictedKey))) {
+            return undefined;
+        }
+        const need = needOf(gang);
+        const accepts = (node: FitNode): boolean => {
+            const vm = cluster.vmOf(node);
+            return (vm.reservation === undefined || allowed.includes(vm.reservation))
+                && (stoppable || covers(unboundRoom(vm), need));
+        };
+        const nodes = fitGang(cluster.free, {
+            vms: gang.vms,
+            need,
+            adjacency: gang.adjacency,
+            accepts,
+            cost: cellCost(this.#context, job, need),
+            exhaustive: !options.bestFit,
+        });
+        if (nodes === undefined) {
+            this.#failed.add(isRestricted ? restrictedKey : key);
+        }
+        return nodes?.map(node => cluster.vmOf(node));
+    }
+
+    /** Stops work for the job, or reserves VMs for it; false when it only waits. */
+    #makeRoom(job: QueuedJob): boolean {
+        const { options } = this.#context;
+        const isFirstLargeGang = !this.#largeGangSeen && isLargeGang(job.spec);
+        this.#largeGangSeen ||= isFirstLargeGang;
+        const mayStop = preemptionRight(this.#context, job, isFirstLargeGang);
+        const reserves = options.reservation && (this.#reservations.length === 0 || isFirstLargeGang);
+        if ((mayStop === undefined && !reserves) || (this.#plansLeft === 0 && !isFirstLargeGang)) {
+            return false;
+        }
+        this.#plansLeft -= this.#plansLeft > 0 ? 1 : 0;
+        const plan = planReservation(this.#context, job, mayStop);
+        if (plan === undefined) {
+            return false;
+        }
+        if (this.#stopNow(job, plan, mayStop ?? mayStopNothing)) {
+            return true;
+        }
+        if (reserves) {
+            this.#reserve(job, plan, mayStop ?? mayStopNothing, isFirstLargeGang);
+        }
+        return reserves;
+    }
+
+    #stopNow(job: QueuedJob, { vms, readyAt }: ReservationPlan, mayStop: MayStop): boolean {
+        const { view, options, teamUse } = this.#context;
+        if (readyAt > view.now + view.rules.preemptionGraceMs) {
+            return false;
+        }
+        const victims = selectVictims({
+            vms,
+            need: needOf(job.spec.gang),
+            canStop: placed => isBorrower(placed) && mayStop(placed.job.spec),
+            leastWorkLost: options.leastWorkLost,
+        });
+        if (victims === undefined) {
+            return false;
+        }
+        stopAndHold(this.#context, job, vms, victims);
+        teamUse.add(job.spec);
+        return true;
+    }
+
+    #reserve(job: QueuedJob, { vms, readyAt }: ReservationPlan, mayStop: MayStop, isWaitBounded: boolean): void {
+        const reservation: Reservation = { jobId: job.jobId, readyAt, mayStop, isWaitBounded };
+        this.#reservations.push(reservation);
+        for (const vm of vms) {
+            vm.reservation = reservation;
+        }
+        const seconds = Math.ceil((readyAt - this.#context.view.now) / MS_PER_SECOND);
+        this.#context.log.wait(job, "noCapacity", "reservationHolder", { seconds });
+    }
+
+    #explain(job: QueuedJob, isRestricted: boolean): void {
+        const { teamUse, log, options } = this.#context;
+        const { team, gang } = job.spec;
+        const [reservation] = this.#reservations;
+        if (isRestricted && reservation !== undefined && this.#fit(job, this.#reservations) !== undefined) {
+            log.wait(job, "reservedForLargerJob", "reservedForLargerJob", { jobId: reservation.jobId });
+        }
+        else if (options.fairShare && teamUse.shareUsed(team) > 1) {
+            const data = { held: teamUse.held(team), share: Math.floor(teamUse.fairShare(team)) };
+            log.wait(job, "fairShare", "fairShare", data);
+        }
+        else {
+            const messageId = isStoppable(job.spec) ? "noCapacity" : "noUnboundCells";
+            const data = { accelerators: gang.acceleratorsPerVm, vms: gang.vms, adjacency: gang.adjacency };
+            log.wait(job, "noCapacity", messageId, data);
+        }
+    }
+}
--- /dev/null
+++ b/packages/placement/src/passContext.ts
@@ -0,0 +1,60 @@
+import type { GangShape } from "@persimmonpitch/schema/gang.js";
+import { addTo, needOf } from "./amount.js";
+import type { ClusterState, PlacedState, VmState } from "./clusterState.js";
+import type { ClusterView, QueuedJob } from "./clusterView.js";
+import type { DecisionLog } from "./decisionLog.js";
+import type { GuaranteeBook } from "./guaranteeBook.js";
+import type { PlacementOptions } from "./placementOptions.js";
+import type { RunTimeEstimates } from "./runTimeEstimates.js";
+import type { TeamUse } from "./teamUse.js";
+
+/** What every step of a pass works on. */
+export interface PassContext {
+    readonly view: ClusterView;
+    readonly options: PlacementOptions;
+    readonly cluster: ClusterState;
+    readonly book: GuaranteeBook;
+    readonly teamUse: TeamUse;
+    readonly estimates: RunTimeEstimates;
+    readonly log: DecisionLog;
+}
+
+/** Identifies jobs that need the same resources. */
+export const shapeKey = ({ vms, acceleratorsPerVm, adjacency, coresPerVm, memoryMbPerVm }: GangShape): string =>
+    `${vms} ${acceleratorsPerVm} ${adjacency} ${coresPerVm} ${memoryMbPerVm}`;
+
+/** Starts a job that uses no guaranteed instance. */
+export const startUnclaimed = (
+    { cluster, teamUse, log }: PassContext,
+    job: QueuedJob,
+    vms: readonly VmState[],
+    stoppable: boolean,
+): void => {
+    const need = needOf(job.spec.gang);
+    for (const vm of vms) {
+        cluster.take(vm, need);
+        if (!stoppable) {
+            addTo(vm.unstoppable, need);
+        }
+    }
+    teamUse.add(job.spec);
+    log.start(job, vms);
+};
+
+/** Stops the victims and keeps what comes free for the job. */
+export const stopAndHold = (
+    { cluster, log }: PassContext,
+    job: QueuedJob,
+    vms: readonly VmState[],
+    victims: readonly PlacedState[],
+): void => {
+    for (const victim of victims) {
+        cluster.stop(victim);
+        log.preempt(victim.job.jobId, job.jobId);
+    }
+    const need = needOf(job.spec.gang);
+    for (const vm of vms) {
+        cluster.hold(vm, need);
+    }
+    log.wait(job, "waitingForPreemption", "waitingForPreemption");
+};
--- a/packages/placement/src/placementPass.ts
+++ b/packages/placement/src/placementPass.ts
@@ -1,39 +1,64 @@
-import type { GangMember, JobSpec } from "@persimmonpitch/schema/job.js";
-import type { ClusterView, VmView } from "./clusterView.js";
-import type { PlacementDecisions, StartDecision, WaitExplanation } from "./placementDecisions.js";
+import { ClusterState } from "./clusterState.js";
+import type { ClusterView, QueuedJob } from "./clusterView.js";
+import { DecisionLog } from "./decisionLog.js";
+import { GuaranteeBook } from "./guaranteeBook.js";
+import { placeGuaranteed } from "./guaranteedWork.js";
+import { OrdinaryWork } from "./ordinaryWork.js";
+import type { PassContext } from "./passContext.js";
+import type { PlacementDecisions } from "./placementDecisions.js";
+import type { PlacementOptions } from "./placementOptions.js";
+import { DEFAULT_PLACEMENT_OPTIONS } from "./placementOptions.js";
+import { placeProbes } from "./probePlacement.js";
+import { QueueOrder, teamQueues } from "./queueOrder.js";
+import { InventoryFit, refuseFailing, refuseImpossible } from "./refusals.js";
+import { RunTimeEstimates } from "./runTimeEstimates.js";
+import { TeamUse } from "./teamUse.js";
 
-interface FreeVm {
-    readonly vm: VmView;
-    accelerators: number;
-}
+const contextOf = (view: ClusterView, options: PlacementOptions): PassContext => {
+    const cluster = new ClusterState(view);
+    return {
+        view,
+        options,
+        cluster,
+        book: new GuaranteeBook(cluster, options.guarantees ? view : { ...view, guarantees: [], bindings: [] }),
+        teamUse: new TeamUse(view),
+        estimates: new RunTimeEstimates(view.runTimes, options.runTimeCorrection, view.now),
+        log: new DecisionLog(),
+    };
+};
 
-const findMembers = ({ gang }: JobSpec, free: readonly FreeVm[]): readonly FreeVm[] | undefined => {
-    const fitting = free.filter(({ vm, accelerators }) =>
-        vm.condition === "ready" && accelerators >= gang.acceleratorsPerVm && vm.freeCores >= gang.coresPerVm
-        && vm.freeMemoryMb >= gang.memoryMbPerVm
+const refuseJobs = (context: PassContext): readonly QueuedJob[] => {
+    const inventory = new InventoryFit(context.view);
+    return context.view.queued.filter(job =>
+        !refuseFailing(context, job) && !refuseImpossible(context, inventory, job)
     );
-    return fitting.length < gang.vms ? undefined : fitting.slice(0, gang.vms);
 };
 
-/** Places waiting jobs in order of submission on the first VMs that fit. */
-export const placementPass = (view: ClusterView): PlacementDecisions => {
-    const free = view.vms.map((vm): FreeVm => ({ vm, accelerators: vm.freeAccelerators }));
-    const starts: StartDecision[] = [];
-    const waiting: WaitExplanation[] = [];
-    for (const { jobId, spec } of view.queued) {
-        const chosen = findMembers(spec, free);
-        if (chosen === undefined) {
-            waiting.push({ jobId, reason: "noCapacity", detail: "No set of VMs has enough free accelerators." });
-            continue;
-        }
-        for (const member of chosen) {
-            member.accelerators -= spec.gang.acceleratorsPerVm;
+/** Decides on all waiting jobs: guaranteed work first, then the others in the order of the queue. */
+export const placementPass = (
+    view: ClusterView,
+    options: Partial<PlacementOptions> = {},
+): PlacementDecisions => {
+    const context = contextOf(view, { ...DEFAULT_PLACEMENT_OPTIONS, ...options });
+    const { book, log } = context;
+    const queues = teamQueues(context, refuseJobs(context));
+    const settled = new Set<string>();
+    for (const [team, instances] of book.byTeam) {
+        const jobs = (queues.get(team) ?? []).map(({ job }) => job);
+        for (const jobId of placeGuaranteed(context, jobs, instances)) {
+            settled.add(jobId);
         }
-        const members = chosen.map((member): GangMember => ({
-            vmId: member.vm.vmId,
-            accelerators: spec.gang.acceleratorsPerVm,
-        }));
-        starts.push({ jobId, members });
     }
-    return { starts, preemptions: [], refusals: [], waiting, bindings: view.bindings, unmet: [] };
+    new OrdinaryWork(context).placeAll(new QueueOrder(context, queues), jobId => settled.has(jobId));
+    if (context.options.probes) {
+        placeProbes(context);
+    }
+    return {
+        starts: log.starts,
+        preemptions: log.preemptions,
+        refusals: log.refusals,
+        waiting: log.waiting(),
+        bindings: book.bindings(),
+        unmet: book.unmet,
+    };
 };
--- /dev/null
+++ b/packages/placement/src/refusals.ts
@@ -0,0 +1,89 @@
+import { needOf } from "./amount.js";
+import type { ClusterView, QueuedJob } from "./clusterView.js";
+import { FitIndex } from "./fitIndex.js";
+import { fitGang } from "./gangFit.js";
+import { isWithinGuarantee } from "./guaranteedWork.js";
+import { failsEverywhere } from "./jobHealth.js";
+import { gangAccelerators } from "./jobTraits.js";
+import type { PassContext } from "./passContext.js";
+import { shapeKey } from "./passContext.js";
+
+/** Whether a shape fits the whole inventory when all of it is empty; VMs that are lost for now count. */
+export class InventoryFit {
+    readonly #view: ClusterView;
+    readonly #known = new Map<string, boolean>();
+    #index: FitIndex | undefined;
+
+    constructor(view: ClusterView) {
+        this.#view = view;
+    }
+
+    isPossible({ spec: { gang } }: QueuedJob): boolean {
+        const key = shapeKey(gang);
+        const known = this.#known.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        this.#index ??= new FitIndex(
+            this.#view.vms,
+            ({ accelerators, cores, memoryMb }) => ({ accelerators, cores, memoryMb }),
+            () => true,
+        );
+        const nodes = fitGang(this.#index, {
+            vms: gang.vms,
+            need: needOf(gang),
+            adjacency: gang.adjacency,
+            accepts: () => true,
+            cost: ({ position }) => position,
+            // A rack may offer few fitting VMs among many; every rack has to be tried.
+            exhaustive: true,
+        });
+        this.#known.set(key, nodes !== undefined);
+        return nodes !== undefined;
+    }
+}
+
+/** Refuses a job that fails wherever it runs. */
+export const refuseFailing = ({ cluster, log }: PassContext, job: QueuedJob): boolean => {
+    if (job.failedOn.length === 0) {
+        return false;
+    }
+    // A quarantined worker fails the tasks of all jobs, so its failures say nothing about this one.
+    const isHealthy = (vmId: string): boolean => {
+        const condition = cluster.vmById(vmId)?.vm.condition;
+        return condition === "ready" || condition === "draining";
+    };
+    if (!failsEverywhere(job.failedOn, isHealthy)) {
+        return false;
+    }
+    const workers = [...new Set(job.failedOn.filter(isHealthy))];
+    log.refuse(job, "failsEverywhere", "failsEverywhere", { count: workers.length, workers: workers.join(", ") });
+    return true;
+};
+
+/** Refuses a job that no empty cluster could run, or that its team's quota never admits. */
+export const refuseImpossible = (context: PassContext, inventory: InventoryFit, job: QueuedJob): boolean => {
+    const { teamUse, log } = context;
+    const { gang, team } = job.spec;
+    const quota = teamUse.quota(team);
+    if (gang.adjacency === "vm" && gang.vms > 1) {
+        log.refuse(job, "neverFits", "separateVms", { vms: gang.vms });
+        return true;
+    }
+    if (!inventory.isPossible(job)) {
+        log.refuse(job, "neverFits", "shapeTooLarge", {
+            vms: gang.vms,
+            adjacency: gang.adjacency,
+            accelerators: gang.acceleratorsPerVm,
+            cores: gang.coresPerVm,
+            memoryMb: gang.memoryMbPerVm,
+        });
+        return true;
+    }
+    // A guarantee is promised capacity, so the quota does not apply to it.
+    if (gangAccelerators(gang) > quota && !isWithinGuarantee(context, job)) {
+        log.refuse(job, "neverFits", "quotaTooSmall", { accelerators: gangAccelerators(gang), quota });
+        return true;
+    }
+    return false;
+};
--- /dev/null
+++ b/packages/placement/src/victimSelection.ts
@@ -0,0 +1,114 @@
+import * as B from "fp-ts/lib/boolean.js";
+import { pipe } from "fp-ts/lib/function.js";
+import * as M from "fp-ts/lib/Monoid.js";
+import * as N from "fp-ts/lib/number.js";
+import * as Ord from "fp-ts/lib/Ord.js";
+import type { Amount, MutableAmount } from "./amount.js";
+import { addTo, difference, isPositive } from "./amount.js";
+import type { PlacedState, VmState } from "./clusterState.js";
+import { gangAccelerators } from "./jobTraits.js";
+
+/** A set of jobs to stop for another job. */
+export interface VictimRequest {
+    /** VMs of the job that needs the resources, each of which must offer the amount. */
+    readonly vms: readonly VmState[];
+    readonly need: Amount;
+    readonly canStop: (placed: PlacedState) => boolean;
+    readonly leastWorkLost: boolean;
+}
+
+const checkpointableFirst: Ord.Ord<PlacedState> = pipe(
+    B.Ord,
+    Ord.reverse,
+    Ord.contramap(({ job }: PlacedState) => job.spec.checkpointable),
+);
+
+const youngestFirst: Ord.Ord<PlacedState> = pipe(
+    N.Ord,
+    Ord.reverse,
+    Ord.contramap(({ job }: PlacedState) => job.startedAt),
+);
+
+const smallestFirst: Ord.Ord<PlacedState> = pipe(
+    N.Ord,
+    Ord.contramap(({ job }: PlacedState) => gangAccelerators(job.spec.gang)),
+);
+
+const leastLostFirst = M.concatAll(Ord.getMonoid<PlacedState>())([checkpointableFirst, youngestFirst, smallestFirst]);
+
+const oldestFirst = pipe(youngestFirst, Ord.reverse);
+
+/** Work that stopping the job would lose, in accelerator milliseconds. */
+export const workLost = ({ job: { spec, startedAt } }: PlacedState, now: number): number =>
+    spec.checkpointable ? 0 : Math.max(0, now - startedAt) * Math.max(1, gangAccelerators(spec.gang));
+
+/** Whether work may be stopped for the owner of the cells that it borrows. */
+export const isBorrower = ({ stoppable, claimed, stopping }: PlacedState): boolean =>
+    stoppable && !claimed && !stopping;
+
+/** What each VM still lacks after free and coming resources are counted. */
+class Shortage {
+    readonly #missing = new Map<VmState, MutableAmount>();
+
+    constructor({ vms, need }: VictimRequest) {
+        for (const vm of vms) {
+            const missing = difference(need, vm.node.available);
+            addTo(missing, vm.coming, -1);
+            this.#missing.set(vm, missing);
+        }
+    }
+
+    exists(): boolean {
+        return [...this.#missing.values()].some(isPositive);
+    }
+
+    isEasedBy({ parts }: PlacedState): boolean {
+        return parts.some(({ vm, amount }) => {
+            const missing = this.#missing.get(vm);
+            return missing !== undefined
+                && ((missing.accelerators > 0 && amount.accelerators > 0) || (missing.cores > 0 && amount.cores > 0)
+                    || (missing.memoryMb > 0 && amount.memoryMb > 0));
+        });
+    }
+
+    ease({ parts }: PlacedState, factor: 1 | -1): void {
+        for (const { vm, amount } of parts) {
+            const missing = this.#missing.get(vm);
+            if (missing !== undefined) {
+                addTo(missing, amount, -factor);
+            }
+        }
+    }
+}
+
+/** Jobs to stop so that every VM offers the amount: none when nothing is short, undefined when it cannot be done. */
+export const selectVictims = (request: VictimRequest): readonly PlacedState[] | undefined => {
+    const shortage = new Shortage(request);
+    if (!shortage.exists()) {
+        return [];
+    }
+    const candidates = [...new Set(request.vms.flatMap(({ placed }) => placed))].filter(request.canStop)
+        .sort((request.leastWorkLost ? leastLostFirst : oldestFirst).compare);
+    const chosen: PlacedState[] = [];
+    for (const candidate of candidates) {
+        if (shortage.isEasedBy(candidate)) {
+            shortage.ease(candidate, 1);
+            chosen.push(candidate);
+        }
+    }
+    if (shortage.exists()) {
+        return undefined;
+    }
+    // A later victim may free enough to make an earlier one unnecessary; the most work lost is spared first.
+    const needed = new Set(chosen);
+    for (const victim of chosen.reverse()) {
+        shortage.ease(victim, -1);
+        if (shortage.exists()) {
+            shortage.ease(victim, 1);
+        }
+        else {
+            needed.delete(victim);
+        }
+    }
+    return [...needed];
+};
