--- a/packages/findings/src/finding.ts
+++ b/packages/findings/src/finding.ts
@@ -29,6 +29,8 @@
     return [position, path ?? ""].filter(part => part !== "").join(" ");
 };
 
-/** One line a finding: place, message and id. */
-export const formatFindings = (findings: readonly Finding[]): string =>
-    findings.map(({ messageId, message, place }) => `${formatPlace(place)}: ${message} [${messageId}]`).join("\n");
+const formatFinding = ({ messageId, message, place }: Finding): string =>
+    [formatPlace(place), `${message} [${messageId}]`].filter(part => part !== "").join(": ");
+
+/** One line a finding: place, if there is one, message and id. */
+export const formatFindings = (findings: readonly Finding[]): string => findings.map(formatFinding).join("\n");
--- a/packages/schema/src/configuration.ts
+++ b/packages/schema/src/configuration.ts
@@ -19,12 +19,15 @@
 });
 export type InventoryVm = z.infer<typeof inventoryVmSchema>;
 
+/** More instances than the accelerators of the size to design for (930 VMs of 8), so only an error can exceed it. */
+const MAX_INSTANCES = 10_000;
+
 /** A shape promised to a team, `count` times over. */
 export const guaranteeSchema = z.strictObject({
     team: identifierSchema,
     name: identifierSchema,
     shape: gangShapeSchema,
-    count: z.number().int().positive().default(1),
+    count: z.number().int().positive().max(MAX_INSTANCES).default(1),
     dataCentres: z.array(identifierSchema).min(1).optional(),
 });
 export type Guarantee = z.infer<typeof guaranteeSchema>;
