test(standins): cover workers, executors, stores and broken answers

Cause: agents and entries rely on the stand-ins' timing and on the clients' distinction between certain and uncertain failures. Refusals and 503 answers count as certain only when their body fits the schema. A task whose lease lapsed before its work was done no longer counts as finished, and a worker can lose its VM.

--- a/packages/platform/src/httpExecutor.ts
+++ b/packages/platform/src/httpExecutor.ts
@@ -1,7 +1,8 @@
 import { Result } from "true-myth";
 import type { HttpClientOptions } from "./httpClient.js";
-import { HttpClient, parseAnswer, problemDetail } from "./httpClient.js";
+import { HttpClient, parseAnswer } from "./httpClient.js";
 import type { Executor, ExecutorRequest, WorkerError } from "./worker.js";
+import { workerErrorOf } from "./workerErrorAnswer.js";
 import { executorAnswerSchema } from "./workerProtocol.js";
 
 /** Client of the executor on one VM; `refused` means that the request was certainly not run. */
@@ -19,8 +20,7 @@
             return Result.err({ kind: mayBeSent ? "unavailable" : "refused", detail });
         }
         if (answer.value.status !== 200) {
-            const kind = answer.value.status === 409 ? "refused" : "unavailable";
-            return Result.err({ kind, detail: problemDetail(answer.value) });
+            return Result.err(workerErrorOf(answer.value));
         }
         const parsed = parseAnswer(executorAnswerSchema, answer.value);
         if (parsed.isErr) {
--- a/packages/platform/src/httpObjectStore.ts
+++ b/packages/platform/src/httpObjectStore.ts
@@ -1,7 +1,8 @@
 import { Result } from "true-myth";
 import type { HttpClientOptions } from "./httpClient.js";
-import { HttpClient, problemDetail } from "./httpClient.js";
+import { HttpClient, parseAnswer, problemDetail } from "./httpClient.js";
 import type { ObjectStore, ObjectStoreError } from "./objectStore.js";
+import { storedSchema } from "./objectStore.js";
 
 /** Client of the platform's object store. */
 export class HttpObjectStore implements ObjectStore {
@@ -16,7 +17,11 @@
         if (answer.isErr) {
             return unavailable(answer.error.detail);
         }
-        return answer.value.status === 200 ? Result.ok(undefined) : unavailable(problemDetail(answer.value));
+        if (answer.value.status !== 200) {
+            return unavailable(problemDetail(answer.value));
+        }
+        const stored = parseAnswer(storedSchema, answer.value);
+        return stored.isOk && stored.value.key === key ? Result.ok(undefined) : unavailable("broken answer");
     }
 
     async get(key: string): Promise<Result<string, ObjectStoreError>> {
--- a/packages/platform/src/httpTable.ts
+++ b/packages/platform/src/httpTable.ts
@@ -9,7 +9,7 @@
 import { RetryBudget } from "./retryBudget.js";
 import type { Page, Row, Table, TableError, Transaction } from "./table.js";
 import { pageSchema, rowSchema } from "./table.js";
-import { committedSchema, conflictSchema } from "./tableProtocol.js";
+import { committedSchema, conflictSchema, problemSchema, unavailableSchema } from "./tableProtocol.js";
 
 /** Settings of the table's client. */
 export interface HttpTableOptions extends HttpClientOptions {
@@ -29,7 +29,7 @@
 
 /** A call that got no usable answer. */
 class CallFailure extends Error {
-    constructor(readonly mayBeSent: boolean, readonly detail: string) {
+    constructor(readonly mayBeSent: boolean, readonly detail: string, readonly canRetry = true) {
         super(detail);
     }
 }
@@ -37,7 +37,12 @@
 /** Either the table's answer to a commit, or a failure that can be retried. */
 type CommitStep =
     | { readonly kind: "answered"; readonly result: Result<Versions, TableError>; }
-    | { readonly kind: "failed"; readonly mayBeWritten: boolean; readonly detail: string; };
+    | {
+        readonly kind: "failed";
+        readonly mayBeWritten: boolean;
+        readonly canRetry: boolean;
+        readonly detail: string;
+    };
 
 /** Client of the platform's table. */
 export class HttpTable implements Table {
@@ -87,7 +92,8 @@
             const isAnswerLost = step.mayBeWritten && !mayBeWritten;
             mayBeWritten ||= step.mayBeWritten;
             // The first read-back is not charged to the budget: without it the caller would not know the outcome.
-            if (retry >= this.maxRetries || !(isAnswerLost || this.budget.tryTake())) {
+            const canRetry = step.canRetry && retry < this.maxRetries && (isAnswerLost || this.budget.tryTake());
+            if (!canRetry) {
                 return Result.err({ kind: mayBeWritten ? "unclear" : "unavailable", detail: step.detail });
             }
             await this.pause(retry);
@@ -103,17 +109,14 @@
         const path = `/writes/${encodeURIComponent(transaction.writeId)}`;
         const answer = await this.call({ method: "GET", path });
         if (answer.isErr) {
-            return { kind: "failed", mayBeWritten: true, detail: answer.error.detail };
+            return failed(answer.error, true);
         }
         return answer.value.status === 404 ? this.send(transaction) : committed(answer.value);
     }
 
     private async send(transaction: Transaction): Promise<CommitStep> {
         const answer = await this.call({ method: "POST", path: "/transactions", body: transaction });
-        return answer.match({
-            Ok: committed,
-            Err: ({ mayBeSent, detail }): CommitStep => ({ kind: "failed", mayBeWritten: mayBeSent, detail }),
-        });
+        return answer.match({ Ok: committed, Err: failure => failed(failure, failure.mayBeSent) });
     }
 
     /** A read, tried again within the budget. */
@@ -124,7 +127,8 @@
             if (answer.isOk) {
                 return Result.ok(answer.value);
             }
-            if (retry >= this.maxRetries || !this.budget.tryTake()) {
+            const canRetry = answer.error.canRetry && retry < this.maxRetries && this.budget.tryTake();
+            if (!canRetry) {
                 return Result.err({ kind: "unavailable", detail: answer.error.detail });
             }
             await this.pause(retry);
@@ -141,7 +145,7 @@
                 return Result.err(error);
             }
             if (error instanceof BrokenCircuitError) {
-                return Result.err(new CallFailure(false, "the circuit breaker of the table is open"));
+                return Result.err(new CallFailure(false, "the circuit breaker of the table is open", false));
             }
             throw error;
         }
@@ -154,7 +158,8 @@
         }
         const { status } = answer.value;
         if (status >= 500) {
-            throw new CallFailure(status !== STATUS_UNAVAILABLE, problemDetail(answer.value));
+            const isCertainlyNotWritten = status === 503 && parseAnswer(unavailableSchema, answer.value).isOk;
+            throw new CallFailure(!isCertainlyNotWritten, problemDetail(answer.value));
         }
         return answer.value;
     }
@@ -164,9 +169,6 @@
     }
 }
 
-/** The table answers with this status only when it has written nothing. */
-const STATUS_UNAVAILABLE = 503;
-
 const parseRead = <Schema extends z.ZodType>(
     schema: Schema,
     answer: HttpAnswer,
@@ -175,16 +177,27 @@
         ? parseAnswer(schema, answer).mapErr(detail => ({ kind: "unavailable", detail }))
         : Result.err({ kind: "unavailable", detail: problemDetail(answer) });
 
+const failed = ({ detail, canRetry }: CallFailure, mayBeWritten: boolean): CommitStep => ({
+    kind: "failed",
+    mayBeWritten,
+    canRetry,
+    detail,
+});
+
+type AnswerParser = (answer: HttpAnswer) => Result<Result<Versions, TableError>, string>;
+
+/** What an answer to a commit says, by its status; any other status refuses the transaction as it was sent. */
+const COMMIT_PARSERS: Readonly<Partial<Record<number, AnswerParser>>> = {
+    200: answer => parseAnswer(committedSchema, answer).map(({ versions }) => Result.ok(versions)),
+    409: answer => parseAnswer(conflictSchema, answer).map(({ keys }) => Result.err({ kind: "conflict", keys })),
+};
+
+const refusedCommit: AnswerParser = answer =>
+    parseAnswer(problemSchema, answer).map(({ detail }) => Result.err({ kind: "unavailable", detail }));
+
 /** A broken answer leaves open whether the transaction was written. */
-const committed = (answer: HttpAnswer): CommitStep => {
-    if (answer.status === 409) {
-        return parseAnswer(conflictSchema, answer).match({
-            Ok: ({ keys }): CommitStep => ({ kind: "answered", result: Result.err({ kind: "conflict", keys }) }),
-            Err: (detail): CommitStep => ({ kind: "failed", mayBeWritten: true, detail }),
-        });
-    }
-    return parseAnswer(committedSchema, answer).match({
-        Ok: ({ versions }): CommitStep => ({ kind: "answered", result: Result.ok(versions) }),
-        Err: (detail): CommitStep => ({ kind: "failed", mayBeWritten: true, detail }),
+const committed = (answer: HttpAnswer): CommitStep =>
+    (COMMIT_PARSERS[answer.status] ?? refusedCommit)(answer).match({
+        Ok: (result): CommitStep => ({ kind: "answered", result }),
+        Err: detail => failed(new CallFailure(true, detail), true),
     });
-};
--- a/packages/platform/src/httpWorker.ts
+++ b/packages/platform/src/httpWorker.ts
@@ -1,9 +1,10 @@
 import { Result } from "true-myth";
 import type { z } from "zod";
 import type { HttpCall, HttpClientOptions } from "./httpClient.js";
-import { HttpClient, parseAnswer, problemDetail } from "./httpClient.js";
+import { HttpClient, parseAnswer } from "./httpClient.js";
 import type { TaskStart, Worker, WorkerError, WorkerTask } from "./worker.js";
 import { workerTaskSchema } from "./worker.js";
+import { workerErrorOf } from "./workerErrorAnswer.js";
 import { doneSchema, taskListSchema } from "./workerProtocol.js";
 
 /**
@@ -66,8 +67,7 @@
         if (answer.value.status === 200) {
             return parseAnswer(schema, answer.value).mapErr(detail => ({ kind: "unavailable", detail }));
         }
-        const kind = answer.value.status === 409 ? "refused" : "unavailable";
-        return Result.err({ kind, detail: problemDetail(answer.value) });
+        return Result.err(workerErrorOf(answer.value));
     }
 }
 
--- a/packages/platform/src/objectStore.ts
+++ b/packages/platform/src/objectStore.ts
@@ -1,4 +1,8 @@
 import type { Result } from "true-myth";
+import { z } from "zod";
+
+/** Answer to `PUT /objects`. */
+export const storedSchema = z.object({ key: z.string() });
 
 export type ObjectStoreError =
     | { readonly kind: "unavailable"; readonly detail: string; }
--- a/packages/platform/src/workerProtocol.ts
+++ b/packages/platform/src/workerProtocol.ts
@@ -26,3 +26,6 @@
 
 /** Answer of an executor. */
 export const executorAnswerSchema = z.object({ attemptId: z.string(), answer: z.string() });
+
+/** Answer with status 409: what was asked for was certainly not done. */
+export const refusedSchema = z.object({ code: z.literal("refused"), detail: z.string() });
--- a/packages/standins/src/memoryWorker.ts
+++ b/packages/standins/src/memoryWorker.ts
@@ -55,6 +55,7 @@
     readonly wake: WakeSignal;
     done: Promise<void>;
     leaseEnd: Millis;
+    crashedAt: Millis;
     stop: Stop | undefined;
     /** Work done up to `measuredAt`; it grows by `share` for each millisecond. */
     workMs: Millis;
@@ -149,6 +150,15 @@
         return Result.ok([...this.tasksById.values()].map(running => this.report(running)));
     }
 
+    /** Loses the VM: every task ends at once, and the worker forgets what it ran. */
+    crash(): void {
+        for (const running of this.tasksById.values()) {
+            running.crashedAt = this.clock.now();
+            running.wake.wake();
+        }
+        this.tasksById.clear();
+    }
+
     private async delayOrFail(): Promise<WorkerError | undefined> {
         if (this.faults.slow > 0) {
             await this.clock.sleep(this.faults.slow);
@@ -186,6 +196,7 @@
             wake: new WakeSignal(),
             done: Promise.resolve(),
             leaseEnd: now + start.leaseMs,
+            crashedAt: Infinity,
             stop: undefined,
             workMs: parseJson(checkpointSchema, start.checkpoint ?? "")?.workMs ?? 0,
             measuredAt: now,
@@ -197,20 +208,17 @@
         return running;
     }
 
-    /** Runs one task until it finishes, is stopped or its lease lapses. */
+    /** Runs one task until it finishes, is stopped, its lease lapses or its VM is lost. */
     private async runTask(running: RunningTask): Promise<void> {
         for (;;) {
-            this.measure(running);
+            const { cause, at } = nextEnd(running);
             const now = this.clock.now();
-            const remainingMs = Math.max(0, running.payload.runMs - running.workMs);
-            const finishAt = remainingMs === 0 ? now : now + remainingMs / running.share;
-            const stopAt = running.stop?.at ?? Infinity;
-            const endAt = Math.min(finishAt, stopAt, running.leaseEnd);
-            if (endAt <= now) {
-                this.end(running, finishAt <= now ? "work" : stopAt <= now ? "stop" : "lease");
+            if (at <= now) {
+                this.measure(running);
+                this.end(running, cause);
                 return;
             }
-            await running.wake.wait(this.clock, endAt - now);
+            await running.wake.wait(this.clock, at - now);
         }
     }
 
@@ -250,7 +258,24 @@
     }
 }
 
-type EndCause = "work" | "stop" | "lease";
+type EndCause = "work" | "stop" | "lease" | "crash";
+
+interface End {
+    readonly cause: EndCause;
+    readonly at: Millis;
+}
+
+/** The event that ends a task first; work that is done at the same moment wins. */
+const nextEnd = ({ payload, workMs, measuredAt, share, stop, leaseEnd, crashedAt }: RunningTask): End => {
+    const remainingMs = Math.max(0, payload.runMs - workMs);
+    const ends: readonly End[] = [
+        { cause: "work", at: remainingMs === 0 ? measuredAt : measuredAt + remainingMs / share },
+        { cause: "crash", at: crashedAt },
+        { cause: "stop", at: stop?.at ?? Infinity },
+        { cause: "lease", at: leaseEnd },
+    ];
+    return ends.reduce((first, end) => end.at < first.at ? end : first);
+};
 
 /** How a task ends, by the event that ends it. */
 const END_HANDLERS: { readonly [C in EndCause]: (running: RunningTask, failAll: boolean) => Partial<WorkerTask>; } = {
@@ -268,6 +293,7 @@
         progress: Math.min(1, workMs / payload.runMs),
         error: "the lease lapsed",
     }),
+    crash: () => ({ state: "stopped", error: "the VM was lost" }),
 };
 
 const refused = <T>(detail: string): Result<T, WorkerError> => Result.err({ kind: "refused", detail });
--- a/packages/standins/src/objectStoreServer.ts
+++ b/packages/standins/src/objectStoreServer.ts
@@ -25,7 +25,7 @@
     server.put("/objects", async (req, res) => {
         const { key } = keySchema.parse(req.query);
         const put = await store.put(key, z.string().parse(req.body));
-        return put.match<unknown>({ Ok: () => ({}), Err: error => sendError(res, error) });
+        return put.match<unknown>({ Ok: () => ({ key }), Err: error => sendError(res, error) });
     });
     server.get("/objects", async (req, res) => {
         const { key } = keySchema.parse(req.query);
--- a/packages/standins/tests/httpTable.test.ts
+++ b/packages/standins/tests/httpTable.test.ts
@@ -1,12 +1,14 @@
 import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { HttpTable } from "@persimmonpitch/platform/httpTable.js";
 import type { Transaction } from "@persimmonpitch/platform/table.js";
+import fc from "fast-check";
 import type { Test } from "tap";
 import t from "tap";
 import type { TableFaults } from "../src/memoryTable.js";
 import { MemoryTable } from "../src/memoryTable.js";
 import { startTableServer } from "../src/tableServer.js";
 
+const SEED = 20_261_204;
 const TIMEOUT_MS = 5_000;
 /** Longer than any run, so that the breaker stays as the first failures left it. */
 const BREAKER_OPEN_MS = 600_000;
@@ -79,3 +81,42 @@
         t.matchSnapshot({ committed: committed.toJSON(), read: read.toJSON(), writes: table.counts.writes }, name);
     }
 });
+
+/** What a client may be told, given whether the transaction was written. */
+const TRUTHFUL: Readonly<Record<string, (isWritten: boolean) => boolean>> = {
+    ok: isWritten => isWritten,
+    unavailable: isWritten => !isWritten,
+    conflict: isWritten => !isWritten,
+    unclear: () => true,
+};
+
+// Guards against an untruthful outcome or a repeated write under any mix of outages and lost answers.
+void t.test("outcomes are truthful under random faults", async t => {
+    const { table, server } = await open(t);
+    const faults = fc.record({ down: fc.boolean(), loseAnswers: fc.nat(3), version: fc.nat(1) });
+    let commits = 0;
+    await fc.assert(
+        fc.asyncProperty(fc.array(faults, { minLength: 1, maxLength: 8 }), async steps => {
+            const client = new HttpTable({
+                baseUrl: server.url,
+                clock: systemClock,
+                timeoutMs: TIMEOUT_MS,
+                random: () => 0,
+                breakerOpenMs: BREAKER_OPEN_MS,
+            });
+            for (const { version, ...step } of steps) {
+                Object.assign(table.faults, step);
+                commits += 1;
+                const key = `row/${commits}`;
+                const result = await client.commit(put(`write-${commits}`, key, commits, version));
+                const row = table.snapshot().find(candidate => candidate.key === key);
+                const outcome = result.isOk ? "ok" : result.error.kind;
+                t.ok(TRUTHFUL[outcome]?.(row !== undefined), `${outcome} after ${JSON.stringify(step)}`);
+                t.ok((row?.version ?? 1) === 1, "written at most once");
+            }
+            Object.assign(table.faults, { down: false, loseAnswers: 0 });
+            await client.close();
+        }),
+        { seed: SEED, numRuns: 100 },
+    );
+});
