--- a/packages/platform/src/httpTable.ts
+++ b/packages/platform/src/httpTable.ts
@@ -1,9 +1,9 @@
+import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { CircuitBreakerPolicy } from "cockatiel";
 import { BrokenCircuitError, circuitBreaker, ConsecutiveBreaker, handleType } from "cockatiel";
 import { Result } from "true-myth";
 import type { z } from "zod";
-import { fullJitter } from "./backoff.js";
 import type { HttpAnswer, HttpCall, HttpClientOptions } from "./httpClient.js";
 import { HttpClient, parseAnswer, problemDetail } from "./httpClient.js";
 import { RetryBudget } from "./retryBudget.js";
@@ -23,7 +23,7 @@
 const DEFAULT_MAX_RETRIES = 3;
 const DEFAULT_BREAKER_FAILURES = 5;
 const DEFAULT_BREAKER_OPEN_MS = 1_000;
-const BACKOFF = { firstMs: 50, maxMs: 1_000 };
+const BACKOFF = { baseMs: 50, maxMs: 1_000 };
 
 type Versions = Readonly<Record<string, number>>;
 
@@ -165,7 +165,7 @@
     }
 
     private pause(retry: number): Promise<void> {
-        return this.options.clock.sleep(fullJitter(retry, BACKOFF, this.random));
+        return this.options.clock.sleep(backoffDelay(BACKOFF, retry, this.random));
     }
 }
 
