--- a/packages/scheduler/src/schedulingRole.ts
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -42,6 +42,9 @@
 
 const RETRY_MS: Millis = 500;
 
+/** A new holder learns of the agents within this time; before, a missing VM says nothing. */
+const SETTLE_MS: Millis = 15_000;
+
 /** The task that takes the scheduling role of a region, holds it, and takes it again after a loss. */
 export class SchedulingRole {
     private held: HeldRole | undefined;
@@ -274,6 +277,9 @@
     }
 
     private reportUnmet(context: RoleContext, unmet: readonly UnmetGuarantee[]): void {
+        if (context.clock.now() - context.heldSince < SETTLE_MS) {
+            return;
+        }
         const known = new Set(this.unmet.map(({ team, name, instance }) => `${team}/${name}/${instance}`));
         for (const { team, name, instance } of unmet) {
             if (!known.has(`${team}/${name}/${instance}`)) {
