--- a/packages/scheduler/src/attempt.ts
+++ b/packages/scheduler/src/attempt.ts
@@ -104,7 +104,7 @@
         await job.wake.wait(context.clock, LOSS_CHECK_MS);
     }
     if (!context.role.isLost) {
-        await concludeAttempt(context, job, attempt, views);
+        await concludeAttempt(context, job, views);
         await forgetAll(context, attempt);
     }
 };
@@ -278,23 +278,36 @@
 const concludeAttempt = async (
     context: RoleContext,
     job: BookedJob,
-    attempt: Attempt,
     views: readonly MemberView[],
 ): Promise<void> => {
-    const failedVmIds = views.filter(({ state }) => state === "failed").map(({ member }) => member.vmId);
     const outcome = outcomeOf(views);
-    context.onAttemptEnded({
-        jobId: job.stored.record.jobId,
-        outcome,
-        ranMs: context.clock.wallTime() - job.startedAt,
-        vmIds: attempt.members.map(({ vmId }) => vmId),
-        failedVmIds,
-    });
+    learnFrom(context, job, views, outcome);
     await CONCLUSIONS[outcome](context, job, views);
     context.onJobChanged(job.stored.record.jobId);
     context.wake.wake();
 };
 
+/** Remembers how long the job took and which workers fail their tasks. */
+const learnFrom = (
+    { clock, runTimes, workerHealth }: RoleContext,
+    { stored, startedAt, savedProgress }: BookedJob,
+    views: readonly MemberView[],
+    outcome: AttemptOutcome,
+): void => {
+    const { jobId, spec } = stored.record;
+    views.forEach(({ member, state }) => {
+        if (state === "finished") {
+            workerHealth.taskSucceeded(member.vmId);
+        }
+        else if (state === "failed") {
+            workerHealth.taskFailed(member.vmId, jobId);
+        }
+    });
+    if (outcome === "finished" && savedProgress === 0) {
+        runTimes.observe(spec, clock.wallTime() - startedAt);
+    }
+};
+
 type AttemptOutcome = Exclude<MemberState, "running">;
 
 /** The worst of the members' states decides. */
--- a/packages/scheduler/src/buildClusterView.ts
+++ b/packages/scheduler/src/buildClusterView.ts
@@ -3,7 +3,6 @@
     GuaranteeBinding,
     PlacedJob,
     QueuedJob,
-    RunTimeCorrection,
     VmCondition,
     VmView,
 } from "@persimmonpitch/placement/clusterView.js";
@@ -17,11 +16,6 @@
     memoryMb: number;
 }
 
-const NO_CORRECTION: RunTimeCorrection = {
-    expected: ({ declaredRunMs }) => declaredRunMs,
-    upper: ({ declaredRunMs }) => declaredRunMs,
-};
-
 const conditionOf = (
     context: RoleContext,
     configuration: Configuration,
@@ -32,7 +26,10 @@
     if (agent?.connected !== true || !fenced.isFenced(agent)) {
         return "unknown";
     }
-    return agent.leaving || configuration.body.drained.includes(vmId) ? "draining" : "ready";
+    if (agent.leaving || configuration.body.drained.includes(vmId)) {
+        return "draining";
+    }
+    return context.workerHealth.isQuarantined(vmId) ? "quarantined" : "ready";
 };
 
 const usageByVm = (context: RoleContext, fenced: FencedAgents): ReadonlyMap<string, Usage> => {
@@ -102,6 +99,6 @@
         bindings,
         teams: body.teams,
         rules: body.rules,
-        runTimes: NO_CORRECTION,
+        runTimes: context.runTimes,
     };
 };
--- a/packages/scheduler/src/roleContext.ts
+++ b/packages/scheduler/src/roleContext.ts
@@ -1,6 +1,8 @@
 import type { Clock } from "@persimmonpitch/clock/clock.js";
 import type { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { RunTimeLearner } from "@persimmonpitch/placement/runTimeLearner.js";
+import type { WorkerHealth } from "@persimmonpitch/placement/workerHealth.js";
 import type { Configuration } from "@persimmonpitch/schema/configuration.js";
 import type { AgentGateway } from "./agentGateway.js";
 import type { JobBook } from "./jobBook.js";
@@ -23,17 +25,10 @@
     readonly heldSince: number;
     /** Called when a job changes, for callers that wait for it. */
     readonly onJobChanged: (jobId: string) => void;
-    /** Called when an attempt has ended, for what the holder learns of run times and health. */
-    readonly onAttemptEnded: (ended: EndedAttempt) => void;
-}
-
-/** What the holder learns from an attempt. */
-export interface EndedAttempt {
-    readonly jobId: string;
-    readonly outcome: "finished" | "failed" | "stopped" | "lost" | "neverStarted";
-    readonly ranMs: number;
-    readonly vmIds: readonly string[];
-    readonly failedVmIds: readonly string[];
+    /** What the holder has learned of run times; it starts anew with each holder. */
+    readonly runTimes: RunTimeLearner;
+    /** Which workers fail their tasks; it starts anew with each holder. */
+    readonly workerHealth: WorkerHealth;
 }
 
 /** The check that makes a write of an older holder fail. */
--- a/packages/scheduler/src/schedulingRole.ts
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -4,6 +4,8 @@
 import type { GuaranteeBinding, VmCondition } from "@persimmonpitch/placement/clusterView.js";
 import type { UnmetGuarantee } from "@persimmonpitch/placement/placementDecisions.js";
 import { placementPass } from "@persimmonpitch/placement/placementPass.js";
+import { RunTimeLearner } from "@persimmonpitch/placement/runTimeLearner.js";
+import { WorkerHealth } from "@persimmonpitch/placement/workerHealth.js";
 import type { Table } from "@persimmonpitch/platform/table.js";
 import type { Configuration } from "@persimmonpitch/schema/configuration.js";
 import { isTerminal } from "@persimmonpitch/schema/job.js";
@@ -124,7 +126,8 @@
             role,
             wake: this.wake,
             heldSince: clock.now(),
-            onAttemptEnded: () => undefined,
+            runTimes: new RunTimeLearner(),
+            workerHealth: new WorkerHealth(),
         };
         this.context = context;
         const end = new AbortController();
