fix(standins): report progress as of an earlier time after a throttle

Change: a task keeps its changes of pace, and progress is computed for the time that the lag allows.

--- a/packages/standins/src/memoryWorker.ts
+++ b/packages/standins/src/memoryWorker.ts
@@ -42,6 +42,13 @@
 
 const checkpointSchema = z.object({ workMs: z.number().nonnegative() });
 
+/** From `at`, when `workMs` was done, work grows by `share` for each millisecond. */
+interface Pace {
+    readonly at: Millis;
+    readonly workMs: Millis;
+    readonly share: number;
+}
+
 interface Stop {
     readonly at: Millis;
     readonly writesCheckpoint: boolean;
@@ -57,10 +64,8 @@
     leaseEnd: Millis;
     crashedAt: Millis;
     stop: Stop | undefined;
-    /** Work done up to `measuredAt`; it grows by `share` for each millisecond. */
-    workMs: Millis;
-    measuredAt: Millis;
-    share: number;
+    /** Changes of pace, oldest first; they stay because progress is reported as of an earlier time. */
+    readonly paces: [Pace, ...Pace[]];
 }
 
 /** The worker runtime of one VM, in memory. */
@@ -136,8 +141,8 @@
         if (running === undefined) {
             return refused(`no task ${attemptId}`);
         }
-        this.measure(running);
-        running.share = share;
+        const now = this.clock.now();
+        running.paces.push({ at: now, workMs: workAt(running, now), share });
         running.wake.wake();
         return Result.ok(undefined);
     }
@@ -198,9 +203,7 @@
             leaseEnd: now + start.leaseMs,
             crashedAt: Infinity,
             stop: undefined,
-            workMs: parseJson(checkpointSchema, start.checkpoint ?? "")?.workMs ?? 0,
-            measuredAt: now,
-            share: 1,
+            paces: [{ at: now, workMs: parseJson(checkpointSchema, start.checkpoint ?? "")?.workMs ?? 0, share: 1 }],
         };
         this.runs.push(run);
         this.tasksById.set(attemptId, running);
@@ -214,7 +217,6 @@
             const { cause, at } = nextEnd(running);
             const now = this.clock.now();
             if (at <= now) {
-                this.measure(running);
                 this.end(running, cause);
                 return;
             }
@@ -224,9 +226,9 @@
 
     private end(running: RunningTask, cause: EndCause): void {
         const { task, run } = running;
-        Object.assign(task, END_HANDLERS[cause](running, this.faults.failAll));
-        running.share = 0;
-        run.endedAt = this.clock.now();
+        const now = this.clock.now();
+        Object.assign(task, END_HANDLERS[cause](running, workAt(running, now), this.faults.failAll));
+        run.endedAt = now;
         run.state = task.state === "finished" || task.state === "failed" ? task.state : "stopped";
         if (task.result !== undefined) {
             run.result = task.result;
@@ -241,23 +243,24 @@
         }
     }
 
-    private measure(running: RunningTask): void {
-        const now = this.clock.now();
-        running.workMs += (now - running.measuredAt) * running.share;
-        running.measuredAt = now;
-    }
-
     private report(running: RunningTask): WorkerTask {
-        const { task, payload, workMs, measuredAt, share } = running;
+        const { task, payload } = running;
         if (task.state !== "running") {
             return structuredClone(task);
         }
-        const knownWorkMs = workMs + (this.clock.now() - this.progressLagMs - measuredAt) * share;
-        const progress = payload.runMs === 0 ? 0 : Math.min(1, Math.max(0, knownWorkMs / payload.runMs));
-        return { ...structuredClone(task), progress };
+        const knownWorkMs = workAt(running, this.clock.now() - this.progressLagMs);
+        return { ...structuredClone(task), progress: shareDone(payload, knownWorkMs) };
     }
 }
 
+/** Work done at a time; before the start it is what the checkpoint held. */
+const workAt = ({ paces }: RunningTask, time: Millis): Millis => {
+    const pace = paces.findLast(({ at }) => at <= time);
+    return pace === undefined ? paces[0].workMs : pace.workMs + (time - pace.at) * pace.share;
+};
+
+const shareDone = ({ runMs }: Payload, workMs: Millis): number => runMs === 0 ? 0 : Math.min(1, workMs / runMs);
+
 type EndCause = "work" | "stop" | "lease" | "crash";
 
 interface End {
@@ -266,10 +269,11 @@
 }
 
 /** The event that ends a task first; work that is done at the same moment wins. */
-const nextEnd = ({ payload, workMs, measuredAt, share, stop, leaseEnd, crashedAt }: RunningTask): End => {
+const nextEnd = ({ payload, paces, stop, leaseEnd, crashedAt }: RunningTask): End => {
+    const { at, workMs, share } = paces.at(-1) ?? paces[0];
     const remainingMs = Math.max(0, payload.runMs - workMs);
     const ends: readonly End[] = [
-        { cause: "work", at: remainingMs === 0 ? measuredAt : measuredAt + remainingMs / share },
+        { cause: "work", at: remainingMs === 0 ? at : at + remainingMs / share },
         { cause: "crash", at: crashedAt },
         { cause: "stop", at: stop?.at ?? Infinity },
         { cause: "lease", at: leaseEnd },
@@ -277,20 +281,22 @@
     return ends.reduce((first, end) => end.at < first.at ? end : first);
 };
 
+type EndHandler = (running: RunningTask, workMs: Millis, failAll: boolean) => Partial<WorkerTask>;
+
 /** How a task ends, by the event that ends it. */
-const END_HANDLERS: { readonly [C in EndCause]: (running: RunningTask, failAll: boolean) => Partial<WorkerTask>; } = {
-    work: ({ payload }, failAll) =>
+const END_HANDLERS: { readonly [C in EndCause]: EndHandler; } = {
+    work: ({ payload }, workMs, failAll) =>
         payload.fail || failAll
             ? { state: "failed", progress: 1, error: "the task failed" }
             : { state: "finished", progress: 1, result: payload.result },
-    stop: ({ stop, workMs, payload }) => ({
+    stop: ({ stop, payload }, workMs) => ({
         state: "stopped",
-        progress: Math.min(1, workMs / payload.runMs),
+        progress: shareDone(payload, workMs),
         ...(stop?.writesCheckpoint === true ? { checkpoint: JSON.stringify({ workMs }) } : {}),
     }),
-    lease: ({ workMs, payload }) => ({
+    lease: ({ payload }, workMs) => ({
         state: "stopped",
-        progress: Math.min(1, workMs / payload.runMs),
+        progress: shareDone(payload, workMs),
         error: "the lease lapsed",
     }),
     crash: () => ({ state: "stopped", error: "the VM was lost" }),
--- a/tap-snapshots/packages/standins/dist/tests/memoryWorker.test.js.test.cjs
+++ b/tap-snapshots/packages/standins/dist/tests/memoryWorker.test.js.test.cjs
@@ -564,7 +564,7 @@
           0,
         ],
         "jobId": "job-b",
-        "progress": 0,
+        "progress": 0.5,
         "state": "running",
       },
       "variant": "Ok",
--- a/tap-snapshots/packages/standins/dist/tests/servers.test.js.test.cjs
+++ b/tap-snapshots/packages/standins/dist/tests/servers.test.js.test.cjs
@@ -161,7 +161,7 @@
             0,
           ],
           "jobId": "j",
-          "progress": 0.000046802072999999834,
+          "progress": 0,
           "state": "running",
         },
       ],
