--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -2,7 +2,12 @@
 import type { MessageData, MessageTable } from "@persimmonpitch/findings/messageTable.js";
 import { formatMessage } from "@persimmonpitch/findings/messageTable.js";
 import meow from "meow";
+import { writeFileSync } from "node:fs";
+import { formatAblation, runAblation } from "./ablation.js";
 import { runBench } from "./benchRun.js";
+import { drawCharts } from "./charts.js";
+import type { PassCost } from "./passCost.js";
+import { formatPassCosts, measurePassCosts } from "./passCost.js";
 import type { PolicyName } from "./policies.js";
 import { comparedPolicies, isPolicyName, POLICIES } from "./policies.js";
 import { formatReport, reportData } from "./report.js";
@@ -12,6 +17,7 @@
     deployment: "There is no deployment {name}; use cooperative, lentesud or plan.",
     policy: "There is no policy {name}; use one of {names}.",
     number: "--{flag} needs a number above zero.",
+    ideas: "--ablation needs at least one --without IDEA.",
 } satisfies MessageTable;
 
 const EXIT_FAILURE = 1;
@@ -26,7 +32,10 @@
   --hours N          length of the trace
   --policy NAME      one policy instead of all side by side
   --without IDEA     switches an idea of the real policy off; may be repeated
+  --ablation         compares the real policy with and without each idea given by --without
+  --seeds N          number of seeds of an ablation (default: 5)
   --json             prints JSON
+  --svg FILE         writes completion-time distributions and fragmentation over time
   --help             prints this text
 
 Policies:
@@ -52,7 +61,13 @@
     return [...new Set<PolicyName>([name, "fifoFirstFit", "fifoBackfill"])];
 };
 
-const main = (): void => {
+const checkNumber = (flag: string, value: number | undefined): void => {
+    if (value !== undefined && !(value > 0)) {
+        throw new UsageError("number", { flag });
+    }
+};
+
+const main = async (): Promise<void> => {
     const { flags } = meow(HELP, {
         importMeta: import.meta,
         flags: {
@@ -61,26 +76,56 @@
             hours: { type: "number" },
             policy: { type: "string" },
             without: { type: "string", isMultiple: true },
+            ablation: { type: "boolean", default: false },
+            seeds: { type: "number", default: 5 },
             json: { type: "boolean", default: false },
+            svg: { type: "string" },
         },
     });
+    const print = (data: unknown, text: string) => {
+        console.log(flags.json ? JSON.stringify(data, undefined, JSON_INDENT) : text);
+    };
     const deployment = deploymentNameSchema.safeParse(flags.deployment);
     if (!deployment.success) {
         throw new UsageError("deployment", { name: flags.deployment });
     }
-    const bench = runBench({
+    checkNumber("seeds", flags.seeds);
+    checkNumber("hours", flags.hours);
+    const common = {
         deployment: deployment.data,
         seed: flags.seed,
         ...flags.hours === undefined ? {} : { hours: flags.hours },
-        policies: parsePolicies(flags.policy),
-        options: Object.fromEntries((flags.without ?? []).map(idea => [idea, false])),
-    });
-    console.log(flags.json ? JSON.stringify(reportData(bench), undefined, JSON_INDENT) : formatReport(bench));
+    };
+    const ideas = flags.without ?? [];
+    if (flags.ablation) {
+        if (ideas.length === 0) {
+            throw new UsageError("ideas", {});
+        }
+        const rows = runAblation({ ...common, seeds: flags.seeds, ideas });
+        print(rows, formatAblation(rows));
+        return;
+    }
+    const policies = parsePolicies(flags.policy);
+    const options = Object.fromEntries(ideas.map(idea => [idea, false]));
+    const bench = runBench({ ...common, policies, options });
+    const costs = deployment.data === "plan"
+        ? measurePassCosts(policies, options, flags.seed)
+        : new Map<PolicyName, PassCost[]>();
+    print(
+        { ...reportData(bench), passCosts: Object.fromEntries(costs) },
+        [
+            formatReport(bench),
+            ...formatPassCosts(costs),
+        ].join("\n\n"),
+    );
+    if (flags.svg !== undefined) {
+        writeFileSync(flags.svg, await drawCharts(bench));
+    }
     process.exitCode = bench.broken.size > 0 ? EXIT_FAILURE : 0;
 };
 
 try {
-    main();
+    await main();
 }
 catch (err) {
     if (!(err instanceof UsageError)) {
--- a/packages/bench/src/benchRun.ts
+++ b/packages/bench/src/benchRun.ts
@@ -23,6 +23,8 @@
 export interface PolicyRun {
     readonly result: ReplayResult;
     readonly measures: Measures;
+    /** Lower bound of the mean completion time with true run times known. */
+    readonly meanBoundMs: number;
     /** 99th percentile of the completion time of quick renders, alone and against saturation; Cooperative only. */
     readonly renders?: { readonly aloneMs: number; readonly saturatedMs: number; };
 }
@@ -30,7 +32,6 @@
 /** The policies side by side on one trace. */
 export interface BenchRun {
     readonly trace: Trace;
-    readonly meanBoundMs: number;
     readonly policies: ReadonlyMap<PolicyName, PolicyRun>;
     /** Policies that broke an invariant, with the error. */
     readonly broken: ReadonlyMap<PolicyName, string>;
@@ -47,7 +48,7 @@
     const renderTraces = deployment === "cooperative" ? makeRenderTraces(seed, hours) : undefined;
     const runPolicy = (name: PolicyName): PolicyRun => {
         const result = replay(trace, POLICIES[name], options);
-        const run = { result, measures: measure(result, feasible) };
+        const run = { result, measures: measure(result, feasible), meanBoundMs: meanCompletionBound(result) };
         if (renderTraces === undefined) {
             return run;
         }
@@ -67,5 +68,5 @@
             broken.set(name, err.message);
         }
     }
-    return { trace, meanBoundMs: meanCompletionBound(trace), policies: runs, broken };
+    return { trace, policies: runs, broken };
 };
--- a/packages/bench/src/measures.ts
+++ b/packages/bench/src/measures.ts
@@ -26,7 +26,8 @@
 };
 
 /** Finished, or still without an answer at the end of the replay: starving a job must not improve a mean. */
-const isCounted = ({ state }: JobResult): boolean => state !== "failed" && state !== "refused" && state !== "cancelled";
+export const isCounted = ({ state }: JobResult): boolean =>
+    state !== "failed" && state !== "refused" && state !== "cancelled";
 
 /** Completion times of the counted jobs, as far as they are known. */
 export const completionTimes = (jobs: readonly JobResult[], workClass?: WorkClass): number[] =>
--- a/packages/bench/src/trace.ts
+++ b/packages/bench/src/trace.ts
@@ -137,11 +137,11 @@
         }
     }
 
-    /** Adds long jobs at the start, part of which is already done, until `tasks` accelerators are in use. */
+    /** Adds long jobs at the start, part of which is already done, until `tasks` tasks run. */
     addWarmStart(profile: ClassProfile, tasks: number): void {
         for (let used = 0; used < tasks;) {
             const draft = this.draft("batch", profile, this.random.uniform() * 1_000);
-            used += sizeOf(draft.shape);
+            used += draft.shape.vms;
             this.drafts.push({ ...draft, trueRunMs: Math.max(MIN_RUN_MS, draft.trueRunMs * this.random.uniform()) });
         }
     }
