refactor(routing): count time on the entry's clock and keep busy endpoints eligible

Cause: clocks of VMs are not comparable, and a service with one executor could never retry after a busy refusal. Change: load reports carry the time of receipt; only attempts that ran or may have run exclude an endpoint.

--- a/packages/bench/src/directReplay.ts
+++ b/packages/bench/src/directReplay.ts
@@ -192,7 +192,9 @@
     }
 }
 
-type Reply = (outcome: AttemptOutcome, load: LoadReport) => void;
+type Load = Omit<LoadReport, "at">;
+
+type Reply = (outcome: AttemptOutcome, load: Load) => void;
 
 /** An executor with its agent. */
 class Executor {
@@ -224,8 +226,8 @@
         }
     }
 
-    load(): LoadReport {
-        return { inFlight: this.running, connections: this.running, at: this.loop.now };
+    load(): Load {
+        return { inFlight: this.running, connections: this.running };
     }
 
     private start(record: RequestRecord, reply: Reply): void {
@@ -244,7 +246,7 @@
 /** What an entry does with requests and with news from executors. */
 interface Entry {
     submit(record: RequestRecord): void;
-    report(executor: Executor, report: LoadReport): void;
+    report(executor: Executor, load: Load): void;
     leaving(executor: Executor): void;
     sweep(): void;
 }
@@ -330,8 +332,8 @@
         this.dispatch();
     }
 
-    report(executor: Executor, report: LoadReport): void {
-        this.router.report(executor.vmId, report);
+    report(executor: Executor, load: Load): void {
+        this.router.report(executor.vmId, { ...load, at: this.around.loop.now });
         this.dispatch();
     }
 
@@ -340,7 +342,7 @@
     }
 
     sweep(): void {
-        this.router.removeExpired(this.around.loop.now).forEach(request => {
+        this.router.removeExpired(this.around.loop.now).forEach(({ request }) => {
             this.refuse(request);
         });
     }
@@ -372,7 +374,7 @@
         this.around.attempt(this.index, executor, record, (outcome, load) => {
             const verdict = this.router.attemptEnded(request, vmId, outcome, sentAt, loop.now);
             if (this.around.options.loadWithAnswers) {
-                this.router.report(vmId, load);
+                this.router.report(vmId, { ...load, at: loop.now });
             }
             if (verdict.kind === "final") {
                 this.finish(request, outcome === "answered" ? "answered" : "failed");
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -17,11 +17,18 @@
     /** Every attempt was refused as not run, and no retry is left in the budget. */
     | "retryBudgetSpent";
 
+/** A refusal before the deadline. */
+export interface Shed {
+    readonly kind: "shed";
+    readonly reason: ShedReason;
+    readonly retryAfterMs: Millis;
+}
+
 /** What becomes of a request. */
 export type AdmissionDecision =
+    | Shed
     | { readonly kind: "admit"; }
-    | { readonly kind: "queue"; readonly expectedWaitMs: Millis; }
-    | { readonly kind: "shed"; readonly reason: ShedReason; readonly retryAfterMs: Millis; };
+    | { readonly kind: "queue"; readonly expectedWaitMs: Millis; };
 
 /** Options of the admission. */
 export interface AdmissionOptions {
@@ -29,6 +36,8 @@
     readonly deadlineShedding: boolean;
     /** Part of the slack before the deadline that a request may be expected to wait; bursts use up the rest. */
     readonly waitShare: number;
+    /** Retry time while no endpoint is usable; breakers and new announcements change that within seconds. */
+    readonly noEndpointRetryMs: Millis;
     readonly minRetryAfterMs: Millis;
     readonly maxRetryAfterMs: Millis;
 }
@@ -36,6 +45,7 @@
 export const DEFAULT_ADMISSION_OPTIONS: AdmissionOptions = {
     deadlineShedding: true,
     waitShare: 0.5,
+    noEndpointRetryMs: 5_000,
     minRetryAfterMs: 100,
     maxRetryAfterMs: 30_000,
 };
@@ -56,7 +66,7 @@
     reason: ShedReason,
     retryAfterMs: Millis,
     options: AdmissionOptions = DEFAULT_ADMISSION_OPTIONS,
-): AdmissionDecision & { readonly kind: "shed"; } => ({
+): Shed => ({
     kind: "shed",
     reason,
     retryAfterMs: Math.ceil(Math.min(options.maxRetryAfterMs, Math.max(options.minRetryAfterMs, retryAfterMs))),
@@ -95,14 +105,14 @@
         return shed("deadlinePassed", 0, options);
     }
     if (state.usableEndpoints === 0) {
-        return shed("noEndpoint", options.maxRetryAfterMs, options);
+        return shed("noEndpoint", options.noEndpointRetryMs, options);
     }
     // No deadline test while a slot is free: the estimate is corrected by answers, so refusing all would keep it wrong.
     if (state.hasFreeSlot && queue.length === 0) {
         return { kind: "admit" };
     }
     if (!canMeetDeadline(request, rate, now, options)) {
-        return shed("deadlineUnreachable", 0, options);
+        return shed("deadlineUnreachable", expectedWaitMs(request, state), options);
     }
     const wait = expectedWaitMs(request, state);
     if (!queue.hasRoomFor(request.team)) {
--- a/packages/routing/src/directRequest.ts
+++ b/packages/routing/src/directRequest.ts
@@ -9,7 +9,7 @@
     readonly idempotent: boolean;
     /** Monotonic time after which the caller no longer waits. */
     readonly deadline: Millis;
-    /** Endpoints that this request has already been sent to. */
+    /** Endpoints on which an attempt ran or may have run; a refusal as busy excludes no endpoint. */
     readonly tried: ReadonlySet<string>;
     /** An earlier attempt failed or its outcome is unknown; the caller must not be told that nothing ran. */
     readonly mayHaveRun: boolean;
--- a/packages/routing/src/endpointView.ts
+++ b/packages/routing/src/endpointView.ts
@@ -16,6 +16,7 @@
     readonly inFlight: number;
     /** Open connections, from all entries. */
     readonly connections: number;
+    /** Time at which this entry received it; clocks of different VMs are not compared. */
     readonly at: Millis;
 }
 
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -1,7 +1,7 @@
 /** What one entry remembers of one service, with the decisions that its tasks ask for. */
 import type { Millis } from "@persimmonpitch/clock/clock.js";
-import type { AdmissionDecision, AdmissionOptions, AdmissionState } from "./admission.js";
-import { canMeetDeadline, decideAdmission, DEFAULT_ADMISSION_OPTIONS, shed } from "./admission.js";
+import type { AdmissionDecision, AdmissionOptions, AdmissionState, Shed } from "./admission.js";
+import { canMeetDeadline, decideAdmission, DEFAULT_ADMISSION_OPTIONS, expectedWaitMs, shed } from "./admission.js";
 import type { ChoiceOptions, RandomPair } from "./chooseEndpoint.js";
 import { chooseEndpoint, DEFAULT_CHOICE_OPTIONS } from "./chooseEndpoint.js";
 import type { CircuitBreakerOptions } from "./circuitBreaker.js";
@@ -51,19 +51,23 @@
     /** The connection ended or the time ran out without an answer; the request may have run. */
     | "unknown";
 
+/** A waiting request that is refused; `mayHaveRun` of the request tells whether an earlier attempt may have run. */
+export interface ShedStep {
+    readonly kind: "shed";
+    readonly request: RoutedRequest;
+    readonly decision: Shed;
+}
+
 /** The next step of the dispatch loop. */
 export type DispatchStep =
     | {
         readonly kind: "send";
         readonly request: RoutedRequest;
         readonly endpoint: EndpointView;
+        /** The endpoint is in another data centre. */
         readonly crossing: boolean;
     }
-    | {
-        readonly kind: "shed";
-        readonly request: RoutedRequest;
-        readonly decision: AdmissionDecision & { readonly kind: "shed"; };
-    }
+    | ShedStep
     /** Nothing can be sent until an attempt ends, a report arrives or a request is submitted. */
     | { readonly kind: "idle"; };
 
@@ -71,10 +75,10 @@
 export type AttemptVerdict =
     /** The outcome goes to the caller. */
     | { readonly kind: "final"; }
-    /** The request waits at the front of its queue for another endpoint. */
+    /** The request waits at the front of its queue for another attempt. */
     | { readonly kind: "retried"; }
-    /** No further attempt follows; nothing ran unless `mayHaveRun` of the request is set. */
-    | { readonly kind: "shed"; readonly decision: AdmissionDecision & { readonly kind: "shed"; }; };
+    /** No attempt ran and none follows. */
+    | { readonly kind: "shed"; readonly decision: Shed; };
 
 interface Endpoint {
     view: EndpointView;
@@ -193,11 +197,11 @@
         }
         const { request } = entry;
         if (!this.isWorthSending(request, now)) {
-            return { kind: "shed", request, decision: shed("deadlineUnreachable", 0, this.options.admission) };
+            return this.shedStep(request, "deadlineUnreachable", now);
         }
         const choice = chooseEndpoint(this.views(), this.queryFor(request, now, random), now, this.options.choice);
         if (choice.kind === "none") {
-            return { kind: "shed", request, decision: shed("noEndpoint", 0, this.options.admission) };
+            return this.shedStep(request, "noEndpoint", now);
         }
         if (choice.kind === "full") {
             this.queue.putBack(request, entry.workMs);
@@ -218,18 +222,18 @@
         this.update(vmId, withEnded);
         const handler = OUTCOME_HANDLERS[outcome];
         handler.apply(this, vmId, now);
-        if (outcome === "answered") {
+        // An attempt that ended without an answer took at least this long; short ones say nothing.
+        const isSlow = outcome === "unknown" && now - sentAt > this.rate.expectedServiceMs(request.workClass);
+        if (outcome === "answered" || isSlow) {
             this.rate.recordServiceTime(request.workClass, now - sentAt);
         }
         if (!handler.isRetryable(request)) {
             return { kind: "final" };
         }
         if (this.budget.tryRetry(now)) {
-            const retried = {
-                ...request,
-                tried: new Set([...request.tried, vmId]),
-                mayHaveRun: request.mayHaveRun || !handler.isNotRun,
-            };
+            const retried = handler.isNotRun
+                ? request
+                : { ...request, tried: new Set([...request.tried, vmId]), mayHaveRun: true };
             this.queue.putBack(retried, this.rate.expectedServiceMs(request.workClass));
             return { kind: "retried" };
         }
@@ -239,8 +243,10 @@
     }
 
     /** Removes waiting requests whose deadline can no longer be met. */
-    removeExpired(now: Millis): readonly RoutedRequest[] {
-        return this.queue.removeWhere(request => !canMeetDeadline(request, this.rate, now, this.options.admission));
+    removeExpired(now: Millis): readonly ShedStep[] {
+        return this.queue
+            .removeWhere(request => !canMeetDeadline(request, this.rate, now, this.options.admission))
+            .map(request => this.shedStep(request, "deadlineUnreachable", now));
     }
 
     /** Counts an answer or a failure for the endpoint's breaker and for outlier ejection. */
@@ -261,6 +267,13 @@
         this.endpoints.get(vmId)?.breaker.recordNoVerdict(now);
     }
 
+    private shedStep(request: RoutedRequest, reason: "deadlineUnreachable" | "noEndpoint", now: Millis): ShedStep {
+        const retryAfterMs = reason === "noEndpoint"
+            ? this.options.admission.noEndpointRetryMs
+            : expectedWaitMs(request, this.admissionState(now));
+        return { kind: "shed", request, decision: shed(reason, retryAfterMs, this.options.admission) };
+    }
+
     /** While nobody else waits, a doubtful request is sent all the same, because only answers correct the estimate. */
     private isWorthSending(request: RoutedRequest, now: Millis): boolean {
         return this.queue.length === 0
