--- /dev/null
+++ b/packages/routing/tests/limits.test.ts
@@ -0,0 +1,124 @@
+import fc from "fast-check";
+import t from "tap";
+import { backoffMs } from "../src/backoff.js";
+import { CircuitBreaker } from "../src/circuitBreaker.js";
+import { OutlierEjection } from "../src/outlierEjection.js";
+import { DEFAULT_RETRY_BUDGET_OPTIONS, RetryBudget } from "../src/retryBudget.js";
+import { PROPERTY_OPTIONS } from "./fixtures.js";
+
+// Guards against a retry storm: whatever the order of events, retries stay within the ratio, the floor and the start.
+void t.test("the retry budget never exceeds its ratio", t => {
+    const { ratio, floorPerSecond, initial } = DEFAULT_RETRY_BUDGET_OPTIONS;
+    fc.assert(
+        fc.property(fc.array(fc.tuple(fc.nat(9), fc.nat(9), fc.nat(3_000))), steps => {
+            const budget = new RetryBudget(0);
+            let now = 0;
+            let requests = 0;
+            let retries = 0;
+            return steps.every(([newRequests, wanted, gapMs]) => {
+                now += gapMs;
+                requests += newRequests;
+                for (let index = 0; index < newRequests; index += 1) {
+                    budget.recordRequest();
+                }
+                for (let index = 0; index < wanted; index += 1) {
+                    retries += budget.tryRetry(now) ? 1 : 0;
+                }
+                return retries <= requests * ratio + now / 1_000 * floorPerSecond + initial + 1e-6;
+            });
+        }),
+        PROPERTY_OPTIONS,
+    );
+    t.end();
+});
+
+// Guards against delays that grow without bound or are not spread out.
+void t.test("backoff", t => {
+    t.matchSnapshot([0, 1, 2, 3, 7, 50].map(failures => [0, 0.5, 0.999].map(random => backoffMs(failures, random))));
+    t.end();
+});
+
+type BreakerEvent = "sent" | "success" | "failure" | "busy";
+
+const BREAKER_CASES: readonly (readonly [now: number, event: BreakerEvent])[] = [
+    ...[0, 1, 2, 3].map(now => [now, "failure"] as const),
+    [4, "success"],
+    ...[5, 6, 7, 8, 9].map(now => [now, "failure"] as const),
+    [10, "success"],
+    [1_009, "sent"],
+    [1_010, "busy"],
+    [1_011, "sent"],
+    [1_012, "failure"],
+    [3_011, "sent"],
+    [3_012, "sent"],
+    [3_020, "success"],
+    [3_021, "sent"],
+];
+
+// Guards against a breaker that opens early, lets two probes through, or never closes again.
+void t.test("circuit breaker", t => {
+    const breaker = new CircuitBreaker();
+    const handlers: { [K in BreakerEvent]: (now: number) => void; } = {
+        sent: now => {
+            breaker.recordSent(now);
+        },
+        success: () => {
+            breaker.recordSuccess();
+        },
+        failure: now => {
+            breaker.recordFailure(now);
+        },
+        busy: now => {
+            breaker.recordNoVerdict(now);
+        },
+    };
+    t.matchSnapshot(BREAKER_CASES.map(([now, event]) => {
+        const allowed = breaker.allows(now);
+        handlers[event](now);
+        return `${now} ${event}: allowed before=${allowed}, then ${breaker.stateAt(now)}`;
+    }));
+    t.end();
+});
+
+// Guards against ejection that takes more than a third of a service out of routing, also after endpoints have left.
+void t.test("at most a third is ejected", t => {
+    const anyOutcome = fc.tuple(fc.nat(10), fc.double({ min: 0, max: 1, noNaN: true }), fc.nat(500), fc.boolean());
+    fc.assert(
+        fc.property(fc.integer({ min: 1, max: 11 }), fc.array(anyOutcome, { maxLength: 300 }), (count, outcomes) => {
+            const ejection = new OutlierEjection();
+            const present = new Set(Array.from({ length: count }, (unused, index) => `vm${index}`));
+            present.forEach(vmId => {
+                ejection.add(vmId);
+            });
+            let now = 0;
+            return outcomes.every(([index, random, gapMs, leaves]) => {
+                now += gapMs;
+                const vmId = `vm${index}`;
+                if (leaves && random < 0.05) {
+                    ejection.remove(vmId, now);
+                    present.delete(vmId);
+                }
+                for (let repeat = 0; repeat < 5; repeat += 1) {
+                    ejection.record(vmId, random > 0.8, now);
+                }
+                return [...present].filter(other => ejection.isEjected(other, now)).length <= present.size / 3;
+            });
+        }),
+        PROPERTY_OPTIONS,
+    );
+    t.end();
+});
+
+// Guards against an outlier that stays in routing, and against one that never returns.
+void t.test("an endpoint that only fails is ejected for a while", t => {
+    const ejection = new OutlierEjection();
+    ["a", "b", "c"].forEach(vmId => {
+        ejection.add(vmId);
+    });
+    for (let now = 0; now < 10; now += 1) {
+        ejection.record("a", false, now);
+        ejection.record("b", true, now);
+    }
+    t.strictSame([9, 10_008, 10_009].map(now => ejection.ejectedAt(now)), [["a"], ["a"], []]);
+    t.end();
+});
--- /dev/null
+++ b/packages/routing/tests/serviceRouter.test.ts
@@ -0,0 +1,166 @@
+import fc from "fast-check";
+import t from "tap";
+import { decideAdmission } from "../src/admission.js";
+import { RequestQueue } from "../src/requestQueue.js";
+import { ServiceRate } from "../src/serviceRate.js";
+import type { AttemptOutcome } from "../src/serviceRouter.js";
+import { ServiceRouter } from "../src/serviceRouter.js";
+import { PROPERTY_OPTIONS, requestOf } from "./fixtures.js";
+
+const learnedRate = (): ServiceRate => {
+    const rate = new ServiceRate();
+    rate.recordServiceTime("interactive", 100);
+    rate.recordDispatch("interactive", "alpha", 0);
+    return rate;
+};
+
+const queueOf = (length: number, changes = {}): RequestQueue => {
+    const queue = new RequestQueue();
+    for (let index = 0; index < length; index += 1) {
+        queue.push(requestOf(`q${index}`, changes), 100);
+    }
+    return queue;
+};
+
+const ADMISSION_CASES = [
+    { name: "free slot", hasFreeSlot: true },
+    { name: "free slot, tight deadline", hasFreeSlot: true, request: { deadline: 50 } },
+    { name: "deadline passed", hasFreeSlot: true, request: { deadline: 0 } },
+    { name: "no endpoint", usableEndpoints: 0 },
+    { name: "tight deadline, no slot", request: { deadline: 50 } },
+    { name: "short queue", queue: queueOf(40) },
+    { name: "queue that drains too slowly", queue: queueOf(100) },
+    { name: "queue of another team", queue: queueOf(100, { team: "beta" }) },
+    { name: "queue of a lower class", queue: queueOf(100, { workClass: "bestEffort" }) },
+    { name: "full queue of the team", queue: queueOf(1_000), request: { deadline: 600_000 } },
+];
+
+// Guards against requests that wait in vain, and against refusals without a reason or a retry time.
+void t.test("admission", t => {
+    t.matchSnapshot(ADMISSION_CASES.map(({ name, request = {}, ...changes }) => {
+        const state = {
+            queue: new RequestQueue(),
+            rate: learnedRate(),
+            usableEndpoints: 3,
+            hasFreeSlot: false,
+            busySlots: 8,
+            ...changes,
+        };
+        return `${name}: ${JSON.stringify(decideAdmission(requestOf("new", request), state, 0))}`;
+    }));
+    t.end();
+});
+
+const routerWith = (...vmIds: readonly string[]): ServiceRouter => {
+    const router = new ServiceRouter("render", "dc0", 0);
+    vmIds.forEach(vmId => {
+        router.announce({ vmId, dataCentre: "dc0", service: "render", slots: 2, connections: 64 });
+    });
+    return router;
+};
+
+const OUTCOMES: readonly AttemptOutcome[] = ["answered", "failed", "busy", "leaving", "unknown"];
+
+// Guards against a second run of non-idempotent work (I5) and against work for an endpoint that is leaving (I6).
+void t.test("what follows each outcome", t => {
+    t.matchSnapshot(OUTCOMES.flatMap(outcome =>
+        [true, false].map(idempotent => {
+            const router = routerWith("a", "b");
+            router.submit(requestOf("r", { idempotent }), 0);
+            const first = router.nextStep(0, [0, 0]);
+            if (first.kind !== "send") {
+                return first.kind;
+            }
+            const verdict = router.attemptEnded(first.request, first.endpoint.vmId, outcome, 0, 10);
+            const next = router.nextStep(10, [0, 0]);
+            const sentTo = next.kind === "send"
+                ? ` to ${next.endpoint.vmId}, mayHaveRun=${next.request.mayHaveRun}`
+                : "";
+            return `${outcome} on ${first.endpoint.vmId}, idempotent=${idempotent}: ${verdict.kind}, ${next.kind}${sentTo}`;
+        })
+    ));
+    t.end();
+});
+
+// Guards against one bad estimate that makes the router refuse everything and so never learn a better one.
+void t.test("an estimate that is too high is corrected", t => {
+    const router = routerWith("a");
+    const slow = requestOf("slow", { deadline: 60_000 });
+    router.submit(slow, 0);
+    router.nextStep(0, [0, 0]);
+    router.attemptEnded(slow, "a", "answered", 0, 50_000);
+    const decision = router.submit(requestOf("quick", { deadline: 52_000 }), 50_000);
+    t.strictSame([decision.kind, router.nextStep(50_000, [0, 0]).kind], ["admit", "send"]);
+    t.end();
+});
+
+const anyAttempt = fc.record({
+    gapMs: fc.nat(300),
+    idempotent: fc.boolean(),
+    ends: fc.array(fc.tuple(fc.nat(20), fc.constantFrom(...OUTCOMES)), { maxLength: 3 }),
+});
+
+// Guards against more attempts on an executor than it has slots, a request handled twice or never, and reruns (I3, I5).
+void t.test("every request ends once and slots are respected", t => {
+    fc.assert(
+        fc.property(fc.array(anyAttempt, { maxLength: 60 }), steps => {
+            const router = routerWith("a", "b", "c");
+            const running: { id: string; vmId: string; end: (outcome: AttemptOutcome) => void; }[] = [];
+            const ended: string[] = [];
+            const leaving = new Set<string>();
+            let now = 0;
+            const faults: string[] = [];
+            const dispatch = () => {
+                for (
+                    let step = router.nextStep(now, [0.3, 0.6]);
+                    step.kind !== "idle";
+                    step = router.nextStep(now, [0.6, 0])
+                ) {
+                    const { request } = step;
+                    if (step.kind === "shed") {
+                        ended.push(request.requestId);
+                        continue;
+                    }
+                    const { vmId } = step.endpoint;
+                    const sentAt = now;
+                    if (leaving.has(vmId) || (!request.idempotent && request.mayHaveRun)) {
+                        faults.push(`${request.requestId} sent to ${vmId}`);
+                    }
+                    running.push({
+                        id: request.requestId,
+                        vmId,
+                        end: outcome => {
+                            if (outcome === "leaving") {
+                                leaving.add(vmId);
+                            }
+                            const { kind } = router.attemptEnded(request, vmId, outcome, sentAt, now);
+                            ended.push(...kind === "retried" ? [] : [request.requestId]);
+                        },
+                    });
+                    if (running.filter(attempt => attempt.vmId === vmId).length > 2) {
+                        faults.push(`${vmId} has too many attempts`);
+                    }
+                }
+            };
+            steps.forEach(({ gapMs, idempotent, ends }, index) => {
+                now += gapMs;
+                const request = requestOf(String(index), { idempotent, deadline: now + 2_000 });
+                if (router.submit(request, now).kind === "shed") {
+                    ended.push(request.requestId);
+                }
+                dispatch();
+                ends.forEach(([position, outcome]) => {
+                    running.splice(position % Math.max(1, running.length), 1)[0]?.end(outcome);
+                    dispatch();
+                });
+            });
+            const left = running.map(({ id }) => id);
+            const waiting = router.removeExpired(Infinity).map(({ request }) => request.requestId);
+            const all = [...ended, ...left, ...waiting];
+            return faults.length === 0 && router.waiting === 0
+                && all.length === steps.length && new Set(all).size === all.length;
+        }),
+        PROPERTY_OPTIONS,
+    );
+    t.end();
+});
