--- a/packages/settings/src/parseToml.ts
+++ b/packages/settings/src/parseToml.ts
@@ -57,6 +57,10 @@
     return [findingOf(settingsMessages, messageId, placeOf(path), { detail })];
 };
 
+/** Writes the faults that a schema has found in a document as findings with their places. */
+export const findingsOfError = (error: z.ZodError, file: string, lineOf: LineOf): readonly Finding[] =>
+    error.issues.flatMap(issue => findingsOfIssue(issue, file, lineOf));
+
 /** Parses a TOML text, checks it against a schema, and keeps the lines of its keys. */
 export const parseTomlWithLines = <S extends z.ZodType>(
     text: string,
@@ -71,7 +75,7 @@
     const checked = schema.safeParse(document.value);
     return checked.success
         ? ok({ value: checked.data, lineOf })
-        : err(checked.error.issues.flatMap(issue => findingsOfIssue(issue, file, lineOf)));
+        : err(findingsOfError(checked.error, file, lineOf));
 };
 
 /** Parses a TOML text and checks it against a schema; all findings are reported together. */
