--- a/packages/entry/src/directRequests.ts
+++ b/packages/entry/src/directRequests.ts
@@ -186,7 +186,7 @@
         while (!this.signal.aborted) {
             this.dispatchAll(service);
             for (const expired of service.router.removeExpired(clock.now())) {
-                this.refuse(service, expired, "deadlineUnreachable", 0);
+                this.refuse(service, expired.request, expired.decision.reason, expired.decision.retryAfterMs);
             }
             await service.wake.wait(clock, service.waiting.size > 0 ? EXPIRY_CHECK_MS : IDLE_CHECK_MS, this.signal);
         }
