--- a/packages/placement/src/clusterState.ts
+++ b/packages/placement/src/clusterState.ts
@@ -49,8 +49,6 @@
     reservation: Reservation | undefined;
 }
 
-const capacityOf = ({ accelerators, cores, memoryMb }: VmView): MutableAmount => ({ accelerators, cores, memoryMb });
-
 const freeOf = (vm: VmView): MutableAmount => ({
     accelerators: vm.freeAccelerators,
     cores: vm.freeCores,
@@ -92,11 +90,12 @@
         for (const vm of this.vms) {
             this.#byId.set(vm.vm.vmId, vm);
         }
+        const unaccounted = this.vms.map(({ vm, node }) => difference(vm, node.available));
         for (const job of view.placed) {
-            this.#addPlaced(job);
+            this.#addPlaced(job, unaccounted);
         }
         for (const vm of this.vms) {
-            this.#addUnknownUse(vm);
+            this.#addUnaccounted(vm, unaccounted[vm.node.position] ?? noAmount());
         }
     }
 
@@ -151,7 +150,7 @@
         placed.claimed = claimed;
     }
 
-    #addPlaced(job: PlacedJob): void {
+    #addPlaced(job: PlacedJob, unaccounted: readonly MutableAmount[]): void {
         const { coresPerVm, memoryMbPerVm } = job.spec.gang;
         const parts: PlacedPart[] = [];
         const placed: PlacedState = {
@@ -167,24 +166,22 @@
                 const amount: Amount = { accelerators, cores: coresPerVm, memoryMb: memoryMbPerVm };
                 parts.push({ vm, amount });
                 vm.placed.push(placed);
-                addTo(vm.coming, amount, placed.stopping ? 1 : 0);
-                addTo(vm.unstoppable, amount, placed.stopping || placed.stoppable ? 0 : 1);
+                addTo(unaccounted[vm.node.position] ?? noAmount(), amount, -1);
+                if (placed.stopping) {
+                    addTo(vm.coming, amount);
+                }
+                else if (!placed.stoppable) {
+                    addTo(vm.unstoppable, amount);
+                }
             }
         }
         this.placed.set(job.jobId, placed);
     }
 
     /** Resources in use that no placed job accounts for cannot be reclaimed, so nothing may rely on them. */
-    #addUnknownUse({ vm, placed, node, unstoppable }: VmState): void {
-        const unknown = difference(vm, node.available);
-        for (const { job } of placed) {
-            const member = job.members.find(({ vmId }) => vmId === vm.vmId);
-            const { coresPerVm, memoryMbPerVm } = job.spec.gang;
-            addTo(unknown, { accelerators: member?.accelerators ?? 0, cores: coresPerVm, memoryMb: memoryMbPerVm }, -1);
-        }
-        const excess = commonPart(unknown, capacityOf(vm));
-        if (isPositive(excess)) {
-            addTo(unstoppable, excess);
+    #addUnaccounted({ vm, unstoppable }: VmState, unaccounted: Amount): void {
+        if (isPositive(unaccounted)) {
+            addTo(unstoppable, commonPart(unaccounted, vm));
         }
     }
 }
--- a/packages/placement/src/fitIndex.ts
+++ b/packages/placement/src/fitIndex.ts
@@ -3,9 +3,17 @@
 import { Buckets } from "./buckets.js";
 import type { VmView } from "./clusterView.js";
 
+/** VMs of a domain that can be searched by available accelerators. */
+export interface NodeSource {
+    add(accelerators: number, node: FitNode): void;
+    remove(accelerators: number, node: FitNode): void;
+    /** Visits VMs with at least the given accelerators until a visit returns true. */
+    scan(from: number, visit: (node: FitNode) => boolean): void;
+}
+
 /** A rack, a data centre or the whole cluster, with its VMs ordered by available accelerators. */
 export interface FitDomain {
-    readonly nodes: Buckets<FitNode>;
+    readonly nodes: NodeSource;
     availableAccelerators: number;
     accelerators: number;
 }
@@ -22,14 +30,37 @@
     readonly indexed: boolean;
 }
 
-const newDomain = (): FitDomain => ({ nodes: new Buckets(), availableAccelerators: 0, accelerators: 0 });
+/** VMs of a rack. There are few, so a list is cheaper to make than buckets. */
+class NodeList implements NodeSource {
+    readonly #nodes: FitNode[] = [];
+
+    add(_accelerators: number, node: FitNode): void {
+        if (!this.#nodes.includes(node)) {
+            this.#nodes.push(node);
+        }
+    }
+
+    remove(): void {
+        // The list does not depend on what is available.
+    }
+
+    scan(from: number, visit: (node: FitNode) => boolean): void {
+        for (const node of this.#nodes) {
+            if (node.available.accelerators >= from && visit(node)) {
+                return;
+            }
+        }
+    }
+}
+
+const newDomain = (nodes: NodeSource): FitDomain => ({ nodes, availableAccelerators: 0, accelerators: 0 });
 
-const domainOf = (domains: Map<string, FitDomain>, name: string): FitDomain => {
+const domainOf = (domains: Map<string, FitDomain>, name: string, newNodes: () => NodeSource): FitDomain => {
     const known = domains.get(name);
     if (known !== undefined) {
         return known;
     }
-    const domain = newDomain();
+    const domain = newDomain(newNodes());
     domains.set(name, domain);
     return domain;
 };
@@ -39,7 +70,7 @@
 /** VMs ordered by available accelerators in the cluster and in each data centre and rack. */
 export class FitIndex {
     readonly nodes: readonly FitNode[];
-    readonly cluster = newDomain();
+    readonly cluster = newDomain(new Buckets());
     readonly dataCentres = new Map<string, FitDomain>();
     readonly racks = new Map<string, FitDomain>();
     readonly racksByAvailable = new Buckets<FitDomain>();
@@ -53,8 +84,8 @@
             position,
             vm,
             available: availableOn(vm, position),
-            rack: domainOf(this.racks, `${vm.dataCentre}/${vm.rack}`),
-            dataCentre: domainOf(this.dataCentres, vm.dataCentre),
+            rack: domainOf(this.racks, `${vm.dataCentre}/${vm.rack}`, () => new NodeList()),
+            dataCentre: domainOf(this.dataCentres, vm.dataCentre, () => new Buckets()),
             indexed: takesNewWork(vm),
         }));
         for (const node of this.nodes) {
--- a/packages/placement/src/ordinaryWork.ts
+++ b/packages/placement/src/ordinaryWork.ts
@@ -16,7 +16,7 @@
 import { isBorrower, selectVictims } from "./victimSelection.js";
 
 /** Each plan looks at every VM, so one pass makes few; the next pass continues. */
-const MAX_PLANS = 8;
+const MAX_PLANS = 4;
 
 const MS_PER_SECOND = 1_000;
 
@@ -114,7 +114,7 @@
             return false;
         }
         this.#plansLeft -= this.#plansLeft > 0 ? 1 : 0;
-        const plan = planReservation(this.#context, job, mayStop);
+        const plan = planReservation(this.#context, job, mayStop, !reserves);
         if (plan === undefined) {
             return false;
         }
--- a/packages/placement/src/preemptionRight.ts
+++ b/packages/placement/src/preemptionRight.ts
@@ -16,16 +16,21 @@
 export const isLargeGang = ({ gang }: JobSpec): boolean => gangAccelerators(gang) >= LARGE_GANG_ACCELERATORS;
 
 /**
- * A strict order, so that two jobs can never stop each other in turn: by class, then needed-by time or none, then size.
+ * Work that ranks below the job in a strict order, so that two jobs can never stop each other in turn: by class, then
+ * needed-by time or none, then size.
  */
-const ranksAbove = (job: JobSpec, victim: JobSpec): boolean => {
-    const classes = CLASS_RANK[victim.workClass] - CLASS_RANK[job.workClass];
-    const neededBy = Number(job.neededBy !== undefined) - Number(victim.neededBy !== undefined);
-    return classes !== 0
-        ? classes > 0
-        : neededBy !== 0
-        ? neededBy > 0
-        : gangAccelerators(job.gang) > gangAccelerators(victim.gang);
+const rankedBelow = (job: JobSpec): MayStop => {
+    const rank = CLASS_RANK[job.workClass];
+    const hasNeededBy = job.neededBy !== undefined;
+    const size = gangAccelerators(job.gang);
+    return victim => {
+        const victimRank = CLASS_RANK[victim.workClass];
+        const victimHasNeededBy = victim.neededBy !== undefined;
+        if (victimRank !== rank) {
+            return victimRank > rank;
+        }
+        return victimHasNeededBy === hasNeededBy ? gangAccelerators(victim.gang) < size : hasNeededBy;
+    };
 };
 
 const wouldBeLate = ({ estimates, view }: PassContext, job: QueuedJob): boolean => {
@@ -45,7 +50,7 @@
         (options.preemptForLargeGang && isFirstLargeGang && isLargeGang(spec))
         || (options.preemptForNeededBy && wouldBeLate(context, job))
     ) {
-        return victim => ranksAbove(spec, victim);
+        return rankedBelow(spec);
     }
     if (options.preemptForInteractive && CLASS_RANK[spec.workClass] <= CLASS_RANK.interactive) {
         return victim => CLASS_RANK[victim.workClass] - CLASS_RANK[spec.workClass] >= INTERACTIVE_CLASS_GAP;
--- a/packages/placement/src/refusals.ts
+++ b/packages/placement/src/refusals.ts
@@ -35,8 +35,6 @@
             adjacency: gang.adjacency,
             accepts: () => true,
             cost: ({ position }) => position,
-            // A rack may offer few fitting VMs among many; every rack has to be tried.
-            exhaustive: true,
         });
         this.#known.set(key, nodes !== undefined);
         return nodes !== undefined;
--- a/packages/placement/src/reservationPlan.ts
+++ b/packages/placement/src/reservationPlan.ts
@@ -1,11 +1,7 @@
 import type { Adjacency } from "@persimmonpitch/schema/gang.js";
-import { pipe } from "fp-ts/lib/function.js";
-import * as M from "fp-ts/lib/Monoid.js";
-import * as N from "fp-ts/lib/number.js";
-import * as Ord from "fp-ts/lib/Ord.js";
-import type { Amount } from "./amount.js";
+import type { Amount, MutableAmount } from "./amount.js";
 import { addTo, covers, needOf } from "./amount.js";
-import type { PlacedPart, PlacedState, VmState } from "./clusterState.js";
+import type { PlacedState, VmState } from "./clusterState.js";
 import { isReady, unboundRoom } from "./clusterState.js";
 import type { QueuedJob } from "./clusterView.js";
 import { isStoppable } from "./jobTraits.js";
@@ -29,92 +25,100 @@
 
 interface Forecaster {
     readonly context: PassContext;
-    readonly job: QueuedJob;
     readonly need: Amount;
     readonly stoppable: boolean;
     readonly mayStop: MayStop | undefined;
+    /** Leaves out VMs on which work that cannot be stopped has to end first. */
+    readonly onlyByStopping: boolean;
 }
 
-const partOn = ({ parts }: PlacedState, vm: VmState): PlacedPart | undefined => parts.find(part => part.vm === vm);
-
 /** Room on a VM while the work on it ends. */
 class FutureRoom {
-    readonly #vm: VmState;
-    readonly #forecaster: Forecaster;
-    readonly #available;
-    readonly #unbound;
-
-    constructor(vm: VmState, forecaster: Forecaster) {
-        this.#vm = vm;
-        this.#forecaster = forecaster;
-        this.#available = { ...vm.node.available };
-        this.#unbound = unboundRoom(vm);
-    }
-
-    addComing(): void {
-        addTo(this.#available, this.#vm.coming);
+    readonly #available: MutableAmount;
+    readonly #unbound: MutableAmount;
+    readonly #need: Amount;
+    readonly #stoppable: boolean;
+
+    constructor({ node: { available }, coming }: VmState, unbound: MutableAmount, { need, stoppable }: Forecaster) {
+        this.#available = {
+            accelerators: available.accelerators + coming.accelerators,
+            cores: available.cores + coming.cores,
+            memoryMb: available.memoryMb + coming.memoryMb,
+        };
+        this.#unbound = unbound;
+        this.#need = need;
+        this.#stoppable = stoppable;
     }
 
-    addEndOf(placed: PlacedState): void {
-        const amount = partOn(placed, this.#vm)?.amount;
-        if (amount !== undefined) {
-            addTo(this.#available, amount);
-            addTo(this.#unbound, amount, placed.stoppable || placed.claimed ? 0 : 1);
+    addEndOf({ parts, stoppable, claimed }: PlacedState, vm: VmState): void {
+        for (const part of parts) {
+            if (part.vm === vm) {
+                addTo(this.#available, part.amount);
+                if (!stoppable && !claimed) {
+                    addTo(this.#unbound, part.amount);
+                }
+            }
         }
     }
 
     isEnough(): boolean {
-        const { need, stoppable } = this.#forecaster;
-        return covers(this.#available, need) && (stoppable || covers(this.#unbound, need));
+        return covers(this.#available, this.#need) && (this.#stoppable || covers(this.#unbound, this.#need));
     }
 }
 
+const mayBeStopped = (placed: PlacedState, mayStop: MayStop | undefined): boolean =>
+    mayStop !== undefined && isBorrower(placed) && mayStop(placed.job.spec);
+
+const forecastEnd = (
+    vm: VmState,
+    room: FutureRoom,
+    { context: { view: { now }, estimates }, mayStop }: Forecaster,
+): number | undefined => {
+    const ending = vm.placed
+        .filter(placed => !placed.stopping && !mayBeStopped(placed, mayStop))
+        .map(placed => ({ placed, endsAt: now + estimates.remaining(placed.job) }))
+        .sort((left, right) => left.endsAt - right.endsAt);
+    for (const { placed, endsAt } of ending) {
+        room.addEndOf(placed, vm);
+        if (room.isEnough()) {
+            return endsAt;
+        }
+    }
+    return undefined;
+};
+
 const forecast = (vm: VmState, forecaster: Forecaster): VmForecast | undefined => {
-    const { context: { view, estimates }, need, mayStop } = forecaster;
-    if (!covers(vm.vm, need)) {
+    const { context: { view }, need, stoppable, mayStop, onlyByStopping } = forecaster;
+    const unbound = unboundRoom(vm);
+    if (!covers(vm.vm, need) || (onlyByStopping && !stoppable && !covers(unbound, need))) {
         return undefined;
     }
-    const { now } = view;
-    const afterGrace = now + view.rules.preemptionGraceMs;
-    const room = new FutureRoom(vm, forecaster);
-    if (room.isEnough()) {
-        return { vm, readyAt: now, lost: 0 };
+    const isFree = covers(vm.node.available, need) && (stoppable || covers(unbound, need));
+    if (isFree) {
+        return { vm, readyAt: view.now, lost: 0 };
     }
-    room.addComing();
+    const afterGrace = view.now + view.rules.preemptionGraceMs;
+    const room = new FutureRoom(vm, unbound, forecaster);
     if (room.isEnough()) {
         return { vm, readyAt: afterGrace, lost: 0 };
     }
     let lost = 0;
-    const inTheWay: PlacedState[] = [];
     for (const placed of vm.placed) {
-        if (mayStop !== undefined && isBorrower(placed) && mayStop(placed.job.spec)) {
-            room.addEndOf(placed);
-            lost += workLost(placed, now);
-        }
-        else if (!placed.stopping) {
-            inTheWay.push(placed);
+        if (mayBeStopped(placed, mayStop)) {
+            room.addEndOf(placed, vm);
+            lost += workLost(placed, view.now);
         }
     }
     if (room.isEnough()) {
         return { vm, readyAt: afterGrace, lost };
     }
-    const ending = inTheWay
-        .map(placed => ({ placed, endsAt: now + estimates.remaining(placed.job) }))
-        .sort((left, right) => left.endsAt - right.endsAt);
-    for (const { placed, endsAt } of ending) {
-        room.addEndOf(placed);
-        if (room.isEnough()) {
-            return { vm, readyAt: Math.max(endsAt, afterGrace), lost };
-        }
-    }
-    return undefined;
+    const endsAt = onlyByStopping ? undefined : forecastEnd(vm, room, forecaster);
+    return endsAt === undefined ? undefined : { vm, readyAt: Math.max(endsAt, afterGrace), lost };
 };
 
-const earliestFirst = M.concatAll(Ord.getMonoid<VmForecast>())([
-    pipe(N.Ord, Ord.contramap(({ readyAt }: VmForecast) => readyAt)),
-    pipe(N.Ord, Ord.contramap(({ lost }: VmForecast) => lost)),
-    pipe(N.Ord, Ord.contramap(({ vm }: VmForecast) => vm.node.available.accelerators)),
-]);
+const compareForecasts = (left: VmForecast, right: VmForecast): number =>
+    left.readyAt - right.readyAt || left.lost - right.lost
+    || left.vm.node.available.accelerators - right.vm.node.available.accelerators;
 
 type GroupOf = (vm: VmState) => unknown;
 
@@ -129,8 +133,13 @@
     readonly lost: number;
 }
 
+const earliestOf = (group: readonly VmForecast[], count: number): readonly VmForecast[] =>
+    count === 1
+        ? group.slice(0, 1).map(first => group.reduce((a, b) => compareForecasts(b, a) < 0 ? b : a, first))
+        : [...group].sort(compareForecasts).slice(0, count);
+
 const planGroup = (group: readonly VmForecast[], count: number): GroupPlan | undefined => {
-    const chosen = [...group].sort(earliestFirst.compare).slice(0, count);
+    const chosen = earliestOf(group, count);
     return chosen.length < count ? undefined : {
         vms: chosen.map(({ vm }) => vm),
         readyAt: chosen.reduce((latest, { readyAt }) => Math.max(latest, readyAt), 0),
@@ -138,19 +147,21 @@
     };
 };
 
-const bestPlan = M.concatAll(Ord.getMonoid<GroupPlan>())([
-    pipe(N.Ord, Ord.contramap(({ readyAt }: GroupPlan) => readyAt)),
-    pipe(N.Ord, Ord.contramap(({ lost }: GroupPlan) => lost)),
-]);
+const comparePlans = (left: GroupPlan, right: GroupPlan): number =>
+    left.readyAt - right.readyAt || left.lost - right.lost;
 
-/** Finds the VMs that can be free for the job earliest; undefined when bound cells leave it no room at all. */
+/**
+ * Finds the VMs that can be free for the job earliest; undefined when bound cells leave it no room at all. With
+ * `onlyByStopping` it finds only VMs that are free within the grace time, which is cheaper.
+ */
 export const planReservation = (
     context: PassContext,
     job: QueuedJob,
     mayStop: MayStop | undefined,
+    onlyByStopping: boolean,
 ): ReservationPlan | undefined => {
     const { gang } = job.spec;
-    const forecaster = { context, job, need: needOf(gang), stoppable: isStoppable(job.spec), mayStop };
+    const forecaster = { context, need: needOf(gang), stoppable: isStoppable(job.spec), mayStop, onlyByStopping };
     const groupOf = GROUPS[gang.vms === 1 ? "any" : gang.adjacency];
     const groups = new Map<unknown, VmForecast[]>();
     for (const vm of context.cluster.vms) {
@@ -161,5 +172,5 @@
             group.push(found);
         }
     }
-    return [...groups.values()].flatMap(group => planGroup(group, gang.vms) ?? []).sort(bestPlan.compare)[0];
+    return [...groups.values()].flatMap(group => planGroup(group, gang.vms) ?? []).sort(comparePlans)[0];
 };
--- /dev/null
+++ b/packages/placement/tests/runTimeLearner.test.ts
@@ -0,0 +1,50 @@
+import t from "tap";
+import { RunTimeLearner } from "../src/runTimeLearner.js";
+import { MINUTE, specOf } from "./clusterFixture.js";
+
+const minutes = (milliseconds: number): number => Math.round(10 * milliseconds / MINUTE) / 10;
+
+// Guards against estimates that follow declared run times although a team's jobs always take longer.
+void t.test("estimates approach what a team's jobs really take", t => {
+    const learner = new RunTimeLearner();
+    const spec = specOf({ runMs: 10 * MINUTE });
+    const lines = [0, 1, 5, 20, 100].map(observations => {
+        const fresh = observations === 0 ? learner : new RunTimeLearner();
+        for (let at = 0; at < observations; at += 1) {
+            fresh.observe(spec, (at % 2 === 0 ? 30 : 50) * MINUTE);
+        }
+        return `${observations} observations: expected ${minutes(fresh.expected(spec))}, upper ${
+            minutes(fresh.upper(spec))
+        }`;
+    });
+    t.matchSnapshot(lines.join("\n"));
+    t.end();
+});
+
+// Guards against one team's errors that distort the estimates of another, and against a new team that learns nothing.
+void t.test("teams are learned apart, with the class as a start", t => {
+    const learner = new RunTimeLearner();
+    for (let at = 0; at < 50; at += 1) {
+        learner.observe(specOf({ team: "dyers", runMs: 10 * MINUTE }), 40 * MINUTE);
+        learner.observe(specOf({ team: "weavers", runMs: 10 * MINUTE }), 10 * MINUTE);
+    }
+    const expected = ["dyers", "weavers", "potters"].map(team => {
+        const spec = specOf({ team, runMs: 10 * MINUTE });
+        return `${team}: ${minutes(learner.expected(spec))}`;
+    });
+    t.matchSnapshot(expected.join("\n"));
+    t.end();
+});
+
+// Guards against memory that grows with every team ever seen.
+void t.test("the estimate observed longest ago is dropped first", t => {
+    const learner = new RunTimeLearner({ maxEstimates: 2 });
+    const specs = ["dyers", "weavers", "potters"].map(team => specOf({ team, workClass: "batch", runMs: 10 * MINUTE }));
+    for (const spec of specs) {
+        for (let at = 0; at < 50; at += 1) {
+            learner.observe(spec, (spec.team === "dyers" ? 80 : 10) * MINUTE);
+        }
+    }
+    t.matchSnapshot(specs.map(spec => `${spec.team}: ${minutes(learner.expected(spec))}`).join("\n"));
+    t.end();
+});
