--- a/packages/bench/src/directReplay.ts
+++ b/packages/bench/src/directReplay.ts
@@ -630,7 +630,7 @@
     return measureDirect(replayDirect(complete), complete);
 };
 
-/** Ideas that are compared, each switched off alone, and the baselines. */
+/** Ideas that are compared, each switched off or changed alone, and the baselines. */
 export const DIRECT_VARIANTS: Readonly<Record<string, Partial<DirectReplayOptions>>> = {
     "all ideas": {},
     "without least loaded of two": {
@@ -645,6 +645,9 @@
     "without minimum share": {
         routing: { ...DEFAULT_ROUTING_OPTIONS, queue: { ...DEFAULT_ROUTING_OPTIONS.queue, minimumShare: 0 } },
     },
+    "minimum share 5%": {
+        routing: { ...DEFAULT_ROUTING_OPTIONS, queue: { ...DEFAULT_ROUTING_OPTIONS.queue, minimumShare: 0.05 } },
+    },
     "without deadline shedding": {
         routing: {
             ...DEFAULT_ROUTING_OPTIONS,
--- a/packages/routing/src/requestQueue.ts
+++ b/packages/routing/src/requestQueue.ts
@@ -24,7 +24,8 @@
 
 export const DEFAULT_REQUEST_QUEUE_OPTIONS: RequestQueueOptions = {
     lengthPerTeam: 1_000,
-    minimumShare: 0.05,
+    // A larger share takes more from quick renders; without one, the lowest class stops in an overload (docs/routing.md).
+    minimumShare: 0.02,
     weights: new Map(),
     fairOverTeams: true,
 };
