fix(history): tell jobs and requests under one request key apart

Cause: a claim that certainly did not run is given back, so a request key can name several requests; the checker took the events of all of them for one. Deleting the claim also lets a late copy of a transaction take effect whose sender was told of a conflict. Change: the checker keeps events and runs by job or request, and answers by request key; answers may name the request. An executor's run is found by any dotted prefix of its attempt id. The table's first answer to a write id is final, conflicts included. HistoryBatcher has isFull. Conclusion: a refused request that is repeated gives no finding, and a refused request that ran does.

--- a/packages/history/src/historyBatcher.ts
+++ b/packages/history/src/historyBatcher.ts
@@ -68,12 +68,17 @@
         return this.waiting.length;
     }
 
+    /** At the bound no record is taken, so no work should be started whose record could not be kept. */
+    get isFull(): boolean {
+        return this.waiting.length >= this.maxPending;
+    }
+
     /** Takes a record for the next batch. */
     add(record: HistoryRecord): Result<PendingRecord, RefusalReason> {
         if (this.isDraining || this.ended.signal.aborted) {
             return Result.err("draining");
         }
-        if (this.waiting.length >= this.maxPending) {
+        if (this.isFull) {
             return Result.err("full");
         }
         const durable = new Promise<boolean>(settle => {
--- a/packages/history/src/runEvidence.ts
+++ b/packages/history/src/runEvidence.ts
@@ -11,6 +11,8 @@
     requestKey: identifierSchema,
     answer: z.string().optional(),
     ran: ranSchema,
+    /** The job or request, where the answer named it; a request key can be used again after a refusal. */
+    subjectId: identifierSchema.optional(),
     /** As the caller submitted it; jobs have it in their rows. */
     idempotent: z.boolean().optional(),
 });
@@ -28,67 +30,85 @@
     readonly requestRuns: readonly RequestRun[];
 }
 
-/** A job or direct request, found by its team and request key. */
+/** A job or direct request with its events and runs. */
 export interface Subject {
+    readonly subjectId: string;
     readonly path: string;
     readonly records: readonly HistoryRecord[];
     readonly job: JobRecord | undefined;
-    readonly told: readonly ToldAnswer[];
     readonly taskRuns: readonly TaskRun[];
     readonly requestRuns: readonly RequestRun[];
 }
 
-/** The evidence, arranged by job and request. */
+/** All jobs and requests under one request key, and what its caller was told. */
+export interface KeyGroup {
+    readonly path: string;
+    readonly subjects: readonly Subject[];
+    readonly told: readonly ToldAnswer[];
+}
+
+/** The evidence, arranged by job or request and by request key. */
 export interface EvidenceIndex {
     readonly subjects: readonly Subject[];
-    /** Runs that belong to no job or request of the history. */
-    readonly strayTaskRuns: readonly TaskRun[];
-    readonly strayRequestRuns: readonly RequestRun[];
+    readonly groups: readonly KeyGroup[];
+    /** Runs that belong to no job or request. */
+    readonly strayRuns: readonly (TaskRun | RequestRun)[];
 }
 
-type SubjectBuilder = {
-    -readonly [K in keyof Subject]: Subject[K] extends readonly (infer Item)[] ? Item[] : Subject[K];
+type Builder<T> = {
+    -readonly [K in keyof T]: T[K] extends readonly (infer Item)[] ? Item[] : T[K];
 };
 
-/** Arranges the evidence by job and request. */
+/** Arranges the evidence. */
 export const indexEvidence = (evidence: RunEvidence): EvidenceIndex => {
-    const builders = new Map<string, SubjectBuilder>();
-    const builderOf = (team: string, requestKey: string): SubjectBuilder => {
+    const subjects = new Map<string, Builder<Subject>>();
+    const groups = new Map<string, Builder<KeyGroup>>();
+    const groupOf = (team: string, requestKey: string): Builder<KeyGroup> => {
         const path = `${team}/${requestKey}`;
-        const builder = builders.get(path)
-            ?? { path, records: [], job: undefined, told: [], taskRuns: [], requestRuns: [] };
-        builders.set(path, builder);
-        return builder;
+        const group = groups.get(path) ?? { path, subjects: [], told: [] };
+        groups.set(path, group);
+        return group;
     };
-    const byJobId = new Map<string, SubjectBuilder>();
-    const bySubjectId = new Map<string, SubjectBuilder>();
-    const byAttempt = new Map<string, SubjectBuilder>();
-    for (const record of evidence.history) {
-        const builder = builderOf(record.team, record.requestKey);
-        builder.records.push(record);
-        bySubjectId.set(record.subjectId, builder);
-        if (record.attemptId !== undefined) {
-            byAttempt.set(record.attemptId, builder);
+    const subjectOf = (team: string, requestKey: string, subjectId: string): Builder<Subject> => {
+        const known = subjects.get(subjectId);
+        if (known !== undefined) {
+            return known;
         }
+        const path = `${team}/${subjectId}`;
+        const subject = { subjectId, path, records: [], job: undefined, taskRuns: [], requestRuns: [] };
+        subjects.set(subjectId, subject);
+        groupOf(team, requestKey).subjects.push(subject);
+        return subject;
+    };
+    for (const record of evidence.history) {
+        subjectOf(record.team, record.requestKey, record.subjectId).records.push(record);
     }
     for (const job of evidence.jobs) {
-        const builder = builderOf(job.spec.team, job.spec.requestKey);
-        builder.job = job;
-        byJobId.set(job.jobId, builder);
+        subjectOf(job.spec.team, job.spec.requestKey, job.jobId).job = job;
     }
-    evidence.told.forEach(told => builderOf(told.team, told.requestKey).told.push(told));
-    const strayTaskRuns: TaskRun[] = [];
+    for (const told of evidence.told) {
+        groupOf(told.team, told.requestKey).told.push(told);
+    }
+    const strayRuns: (TaskRun | RequestRun)[] = [];
     for (const run of evidence.taskRuns) {
-        const builder = byJobId.get(run.jobId) ?? bySubjectId.get(run.jobId);
-        (builder?.taskRuns ?? strayTaskRuns).push(run);
+        (subjects.get(run.jobId)?.taskRuns ?? strayRuns).push(run);
     }
-    const strayRequestRuns: RequestRun[] = [];
     for (const run of evidence.requestRuns) {
-        const builder = byAttempt.get(run.attemptId) ?? bySubjectId.get(subjectIdOf(run.attemptId));
-        (builder?.requestRuns ?? strayRequestRuns).push(run);
+        (ownerOf(run.attemptId, subjects)?.requestRuns ?? strayRuns).push(run);
     }
-    return { subjects: [...builders.values()], strayTaskRuns, strayRequestRuns };
+    return { subjects: [...subjects.values()], groups: [...groups.values()], strayRuns };
 };
 
-/** An attempt's id is the id of its job or request, a dot, and a part of its own. */
-const subjectIdOf = (attemptId: string): string => attemptId.split(".")[0] ?? attemptId;
+/** All runs of a job or request. */
+export const runsOf = ({ taskRuns, requestRuns }: Subject): readonly (TaskRun | RequestRun)[] => [
+    ...taskRuns,
+    ...requestRuns,
+];
+
+/** An attempt's id is the id of its job or request, a dot, and parts of its own; ids may hold dots themselves. */
+const ownerOf = <Owner>(attemptId: string, owners: ReadonlyMap<string, Owner>): Owner | undefined => {
+    const parts = attemptId.split(".");
+    const prefixes = parts.map((part, index) => parts.slice(0, index + 1).join("."));
+    const ownerId = prefixes.findLast(prefix => owners.has(prefix));
+    return ownerId === undefined ? undefined : owners.get(ownerId);
+};
--- a/packages/history/tests/invariants.test.ts
+++ b/packages/history/tests/invariants.test.ts
@@ -144,8 +144,37 @@
     "request that ran, but the history says no": {
         history: [...JOB_EVENTS, record("r1", 0, "failed", { kind: "request", attemptId: "r1.1", ran: "no" })],
     },
+    "refused request that is repeated under its key": {
+        history: [
+            ...JOB_EVENTS,
+            record("r0", 0, "refused", { kind: "request", ran: "no", requestKey: "key-r1" }),
+            ...REQUEST_EVENTS,
+        ],
+        told: [told("j1", { answer: "template" }), told("r1", { ran: "no" }), told("r1", { answer: "label" })],
+    },
+    "refused request that ran beside its repetition": {
+        history: [
+            ...JOB_EVENTS,
+            record("r0", 0, "failed", { kind: "request", ran: "unknown", requestKey: "key-r1" }),
+            ...REQUEST_EVENTS,
+        ],
+        told: [told("j1", { answer: "template" }), told("r1", { ran: "no" }), told("r1", { answer: "label" })],
+        requestRuns: [requestRun(), requestRun({ attemptId: "r0.1" })],
+    },
+    "answer of the other request under its key": {
+        history: [
+            ...JOB_EVENTS,
+            record("r0", 0, "finished", { kind: "request", ran: "yes", requestKey: "key-r1" }),
+            ...REQUEST_EVENTS,
+        ],
+        told: [told("j1", { answer: "template" }), told("r1", { answer: "label", subjectId: "r0" })],
+        requestRuns: [requestRun(), requestRun({ attemptId: "r0.1", answer: "card" })],
+    },
     "answer without a run": { requestRuns: [] },
     "run that the history does not know": { requestRuns: [requestRun(), requestRun({ attemptId: "r9.1" })] },
+    "run of a request whose record names no attempt": {
+        history: [...JOB_EVENTS, record("r1", 0, "failed", { kind: "request", ran: "unknown" })],
+    },
     "job with two ends": { history: [...TRUE_RUN.history, record("j1", 3, "cancelled")] },
     "job without an end": { history: [...JOB_EVENTS.slice(0, 2), ...REQUEST_EVENTS] },
     "job that was never accepted": { history: [...JOB_EVENTS.slice(1), ...REQUEST_EVENTS] },
--- a/packages/platform/src/httpTable.ts
+++ b/packages/platform/src/httpTable.ts
@@ -78,8 +78,8 @@
 
     /**
      * Commits a transaction and settles a lost answer by its write id.
-     * A copy whose answer was lost may still reach the table, so it is sent again only under the same write id, which
-     * the table applies at most once.
+     * A copy whose answer was lost may still reach the table, so it is sent again only under the same write id, whose
+     * first answer is final.
      */
     async commit(transaction: Transaction): Promise<Result<Versions, TableError>> {
         this.budget.earn();
--- a/packages/platform/src/table.ts
+++ b/packages/platform/src/table.ts
@@ -11,7 +11,10 @@
 
 /** Several conditional writes that take effect together or not at all. */
 export const transactionSchema = z.object({
-    /** Unique for each logical write, so that a lost answer can be settled by reading it back. */
+    /**
+     * Unique for each logical write, so that a lost answer can be settled by reading it back. The table's first answer
+     * to a write id is final: a copy that arrives late changes nothing.
+     */
     writeId: z.string().min(1),
     checks: z.array(checkSchema).default([]),
     puts: z.array(z.object({ key: z.string().min(1), value: z.unknown() })).default([]),
--- a/packages/platform/tests/httpClients.test.ts
+++ b/packages/platform/tests/httpClients.test.ts
@@ -63,6 +63,7 @@
     "answer lost, write found": [cut, DONE],
     "answer lost, write not found, sent again": [cut, MISSING, DONE],
     "answer lost, write not found, then a conflict": [cut, MISSING, CONFLICT],
+    "answer lost, conflict found": [cut, CONFLICT],
     "answer cut halfway": [cutHalfway, DONE],
     "broken JSON": [send(200, "{"), DONE],
     "JSON of another shape": [send(200, "{\"versions\":{\"k\":\"1\"}}"), DONE],
--- a/packages/standins/src/memoryTable.ts
+++ b/packages/standins/src/memoryTable.ts
@@ -32,15 +32,18 @@
 
 type Versions = Readonly<Record<string, number>>;
 
+/** The answer to a write id; the first one is final. */
+type WriteOutcome = Result<Versions, TableError>;
+
 /** The platform's table in memory. */
 export class MemoryTable implements Table {
     readonly faults: TableFaults = { ...NO_FAULTS };
     readonly counts: TableCounts = { reads: 0, scans: 0, writes: 0, conflicts: 0 };
     private readonly rows = new Map<string, Row>();
     private readonly previousRows = new Map<string, Row | undefined>();
-    /** Versions outlive deletion, so a check on a version never holds again once it has failed. */
+    /** Versions outlive deletion, so a version of a key never names two rows. */
     private readonly lastVersions = new Map<string, number>();
-    private readonly writes = new Map<string, Versions>();
+    private readonly writes = new Map<string, WriteOutcome>();
     private sortedKeys: readonly string[] | undefined = [];
 
     constructor(private readonly clock: Clock) {}
@@ -76,30 +79,26 @@
         if (fault !== undefined) {
             return Result.err(fault);
         }
-        const known = this.writes.get(transaction.writeId);
-        if (known === undefined) {
-            const keys = this.failedChecks(transaction);
-            if (keys.length > 0) {
-                this.counts.conflicts += 1;
-                return Result.err({ kind: "conflict", keys });
-            }
+        const isNew = !this.writes.has(transaction.writeId);
+        const outcome = this.writes.get(transaction.writeId) ?? this.decide(transaction);
+        if (isNew) {
+            this.keepWrite(transaction.writeId, outcome);
         }
-        const versions = known ?? this.apply(transaction);
-        if (this.faults.loseAnswers > 0) {
+        if (outcome.isOk && this.faults.loseAnswers > 0) {
             this.faults.loseAnswers -= 1;
             return Result.err({ kind: "unclear", detail: "the answer was lost" });
         }
-        return Result.ok(versions);
+        return outcome;
     }
 
-    /** The versions written under a write id, or `undefined` when no such write took effect. */
+    /** The answer that a write id got, or `undefined` when the table has not seen it. */
     async readWrite(writeId: string): Promise<Result<Versions | undefined, TableError>> {
         const fault = await this.delayOrFail();
         if (fault !== undefined) {
             return Result.err(fault);
         }
         this.counts.reads += 1;
-        return Result.ok(this.writes.get(writeId));
+        return this.writes.get(writeId) ?? Result.ok(undefined);
     }
 
     /** All rows in key order, without faults and counts. */
@@ -114,13 +113,22 @@
         return this.faults.down ? { kind: "unavailable", detail: "the table is down" } : undefined;
     }
 
+    private decide(transaction: Transaction): WriteOutcome {
+        const keys = this.failedChecks(transaction);
+        if (keys.length > 0) {
+            this.counts.conflicts += 1;
+            return Result.err({ kind: "conflict", keys });
+        }
+        return Result.ok(this.apply(transaction));
+    }
+
     private failedChecks(transaction: Transaction): readonly string[] {
         return transaction.checks
             .filter(({ key, version }) => (this.rows.get(key)?.version ?? 0) !== version)
             .map(({ key }) => key);
     }
 
-    private apply({ writeId, puts, deletes }: Transaction): Versions {
+    private apply({ puts, deletes }: Transaction): Versions {
         for (const key of deletes) {
             this.previousRows.set(key, this.rows.get(key));
             this.rows.delete(key);
@@ -135,12 +143,11 @@
         }
         this.sortedKeys = undefined;
         this.counts.writes += 1;
-        this.keepWrite(writeId, versions);
         return versions;
     }
 
-    private keepWrite(writeId: string, versions: Versions): void {
-        this.writes.set(writeId, versions);
+    private keepWrite(writeId: string, outcome: WriteOutcome): void {
+        this.writes.set(writeId, outcome);
         if (this.writes.size > MAX_WRITE_IDS) {
             const [oldest] = this.writes.keys();
             this.writes.delete(oldest ?? writeId);
--- a/packages/standins/tests/httpTable.test.ts
+++ b/packages/standins/tests/httpTable.test.ts
@@ -58,6 +58,20 @@
     t.matchSnapshot(table.counts);
 });
 
+// Guards against a copy in transit that takes effect after its sender was told of a conflict.
+void t.test("the first answer to a write id is final", async t => {
+    const { table, client } = await open(t);
+    await client.commit(put("other", "key", "other", 0));
+    const late = put("late", "key", "late", 0);
+    const steps = [
+        await client.commit(late),
+        await client.commit({ writeId: "release", checks: [], puts: [], deletes: ["key"] }),
+        await client.commit(late),
+    ];
+    t.matchSnapshot(steps.map(step => step.toJSON()));
+    t.strictSame(table.snapshot(), []);
+});
+
 interface FaultCase {
     readonly name: string;
     readonly faults: Partial<TableFaults>;
--- a/tap-snapshots/packages/history/dist/tests/invariants.test.js.test.cjs
+++ b/tap-snapshots/packages/history/dist/tests/invariants.test.js.test.cjs
@@ -26,6 +26,10 @@
 weavers/key-j1: The answer was not given by any run of it. [answerOfNone]
 `
 
+exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > answer of the other request under its key 1`] = `
+weavers/key-r1: The answer belongs to weavers/r1. [answerOfAnother]
+`
+
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > answer that is not in the history 1`] = `
 weavers/key-r1: The caller was told that it was run, but nothing was started. [ranButNotStarted]
 x1: The attempt r1.1 ran, but the history does not know it. [unknownRun]
@@ -39,8 +43,8 @@
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > answers exchanged 1`] = `
-weavers/key-j1: The answer belongs to weavers/key-r1. [answerOfAnother]
-weavers/key-r1: The answer belongs to weavers/key-j1. [answerOfAnother]
+weavers/key-j1: The answer belongs to weavers/r1. [answerOfAnother]
+weavers/key-r1: The answer belongs to weavers/j1. [answerOfAnother]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > batch that runs twice 1`] = `
@@ -48,12 +52,12 @@
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > event that is missing 1`] = `
-weavers/key-j1: The event 1 of j1 is missing. [gap]
+weavers/j1: The event 1 is missing. [gap]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > event that occurs twice 1`] = `
-weavers/key-r1: It has 2 terminal events. [severalEnds]
-weavers/key-r1: The event 0 of r1 occurs more than once. [repeated]
+weavers/r1: It has 2 terminal events. [severalEnds]
+weavers/r1: The event 0 occurs more than once. [repeated]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > gang with a member that finished early 1`] = `
@@ -61,37 +65,37 @@
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > gang with a member that never started 1`] = `
-weavers/key-j1/j1.1: The attempt ran with 1 of 2 members for 500 ms; at most 100 ms are allowed. [partialGang]
+weavers/j1/j1.1: The attempt ran with 1 of 2 members for 500 ms; at most 100 ms are allowed. [partialGang]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > gang with a member that started late 1`] = `
-weavers/key-j1/j1.1: The attempt ran with 1 of 2 members for 101 ms; at most 100 ms are allowed. [partialGang]
+weavers/j1/j1.1: The attempt ran with 1 of 2 members for 101 ms; at most 100 ms are allowed. [partialGang]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > gang with a member that still runs alone 1`] = `
-weavers/key-j1/j1.1: The attempt ran with 1 of 2 members for 9400 ms; at most 100 ms are allowed. [partialGang]
+weavers/j1/j1.1: The attempt ran with 1 of 2 members for 9400 ms; at most 100 ms are allowed. [partialGang]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > gang with a member that was stopped early 1`] = `
-weavers/key-j1/j1.1: The attempt ran with 1 of 2 members for 101 ms; at most 100 ms are allowed. [partialGang]
+weavers/j1/j1.1: The attempt ran with 1 of 2 members for 101 ms; at most 100 ms are allowed. [partialGang]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > job that ran, but the caller was told no 1`] = `
-weavers/key-j1: The answer to the caller says that it was not run, but j1.1 was started on w1. [notRunButStarted]
+weavers/key-j1: The caller was told that it was not run, but j1.1 was started on w1. [toldNotRunButStarted]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > job that was never accepted 1`] = `
-weavers/key-j1: It has events, but was never accepted. [notAccepted]
-weavers/key-j1: The event 0 of j1 is missing. [gap]
+weavers/j1: It has events, but was never accepted. [notAccepted]
+weavers/j1: The event 0 is missing. [gap]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > job with two ends 1`] = `
-weavers/key-j1: It has 2 terminal events. [severalEnds]
-weavers/key-j1: The event 3 of j1 follows the end. [afterEnd]
+weavers/j1: It has 2 terminal events. [severalEnds]
+weavers/j1: The event 3 follows the end. [afterEnd]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > job without an end 1`] = `
-weavers/key-j1: It was accepted, but has no terminal event. [noEnd]
+weavers/j1: It was accepted, but has no terminal event. [noEnd]
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > label that is issued twice 1`] = `
@@ -102,8 +106,20 @@
 weavers/key-j1: It is not idempotent, but it was started 2 times. [startedAgain]
 `
 
+exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > refused request that is repeated under its key 1`] = `
+
+`
+
+exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > refused request that ran beside its repetition 1`] = `
+weavers/key-r1: The caller was told that it was not run, but r0.1 was started on x1. [toldNotRunButStarted]
+`
+
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > request that ran, but the history says no 1`] = `
-weavers/key-r1: The event failed in the history says that it was not run, but r1.1 was started on x1. [notRunButStarted]
+weavers/r1: The event failed says that it was not run, but r1.1 was started on x1. [recordedNotRunButStarted]
+`
+
+exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > run of a request whose record names no attempt 1`] = `
+
 `
 
 exports[`packages/history/dist/tests/invariants.test.js > TAP > forged histories > run that the history does not know 1`] = `
--- a/tap-snapshots/packages/platform/dist/tests/httpClients.test.js.test.cjs
+++ b/tap-snapshots/packages/platform/dist/tests/httpClients.test.js.test.cjs
@@ -65,6 +65,16 @@
 }
 `
 
+exports[`packages/platform/dist/tests/httpClients.test.js > TAP > commits to a failing table > answer lost, conflict found 1`] = `
+Object {
+  "calls": Array [
+    "POST /transactions",
+    "GET /writes/w",
+  ],
+  "outcome": "conflict",
+}
+`
+
 exports[`packages/platform/dist/tests/httpClients.test.js > TAP > commits to a failing table > answer lost, then down 1`] = `
 Object {
   "calls": Array [
--- a/tap-snapshots/packages/standins/dist/tests/httpTable.test.js.test.cjs
+++ b/tap-snapshots/packages/standins/dist/tests/httpTable.test.js.test.cjs
@@ -184,3 +184,30 @@
   "writes": 6,
 }
 `
+
+exports[`packages/standins/dist/tests/httpTable.test.js > TAP > the first answer to a write id is final > must match snapshot 1`] = `
+Array [
+  Object {
+    "error": Object {
+      "keys": Array [
+        "key",
+      ],
+      "kind": "conflict",
+    },
+    "variant": "Err",
+  },
+  Object {
+    "value": Object {},
+    "variant": "Ok",
+  },
+  Object {
+    "error": Object {
+      "keys": Array [
+        "key",
+      ],
+      "kind": "conflict",
+    },
+    "variant": "Err",
+  },
+]
+`
