fix(inventory): do not hold drains in force against later loads

Cause: a load without the key "drained" keeps the drains in force. If one of them broke a guarantee, each later load would have been refused, whatever it changed.

Change: checkInventory takes the drains in force and reports only what other drains break beyond them; load passes those it has read.

Conclusion: the server should pass the drains in force as well.

--- a/packages/cli/src/commands/load.ts
+++ b/packages/cli/src/commands/load.ts
@@ -64,7 +64,12 @@
             return err({ kind: "conflict", readVersion: flags.ifVersion, currentVersion: version });
         }
         const body = withDrainsInForce(inventory.value, configuration);
-        const findings = checkInventory(body, functions.checkGuarantees ?? (() => []), inventory.value.places);
+        const findings = checkInventory(
+            body,
+            functions.checkGuarantees ?? (() => []),
+            inventory.value.places,
+            configuration?.body.drained,
+        );
         if (findings.length > 0) {
             return err({ kind: "input", findings });
         }
--- a/packages/inventory/src/checkInventory.ts
+++ b/packages/inventory/src/checkInventory.ts
@@ -18,4 +18,5 @@
     body: ConfigurationBody,
     checkGuarantees: CheckGuarantees,
     places: InventoryPlaces = placesOfBody(body),
-): readonly Finding[] => checks.flatMap(check => check({ body, places, checkGuarantees }));
+    drainsInForce: readonly string[] = [],
+): readonly Finding[] => checks.flatMap(check => check({ body, places, checkGuarantees, drainsInForce }));
--- a/packages/inventory/src/checkPromises.ts
+++ b/packages/inventory/src/checkPromises.ts
@@ -1,6 +1,6 @@
 import type { Guarantee, InventoryVm } from "@persimmonpitch/schema/configuration.js";
 import type { UnboundInstance } from "./guaranteeCheck.js";
-import type { InventoryCheck } from "./inventoryCheck.js";
+import type { CheckSubject, InventoryCheck } from "./inventoryCheck.js";
 import { nameOf } from "./inventoryCheck.js";
 import type { InventoryMessageId } from "./inventoryMessages.js";
 import { report } from "./inventoryMessages.js";
@@ -70,27 +70,41 @@
 
 const instanceKey = ({ team, name, instance }: UnboundInstance): string => `${team}/${name}/${instance}`;
 
+const without = (vms: readonly InventoryVm[], ids: readonly string[]): readonly InventoryVm[] => {
+    const left = new Set(ids);
+    return vms.filter(({ id }) => !left.has(id));
+};
+
+/** Instances that drains break, beyond those that drains in force break already. */
+const findBroken = (
+    { body: { vms, drained }, checkGuarantees, drainsInForce }: CheckSubject,
+    guarantees: readonly Guarantee[],
+): readonly UnboundInstance[] => {
+    if (drained.length === 0) {
+        return [];
+    }
+    const stillDrained = drained.filter(id => drainsInForce.includes(id));
+    const known = new Set(checkGuarantees(without(vms, stillDrained), guarantees).map(instanceKey));
+    return checkGuarantees(without(vms, drained), guarantees).filter(each => !known.has(instanceKey(each)));
+};
+
 /** Exact binding, for the guarantees that fit alone and are listed once; the others have a finding already. */
-const checkBinding: InventoryCheck = ({ body, places, checkGuarantees }) => {
+const checkBinding: InventoryCheck = subject => {
+    const { body, places, checkGuarantees } = subject;
     const isFirst = (guarantee: Guarantee, index: number) =>
         body.guarantees.findIndex(other => nameOf(other) === nameOf(guarantee)) === index;
     const fitting = body.guarantees.filter((guarantee, index) =>
         isFirst(guarantee, index) && fitsAlone(body.vms, guarantee)
     );
-    const drained = new Set(body.drained);
-    const unbound = checkGuarantees(body.vms, fitting);
-    const known = new Set(unbound.map(instanceKey));
-    const broken = drained.size === 0
-        ? []
-        : checkGuarantees(body.vms.filter(({ id }) => !drained.has(id)), fitting).filter(each =>
-            !known.has(instanceKey(each))
-        );
     const reportAll = (id: InventoryMessageId, instances: readonly UnboundInstance[]) =>
         instances.map(each => {
             const index = body.guarantees.findIndex(guarantee => nameOf(guarantee) === nameOf(each));
             return report(id, places.guarantees[index], { name: nameOf(each), instance: each.instance });
         });
-    return [...reportAll("guaranteeUnbound", unbound), ...reportAll("drainBreaksGuarantee", broken)];
+    return [
+        ...reportAll("guaranteeUnbound", checkGuarantees(body.vms, fitting)),
+        ...reportAll("drainBreaksGuarantee", findBroken(subject, fitting)),
+    ];
 };
 
 const checkQuotas: InventoryCheck = ({ body, places }) =>
--- a/packages/inventory/src/inventoryCheck.ts
+++ b/packages/inventory/src/inventoryCheck.ts
@@ -8,6 +8,8 @@
     readonly body: ConfigurationBody;
     readonly places: InventoryPlaces;
     readonly checkGuarantees: CheckGuarantees;
+    /** Drains that were accepted earlier; what they break is no reason to refuse other changes. */
+    readonly drainsInForce: readonly string[];
 }
 
 /** One check of an inventory; it reports all that it finds. */
--- a/packages/inventory/tests/checkInventory.test.ts
+++ b/packages/inventory/tests/checkInventory.test.ts
@@ -118,6 +118,17 @@
     t.end();
 });
 
+// Guards against a drain in force that blocks every later load, and against a second drain that hides behind it.
+void t.test("drains in force are not held against other changes", t => {
+    const guarantees = guarantee("pair", pair) + guarantee("one", "vms = 1, acceleratorsPerVm = 8");
+    const drainedBoth = parse(`drained = ["b", "c"]\n` + twoRacks + team("t1", "1", guarantees) + operator);
+    for (const inForce of [[], ["b"], ["c"]]) {
+        const findings = checkInventory(drainedBoth.body, firstFit, drainedBoth.places, inForce);
+        t.matchSnapshot(formatFindings(findings), `in force: ${inForce.join(", ")}`);
+    }
+    t.end();
+});
+
 const damages: readonly ((line: string) => string)[] = [
     () => "",
     line => `${line}\n${line}`,
--- a/tap-snapshots/packages/inventory/dist/tests/checkInventory.test.js.test.cjs
+++ b/tap-snapshots/packages/inventory/dist/tests/checkInventory.test.js.test.cjs
@@ -13,6 +13,18 @@
 The guarantees promise 1 accelerators, but there are 0. [guaranteesExceedTotal]
 `
 
+exports[`packages/inventory/dist/tests/checkInventory.test.js > TAP > drains in force are not held against other changes > in force:  1`] = `
+inventory.toml:21 team[0].guarantee[0]: With the drained VMs left out, the instance 0 of the guarantee "t1/pair" does not fit. [drainBreaksGuarantee]
+`
+
+exports[`packages/inventory/dist/tests/checkInventory.test.js > TAP > drains in force are not held against other changes > in force: b 1`] = `
+
+`
+
+exports[`packages/inventory/dist/tests/checkInventory.test.js > TAP > drains in force are not held against other changes > in force: c 1`] = `
+inventory.toml:21 team[0].guarantee[0]: With the drained VMs left out, the instance 0 of the guarantee "t1/pair" does not fit. [drainBreaksGuarantee]
+`
+
 exports[`packages/inventory/dist/tests/checkInventory.test.js > TAP > findings of inventories > count without sense 1`] = `
 inventory.toml:23 team[0].guarantee[0].count: The value is not valid: Too big: expected number to be <=10000. [invalidValue]
 `
