fix(cli): follow the server's answer without a configuration and the verify signature

Cause: an entry without a configuration answers 503 noConfiguration, not 404, so the first load would have failed; verifyHistory takes the file's name.

Change: the code noConfiguration stands for version 0, and verify passes the file.

Conclusion: a load over version 0 stays safe, because the compare-and-set fails if a configuration exists.

--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -5,8 +5,11 @@
 import type { CliFailure } from "./cliFailure.js";
 import type { CliFlags, FlagName } from "./cliFlags.js";
 
-/** Checks the lines of an exported history. */
-export type VerifyHistory = (lines: AsyncIterable<string>) => Promise<readonly Finding[]>;
+/** Checks the lines of an exported history; the file is its name in findings. */
+export type VerifyHistory = (
+    lines: AsyncIterable<string>,
+    options: { readonly file: string; },
+) => Promise<readonly Finding[]>;
 
 /** Functions of other packages that commands use. */
 export interface CliFunctions {
--- a/packages/cli/src/commands/verify.ts
+++ b/packages/cli/src/commands/verify.ts
@@ -11,8 +11,8 @@
     return { kind: "input", findings: [report("fileNotRead", { detail }, { file })] };
 };
 
-const verifyHandle = async (handle: FileHandle, verifyHistory: VerifyHistory): Promise<CommandResult> => {
-    const findings = await verifyHistory(handle.readLines({ encoding: "utf8" }));
+const verifyHandle = async (handle: FileHandle, file: string, verifyHistory: VerifyHistory): Promise<CommandResult> => {
+    const findings = await verifyHistory(handle.readLines({ encoding: "utf8" }), { file });
     return ok({
         text: findings.length === 0 ? "The history is complete." : formatFindings(findings),
         json: { findings },
@@ -31,7 +31,7 @@
         }
         try {
             const handle = await open(file);
-            return await verifyHandle(handle, verifyHistory).finally(() => handle.close());
+            return await verifyHandle(handle, file, verifyHistory).finally(() => handle.close());
         }
         catch (error) {
             return err(unreadable(error, file));
--- a/packages/cli/src/configurationInForce.ts
+++ b/packages/cli/src/configurationInForce.ts
@@ -14,7 +14,10 @@
     readonly configuration?: Configuration;
 }
 
-/** Reads the configuration in force. */
+/**
+ * Reads the configuration in force. An entry without one cannot tell whether any was ever loaded; a load over the
+ * version 0 is safe all the same, because its compare-and-set fails if there is one.
+ */
 export const readConfigurationInForce = async (
     api: ApiClient,
 ): Promise<Result<ConfigurationInForce, CliFailure>> => {
@@ -27,5 +30,7 @@
         return ok({ version, configuration });
     }
     const { error } = answer;
-    return error.kind === "problem" && error.problem.status === 404 ? ok({ version: NO_VERSION }) : err(error);
+    return error.kind === "problem" && error.problem.code === "noConfiguration"
+        ? ok({ version: NO_VERSION })
+        : err(error);
 };
--- a/packages/cli/tests/runCli.test.ts
+++ b/packages/cli/tests/runCli.test.ts
@@ -61,7 +61,7 @@
     "first load": {
         argv: load,
         routes: {
-            [config]: [problem(404, "noConfiguration", "no")],
+            [config]: [problem(503, "noConfiguration", "no")],
             [put]: [{ body: { ...configuration, version: 1 } }],
         },
     },
@@ -141,10 +141,10 @@
     verify: {
         argv: ["verify", "history.jsonl"],
         functions: {
-            verifyHistory: async history => {
+            verifyHistory: async (history, { file }) => {
                 const findings = [];
                 for await (const line of history) {
-                    findings.push({ messageId: "line", message: line, place: { line: findings.length + 1 } });
+                    findings.push({ messageId: "line", message: line, place: { file, line: findings.length + 1 } });
                 }
                 return findings;
             },
--- a/tap-snapshots/packages/cli/dist/tests/runCli.test.js.test.cjs
+++ b/tap-snapshots/packages/cli/dist/tests/runCli.test.js.test.cjs
@@ -829,8 +829,8 @@
 exports[`packages/cli/dist/tests/runCli.test.js > TAP > verify > must match snapshot 1`] = `
 exit code 1
 --- output
-1: {"team":"weavers"} [line]
-2: {"manifest":1} [line]
+history.jsonl:1: {"team":"weavers"} [line]
+history.jsonl:2: {"manifest":1} [line]
 --- error
 --- requests
 
