feat(entry): batch request records, stream exports and report burn

Cause: each record was a transaction of its own, an export was held in memory, and the records of an entry that dies were lost. Change: the batcher, the streamed export with its manifest and the burn recorder serve the routes; a claim writes its own record; agents hand over records of a lost entry, which the export returns once; the server checks a configuration like the command line, and the command line verifies exports. Conclusion: a team's history survives the loss of an entry.

--- a/packages/agent/src/requestHandler.ts
+++ b/packages/agent/src/requestHandler.ts
@@ -94,12 +94,15 @@
         return { kind: "answered", requestId, answer: text, length: Buffer.byteLength(text), digest: digestOf(text) };
     }
 
-    private recordOf({ team, requestId, requestKey, attemptId }: RunParams, event: HistoryEvent): HistoryRecord {
+    private recordOf(
+        { team, requestId, requestKey, attemptId, recordSequence }: RunParams,
+        event: HistoryEvent,
+    ): HistoryRecord {
         return {
             team,
             kind: "request",
             subjectId: requestId,
-            sequence: 0,
+            sequence: recordSequence,
             event,
             at: this.context.clock.wallTime(),
             requestKey,
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
+import { verifyHistory } from "@persimmonpitch/history/verifyHistory.js";
+import { checkGuarantees } from "@persimmonpitch/placement/checkGuarantees.js";
 import type { CliFunctions } from "./command.js";
 import { runCli } from "./runCli.js";
 
 const VERSION = "0.1.0";
 
-/** Functions of packages above or beside this one. */
-const functions: CliFunctions = {};
+const functions: CliFunctions = { checkGuarantees, verifyHistory };
 
 const controller = new AbortController();
 // Requests in progress end with an error that says what is known about them.
--- a/packages/cli/tests/samples.ts
+++ b/packages/cli/tests/samples.ts
@@ -112,14 +112,18 @@
 };
 
 export const burnAnswer = {
-    objectives: [{
-        name: "counter renders",
-        workClass: "interactive",
-        target: 0.995,
-        total: 2_000,
+    coveredMs: 7_200_000,
+    classes: [{
+        objective: { workClass: "interactive", goodShare: 0.995, withinMs: 2_000, budgetDays: 30 },
+        good: 1_996,
         bad: 4,
         budgetSpent: 0.4,
-        windows: [{ windowMs: 300_000, burnRate: 2.5 }, { windowMs: 21_600_000, burnRate: 0.4 }],
+        windows: [
+            { window: "5m", good: 79, bad: 1, burnRate: 2.5 },
+            { window: "6h", good: 1_996, bad: 4, burnRate: 0.4 },
+        ],
+        alert: "none",
+        latencyMs: { count: 1_996, p50: 120, p95: 480, p99: 910, max: 1_700 },
     }],
 };
 
--- a/packages/entry/src/adminRoutes.ts
+++ b/packages/entry/src/adminRoutes.ts
@@ -1,3 +1,4 @@
+import { burnReportOf } from "@persimmonpitch/burn/burnReport.js";
 import { rowKeys } from "@persimmonpitch/scheduler/rowKeys.js";
 import type { ConfigHistoryAnswer, DrainAnswer, StatusAnswer } from "@persimmonpitch/schema/apiAnswers.js";
 import type { Configuration, ConfigurationBody } from "@persimmonpitch/schema/configuration.js";
@@ -22,7 +23,7 @@
     over: number,
     operator: string,
 ): Promise<Configuration> => {
-    const findings = checkBody(body);
+    const findings = checkBody(body, context.config.configuration?.body.drained ?? []);
     if (findings.length > 0) {
         throw new ProblemError("invalidConfiguration", { count: findings.length }, { findings: [...findings] });
     }
@@ -98,7 +99,7 @@
     });
     server.get("/v1/admin/burn", req => {
         requireOperator(context, req);
-        return context.levels.report(context.clock);
+        return burnReportOf(context.levels, context.clock.now() - context.startedAt);
     });
     server.post("/v1/admin/vms/:vmId/drain", req => {
         const operator = requireOperator(context, req);
--- a/packages/entry/src/apiContext.ts
+++ b/packages/entry/src/apiContext.ts
@@ -1,4 +1,6 @@
-import type { Clock } from "@persimmonpitch/clock/clock.js";
+import type { BurnRecorder } from "@persimmonpitch/burn/burnRecorder.js";
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { HistoryBatcher } from "@persimmonpitch/history/historyBatcher.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Table } from "@persimmonpitch/platform/table.js";
 import type { JobStore } from "@persimmonpitch/scheduler/jobStore.js";
@@ -13,8 +15,6 @@
 import type { LeaseGranter } from "./leaseGranter.js";
 import type { Peers } from "./peerConnection.js";
 import { ProblemError } from "./problems.js";
-import type { RequestRecorder } from "./requestRecorder.js";
-import type { ServiceLevels } from "./serviceLevels.js";
 
 /** What the HTTP routes work on. */
 export interface ApiContext {
@@ -30,9 +30,11 @@
     readonly peers: Peers;
     readonly config: ConfigWatch;
     readonly direct: DirectRequests;
-    readonly recorder: RequestRecorder;
+    readonly recorder: HistoryBatcher;
     readonly waiters: JobWaiters;
-    readonly levels: ServiceLevels;
+    readonly levels: BurnRecorder;
+    /** Monotonic time at which the process started; burn is counted from then. */
+    readonly startedAt: Millis;
     readonly bootstrapOperator: Operator | undefined;
     readonly isShuttingDown: () => boolean;
 }
--- a/packages/entry/src/directRequests.ts
+++ b/packages/entry/src/directRequests.ts
@@ -17,6 +17,9 @@
 
 type RunResult = ResultOf<EntryToAgentMethods["request.run"]>;
 
+/** A claim is the first record of a non-idempotent request, and its end is the second. */
+export const recordSequence = (idempotent: boolean): number => idempotent ? 0 : 1;
+
 /** What a caller of a service gets. */
 export type DirectOutcome =
     | { readonly kind: "answered"; readonly answer: DirectAnswer; readonly attemptId: string; readonly vmId: string; }
@@ -278,6 +281,7 @@
             team,
             service: service.name,
             requestKey: body.requestKey,
+            recordSequence: recordSequence(body.idempotent),
             body: body.body,
             length: Buffer.byteLength(body.body),
             digest: digestOf(body.body),
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,7 @@
+import { BurnRecorder } from "@persimmonpitch/burn/burnRecorder.js";
+import { DEFAULT_OBJECTIVES } from "@persimmonpitch/burn/objective.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { HistoryBatcher } from "@persimmonpitch/history/historyBatcher.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Table } from "@persimmonpitch/platform/table.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
@@ -19,13 +22,13 @@
 import { LeaseGranter } from "./leaseGranter.js";
 import type { OpenPeerLink } from "./peerConnection.js";
 import { Peers } from "./peerConnection.js";
-import { createRecorder } from "./requestRecorder.js";
-import type { RequestRecorder } from "./requestRecorder.js";
-import { createServiceLevels } from "./serviceLevels.js";
 
 /** Everything an entry needs from outside. */
 export interface EntryOptions {
-    readonly settings: Pick<EntrySettings, "id" | "region" | "dataCentre" | "peers" | "bootstrapOperator">;
+    readonly settings: Pick<
+        EntrySettings,
+        "id" | "region" | "dataCentre" | "peers" | "bootstrapOperator" | "objectives"
+    >;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly table: Table;
@@ -44,7 +47,7 @@
     readonly registry: AgentRegistry;
     private readonly direct: DirectRequests;
     private readonly peers: Peers;
-    private readonly recorder: RequestRecorder;
+    private readonly recorder: HistoryBatcher;
     private readonly inner: InnerServerContext;
     private readonly waiters: JobWaiters;
     private readonly stopController = new AbortController();
@@ -93,18 +96,14 @@
             connections: () => this.config.configuration?.body.rules.connectionsPerExecutor ?? 1,
             random: options.random ?? Math.random,
         }, signal);
-        this.recorder = createRecorder(table);
+        this.recorder = new HistoryBatcher({ table, clock, logger });
         this.inner = {
             ...common,
             registry: this.registry,
             granter,
             config: this.config,
             role: this.role,
-            onOrphanedRecords: records => {
-                records.forEach(record => {
-                    this.recorder.add(record, () => undefined);
-                });
-            },
+            table,
         };
         const api: ApiContext = {
             ...common,
@@ -118,7 +117,8 @@
             direct: this.direct,
             recorder: this.recorder,
             waiters: this.waiters,
-            levels: createServiceLevels(),
+            levels: new BurnRecorder(settings.objectives ?? DEFAULT_OBJECTIVES),
+            startedAt: clock.now(),
             bootstrapOperator: settings.bootstrapOperator,
             isShuttingDown: () => this.isShuttingDown,
         };
@@ -129,7 +129,12 @@
     /** Runs all tasks of the process until `shutdown` or `kill`. */
     async run(): Promise<void> {
         const { signal } = this.stopController;
-        await Promise.all([this.config.run(signal), this.peers.run(signal), this.role.run(signal)]);
+        await Promise.all([
+            this.config.run(signal),
+            this.peers.run(signal),
+            this.role.run(signal),
+            this.recorder.run(signal),
+        ]);
     }
 
     /** Serves one inbound connection whose other side has proved its name. */
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -1,3 +1,4 @@
+import { objectivesSchema } from "@persimmonpitch/burn/objective.js";
 import { operatorSchema } from "@persimmonpitch/schema/configuration.js";
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
 import { z } from "zod";
@@ -27,6 +28,8 @@
     deploymentKey: z.string().regex(/^[0-9a-f]{64}$/),
     /** May load a configuration while there is none; later ones come from the configuration itself. */
     bootstrapOperator: operatorSchema.optional(),
+    /** Service-level objectives; the defaults of the burn report apply without them. */
+    objectives: objectivesSchema.optional(),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 });
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
--- a/packages/entry/src/historyRoutes.ts
+++ b/packages/entry/src/historyRoutes.ts
@@ -1,24 +1,17 @@
+import { exportHistory } from "@persimmonpitch/history/exportHistory.js";
 import type { FastifyInstance, FastifyReply } from "fastify";
+import { Readable } from "node:stream";
 import type { ApiContext } from "./apiContext.js";
 import { requireTeam } from "./apiContext.js";
-import { tableProblem } from "./jobRoutes.js";
 
-const PAGE = 500;
-
-/** Streams the whole history of a team. */
-export const sendHistory = async (context: ApiContext, team: string, res: FastifyReply): Promise<FastifyReply> => {
-    const lines: string[] = [];
-    let after: string | undefined;
-    do {
-        const page = await context.table.scan(`history/${team}/`, after, PAGE);
-        if (page.isErr) {
-            throw tableProblem(page.error, false);
-        }
-        lines.push(...page.value.rows.map(({ value }) => JSON.stringify(value)));
-        after = page.value.next;
-    }
-    while (after !== undefined);
-    return res.type("application/x-ndjson").send(lines.join("\n"));
+/** Streams the whole history of a team; a stream that ends without a manifest line is incomplete. */
+export const sendHistory = (context: ApiContext, team: string, res: FastifyReply): FastifyReply => {
+    const { table, clock, logger } = context;
+    const lines = Readable.from(exportHistory({ table, clock, team }));
+    lines.on("error", err => {
+        logger.log("warn", "history.exportFailed", { team, detail: err.message });
+    });
+    return res.type("application/x-ndjson").send(lines);
 };
 
 /** Adds the route for a team's own history. */
--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Table } from "@persimmonpitch/platform/table.js";
 import type { AgentIdentity, ExecutorLimits } from "@persimmonpitch/protocol/agentMessages.js";
 import { agentToEntryMethods, entryToAgentMethods, PROTOCOL_VERSION } from "@persimmonpitch/protocol/agentMessages.js";
 import { Connection } from "@persimmonpitch/protocol/connection.js";
@@ -15,6 +16,7 @@
 import type { ConfigWatch } from "./configWatch.js";
 import { explainRole } from "./explainRole.js";
 import type { LeaseGranter } from "./leaseGranter.js";
+import { writeOrphans } from "./orphanRecords.js";
 
 /** What the tasks of inbound connections share. */
 export interface InnerServerContext {
@@ -26,7 +28,7 @@
     readonly granter: LeaseGranter;
     readonly config: ConfigWatch;
     readonly role: SchedulingRole;
-    readonly onOrphanedRecords: (records: readonly HistoryRecord[]) => void;
+    readonly table: Table;
 }
 
 /** A worker reports what changed at once; the heartbeat only renews its lease. */
@@ -78,7 +80,7 @@
                 heard();
                 registry.report(peerName, connection, report);
                 if (report.orphanedRecords.length > 0) {
-                    context.onOrphanedRecords(report.orphanedRecords);
+                    void confirmOrphans(context, connection, report.orphanedRecords);
                 }
                 return Promise.resolve(context.granter.grant(context.config.version));
             },
@@ -97,6 +99,17 @@
     }
 };
 
+const confirmOrphans = async (
+    { table, logger }: InnerServerContext,
+    connection: AgentLink,
+    records: readonly HistoryRecord[],
+): Promise<void> => {
+    const requestIds = await writeOrphans(table, logger, records);
+    if (requestIds.length > 0) {
+        await connection.call("request.recorded", { requestIds: [...requestIds] }, SILENCE_MS);
+    }
+};
+
 const closeWhenSilent = async (
     clock: Clock,
     connection: AgentLink,
--- a/packages/entry/src/requestRoutes.ts
+++ b/packages/entry/src/requestRoutes.ts
@@ -1,3 +1,5 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { historyPut } from "@persimmonpitch/history/historyRow.js";
 import { keyRowSchema } from "@persimmonpitch/scheduler/jobStore.js";
 import { rowKeys } from "@persimmonpitch/scheduler/rowKeys.js";
 import type { DirectRequestBody } from "@persimmonpitch/schema/directRequest.js";
@@ -10,6 +12,7 @@
 import type { ApiContext } from "./apiContext.js";
 import { requireTeam } from "./apiContext.js";
 import type { DirectOutcome } from "./directRequests.js";
+import { recordSequence } from "./directRequests.js";
 import { createSubjectId, parseOrThrow, tableProblem } from "./jobRoutes.js";
 import type { ProblemCode } from "./problems.js";
 import { ProblemError } from "./problems.js";
@@ -40,10 +43,20 @@
     { requestKey }: DirectRequestBody,
 ): Promise<Claim> => {
     const key = rowKeys.requestKey(team, requestKey);
+    const claimed: HistoryRecord = {
+        team,
+        kind: "request",
+        subjectId: requestId,
+        sequence: 0,
+        event: "claimed",
+        at: context.clock.wallTime(),
+        requestKey,
+        detail: "",
+    };
     const written = await context.table.commit({
         writeId: randomUUID(),
         checks: [{ key, version: 0 }],
-        puts: [{ key, value: { kind: "request", subjectId: requestId } }],
+        puts: [{ key, value: { kind: "request", subjectId: requestId } }, historyPut(claimed)],
         deletes: [],
     });
     if (written.isOk) {
@@ -73,14 +86,14 @@
     context: ApiContext,
     team: string,
     requestId: string,
-    { requestKey }: DirectRequestBody,
+    { requestKey, idempotent }: DirectRequestBody,
     outcome: DirectOutcome,
 ): HistoryRecord => {
     const common = {
         team,
         kind: "request" as const,
         subjectId: requestId,
-        sequence: 0,
+        sequence: recordSequence(idempotent),
         at: context.clock.wallTime(),
         requestKey,
     };
@@ -94,11 +107,26 @@
         };
 };
 
-const confirmToAgent = (context: ApiContext, outcome: DirectOutcome, requestId: string): void => {
-    if (outcome.kind === "answered") {
-        const agent = context.registry.connectedHere().find(({ identity }) => identity.vmId === outcome.vmId);
-        void agent?.link.call("request.recorded", { requestIds: [requestId] }, RETRY_AFTER_MS);
+/** Writes the record in a batch; once it is durable, the executor's agent drops its copy. */
+const keepRecord = (context: ApiContext, record: HistoryRecord, outcome: DirectOutcome): void => {
+    const pending = context.recorder.add(record);
+    if (pending.isErr) {
+        context.logger.log("error", "history.recordRefused", { request: record.subjectId, reason: pending.error });
+        return;
     }
+    void pending.value.durable.then(isDurable => {
+        if (isDurable && outcome.kind === "answered") {
+            const agent = context.registry.connectedHere().find(({ identity }) => identity.vmId === outcome.vmId);
+            void agent?.link.call("request.recorded", { requestIds: [record.subjectId] }, RETRY_AFTER_MS);
+        }
+    });
+};
+
+const recordLevel = (context: ApiContext, body: DirectRequestBody, outcome: DirectOutcome, startedAt: Millis): void => {
+    const now = context.clock.now();
+    const isRefused = outcome.kind === "refused" && outcome.ran === "no";
+    const level = outcome.kind === "answered" ? "answered" : isRefused ? "refused" : "failed";
+    context.levels.record(body.workClass, level, now - startedAt, now - context.startedAt);
 };
 
 /** Adds the route for direct requests. */
@@ -118,11 +146,8 @@
         const requestId = createSubjectId("r", context.clock.wallTime());
         const claim = body.idempotent ? undefined : await claimRequest(context, team, requestId, body);
         const outcome = await context.direct.run(service, team, requestId, body);
-        context.recorder.add(recordOf(context, team, requestId, body, outcome), () => {
-            confirmToAgent(context, outcome, requestId);
-        });
-        const isGood = outcome.kind === "answered";
-        context.levels.record(body.workClass, context.clock.now() - startedAt, isGood);
+        keepRecord(context, recordOf(context, team, requestId, body, outcome), outcome);
+        recordLevel(context, body, outcome, startedAt);
         if (outcome.kind === "answered") {
             return res.send(outcome.answer);
         }
--- a/packages/history/src/exportHistory.ts
+++ b/packages/history/src/exportHistory.ts
@@ -4,7 +4,7 @@
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import { createHash } from "node:crypto";
 import type { Manifest } from "./exportFormat.js";
-import { historyPrefix, historyRowSchema } from "./historyRow.js";
+import { historyPrefix, historyRowSchema, orphanPrefix } from "./historyRow.js";
 
 /** What an export reads, and its limits. */
 export interface ExportOptions {
@@ -57,13 +57,17 @@
     const { clock, team } = options;
     const counter = new ManifestCounter();
     const exportedAt = clock.wallTime();
+    const orphans = await readOrphans(options);
     let pages = 0;
     let after: string | undefined;
     do {
-        const page = await readPage(options, after);
+        const page = await readPage(options, historyPrefix(team), after);
         pages += 1;
         for (const { key, value } of page.rows) {
             for (const record of recordsOf(key, value)) {
+                if (orphans.isRepeated(record)) {
+                    continue;
+                }
                 const line = `${JSON.stringify(record)}\n`;
                 counter.add(record, line);
                 yield line;
@@ -75,6 +79,43 @@
     yield `${JSON.stringify({ manifest: counter.finish(team, exportedAt, pages) })}\n`;
 }
 
+/** Records that agents handed over; only these can stand in the table twice, and there are few. */
+class OrphanedRecords {
+    private readonly keys = new Set<string>();
+    private readonly returned = new Set<string>();
+
+    add(record: HistoryRecord): void {
+        this.keys.add(keyOf(record));
+    }
+
+    /** Whether the record was returned before. */
+    isRepeated(record: HistoryRecord): boolean {
+        const key = keyOf(record);
+        if (!this.keys.has(key)) {
+            return false;
+        }
+        const isRepeated = this.returned.has(key);
+        this.returned.add(key);
+        return isRepeated;
+    }
+}
+
+const keyOf = ({ subjectId, sequence }: HistoryRecord): string => `${subjectId}/${sequence}`;
+
+const readOrphans = async (options: ExportOptions): Promise<OrphanedRecords> => {
+    const orphans = new OrphanedRecords();
+    let after: string | undefined;
+    do {
+        const page = await readPage(options, orphanPrefix(options.team), after);
+        page.rows.flatMap(({ key, value }) => recordsOf(key, value)).forEach(record => {
+            orphans.add(record);
+        });
+        after = page.next;
+    }
+    while (after !== undefined);
+    return orphans;
+};
+
 const recordsOf = (key: string, value: unknown): readonly HistoryRecord[] => {
     const row = historyRowSchema.safeParse(value);
     if (!row.success) {
@@ -84,15 +125,15 @@
 };
 
 /** Reads a page, again after a failure, so that a short outage does not end a long export. */
-const readPage = async (options: ExportOptions, after: string | undefined): Promise<Page> => {
-    const { table, clock, team, random = Math.random, signal } = options;
+const readPage = async (options: ExportOptions, prefix: string, after: string | undefined): Promise<Page> => {
+    const { table, clock, random = Math.random, signal } = options;
     const maxReads = options.maxReads ?? DEFAULT_MAX_READS;
     let error: TableError | undefined;
     for (let failures = 0; failures < maxReads && signal?.aborted !== true; failures += 1) {
         if (failures > 0) {
             await clock.sleep(backoffDelay(BACKOFF, failures - 1, random), signal);
         }
-        const page = await table.scan(historyPrefix(team), after, options.pageRows ?? DEFAULT_PAGE_ROWS);
+        const page = await table.scan(prefix, after, options.pageRows ?? DEFAULT_PAGE_ROWS);
         if (page.isOk) {
             return page.value;
         }
--- a/packages/history/src/historyRow.ts
+++ b/packages/history/src/historyRow.ts
@@ -38,3 +38,12 @@
         value: { records: ofTeam },
     }));
 };
+
+/** The prefix of a team's records that agents handed over after their entry went away. */
+export const orphanPrefix = (team: string): string => `${historyPrefix(team)}orphan-`;
+
+/** The put of a record whose entry went away; it may also stand in a batch that the entry wrote before. */
+export const orphanPut = (record: HistoryRecord): HistoryPut => ({
+    key: `${orphanPrefix(record.team)}${record.subjectId}`,
+    value: { records: [record] },
+});
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -87,6 +87,8 @@
             team: identifierSchema,
             service: identifierSchema,
             requestKey: identifierSchema,
+            /** Sequence of the record that tells the end of the request. */
+            recordSequence: z.number().int().nonnegative(),
             body: z.string(),
             length: z.number().int().nonnegative(),
             digest: digestSchema,
--- a/packages/schema/src/apiAnswers.ts
+++ b/packages/schema/src/apiAnswers.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import { digestSchema, identifierSchema, millisSchema } from "./identifier.js";
-import { jobRecordSchema, jobStateSchema, workClassSchema } from "./job.js";
+import { jobRecordSchema, jobStateSchema } from "./job.js";
 
 const countSchema = z.number().int().nonnegative();
 
@@ -75,20 +75,3 @@
     unmetGuarantees: z.array(z.object({ team: identifierSchema, name: identifierSchema, instance: countSchema })),
 });
 export type StatusAnswer = z.infer<typeof statusAnswerSchema>;
-
-/** Answer of `GET /v1/admin/burn`. */
-export const burnAnswerSchema = z.object({
-    objectives: z.array(z.object({
-        name: z.string(),
-        workClass: workClassSchema,
-        /** Share of good events that is promised, such as 0.99. */
-        target: z.number().min(0).max(1),
-        total: countSchema,
-        bad: countSchema,
-        /** Share of the error budget that is spent; above 1 the objective is missed. */
-        budgetSpent: z.number().nonnegative(),
-        /** Burn rate over each window; 1 spends the budget exactly by its end. */
-        windows: z.array(z.object({ windowMs: millisSchema.positive(), burnRate: z.number().nonnegative() })),
-    })),
-});
-export type BurnAnswer = z.infer<typeof burnAnswerSchema>;
--- a/tap-snapshots/packages/cli/dist/tests/runCli.test.js.test.cjs
+++ b/tap-snapshots/packages/cli/dist/tests/runCli.test.js.test.cjs
@@ -8,8 +8,10 @@
 exports[`packages/cli/dist/tests/runCli.test.js > TAP > burn > must match snapshot 1`] = `
 exit code 0
 --- output
-objective        class        target  total  bad  budget spent  burn rates
-counter renders  interactive  99.5%    2000    4  40%           5 min: 2.50, 6 h: 0.40
+The process has run for 2.0 h; counts reach back no further.
+class        objective               good  bad  budget spent  burn 5m  burn 6h  p50 ms  p95 ms  p99 ms  alert
+interactive  99.5% in 2000 ms, 30 d  1996    4         40.0%     2.50     0.40     120     480     910  none
+
 --- error
 --- requests
 GET /v1/admin/burn | Bearer secret | 
