perf(placement): skip work that most passes do not need

Cause: each pass built an index for guarantees that keep their cells, formatted the same explanation for each job and forecast every VM for a plan. Change: the binder makes its index on first need, explanations are kept by their data, a plan stops at the first VMs that come free without loss.

--- a/packages/placement/src/decisionLog.ts
+++ b/packages/placement/src/decisionLog.ts
@@ -17,6 +17,8 @@
     readonly preemptions: PreemptDecision[] = [];
     readonly refusals: RefuseDecision[] = [];
     readonly #waiting = new Map<string, WaitExplanation>();
+    /** Many jobs wait for the same reason, and formatting a message costs more than finding it here. */
+    readonly #details = new Map<string, string>();
 
     start({ jobId, spec: { gang } }: QueuedJob, vms: readonly VmState[]): void {
         const members = vms.map(({ vm }) => ({ vmId: vm.vmId, accelerators: gang.acceleratorsPerVm }));
@@ -43,7 +45,10 @@
         messageId: keyof typeof PLACEMENT_MESSAGES,
         data: MessageData = {},
     ): void {
-        this.#waiting.set(jobId, { jobId, reason, detail: formatMessage(PLACEMENT_MESSAGES[messageId], data) });
+        const key = `${messageId} ${Object.values(data).join(" ")}`;
+        const detail = this.#details.get(key) ?? formatMessage(PLACEMENT_MESSAGES[messageId], data);
+        this.#details.set(key, detail);
+        this.#waiting.set(jobId, { jobId, reason, detail });
     }
 
     isWaiting(jobId: string): boolean {
--- a/packages/placement/src/guaranteeBinder.ts
+++ b/packages/placement/src/guaranteeBinder.ts
@@ -5,9 +5,9 @@
 import * as N from "fp-ts/lib/number.js";
 import * as Ord from "fp-ts/lib/Ord.js";
 import type { MutableAmount } from "./amount.js";
-import { covers } from "./amount.js";
+import { addTo, covers, needOf, noAmount } from "./amount.js";
+import { isReady } from "./clusterState.js";
 import type { GuaranteeBinding, VmView } from "./clusterView.js";
-import type { FitNode } from "./fitIndex.js";
 import { FitIndex } from "./fitIndex.js";
 import { fitGang } from "./gangFit.js";
 import { areAdjacent, entitlementOn } from "./guaranteedInstance.js";
@@ -88,74 +88,88 @@
 const hasShapeOf = ({ shape }: Guarantee, { cells }: GuaranteeBinding): boolean =>
     cells.length === shape.vms && cells.every(({ accelerators }) => accelerators === shape.acceleratorsPerVm);
 
-const previousNodes = (
+/** A VM with the room that is left for guarantees. */
+interface BindCell {
+    readonly position: number;
+    readonly vm: VmView;
+    readonly available: MutableAmount;
+}
+
+const previousCells = (
     { guarantee, previous }: BindRequest,
-    nodesById: ReadonlyMap<string, FitNode>,
-): readonly FitNode[] | undefined => {
+    cellsById: ReadonlyMap<string, BindCell>,
+): readonly BindCell[] | undefined => {
     if (previous === undefined || !hasShapeOf(guarantee, previous)) {
         return undefined;
     }
-    const nodes: FitNode[] = [];
+    const cells: BindCell[] = [];
     for (const { vmId } of previous.cells) {
-        const node = nodesById.get(vmId);
-        if (node === undefined || nodes.includes(node) || !isAllowedIn(guarantee, node.vm)) {
+        const cell = cellsById.get(vmId);
+        if (cell === undefined || cells.includes(cell) || !isAllowedIn(guarantee, cell.vm)) {
             return undefined;
         }
-        nodes.push(node);
+        cells.push(cell);
     }
-    return areAdjacent(nodes.map(({ vm }) => vm), guarantee.shape.adjacency) ? nodes : undefined;
+    return areAdjacent(cells.map(({ vm }) => vm), guarantee.shape.adjacency) ? cells : undefined;
 };
 
 /** Binds requests one after another; each takes its cells from the room of the next. */
 class Binder {
-    readonly #index: FitIndex;
-    readonly #nodesById = new Map<string, FitNode>();
+    readonly #vms: readonly VmView[];
+    readonly #cells: readonly BindCell[];
+    readonly #cellsById: ReadonlyMap<string, BindCell>;
+    /** Made when the first instance needs new cells; most passes keep all cells and go without it. */
+    #index: FitIndex | undefined;
 
     constructor({ vms, roomOn }: BindableVms) {
-        this.#index = new FitIndex(vms, roomOn, ({ condition }) => condition === "ready");
-        for (const node of this.#index.nodes) {
-            this.#nodesById.set(node.vm.vmId, node);
-        }
+        this.#vms = vms;
+        this.#cells = vms.map((vm, position) => ({ position, vm, available: roomOn(vm, position) }));
+        this.#cellsById = new Map(this.#cells.map(cell => [cell.vm.vmId, cell]));
     }
 
     run(requests: readonly BindRequest[], keepPrevious: boolean): readonly BindResult[] {
         return requests.map(request => {
             const kept = this.#previous(request, keepPrevious);
-            const nodes = kept ?? this.#fresh(request) ?? this.#stranded(request);
-            this.#take(request, nodes ?? []);
+            const cells = kept ?? this.#fresh(request) ?? this.#stranded(request);
+            this.#take(request, cells ?? []);
             return {
                 request,
-                positions: nodes?.map(({ position }) => position),
-                met: nodes !== undefined && (request.inUse || nodes.every(({ indexed }) => indexed)),
+                positions: cells?.map(({ position }) => position),
+                met: cells !== undefined && (request.inUse || cells.every(({ vm }) => isReady(vm))),
                 kept: kept !== undefined,
             };
         });
     }
 
-    #previous(request: BindRequest, keepPrevious: boolean): readonly FitNode[] | undefined {
+    #previous(request: BindRequest, keepPrevious: boolean): readonly BindCell[] | undefined {
         if (!keepPrevious && !request.inUse) {
             return undefined;
         }
-        const nodes = previousNodes(request, this.#nodesById);
-        const stays = nodes?.every(({ vm }) => request.inUse || KEEPS_IDLE_CELLS[vm.condition]);
-        return stays === true ? this.#ifRoom(request, nodes) : undefined;
+        const cells = previousCells(request, this.#cellsById);
+        const stays = cells?.every(({ vm }) => request.inUse || KEEPS_IDLE_CELLS[vm.condition]);
+        return stays === true ? this.#ifRoom(request, cells) : undefined;
     }
 
     /** Cells on VMs that take no new work are kept when there are no others: the VMs may return. */
-    #stranded(request: BindRequest): readonly FitNode[] | undefined {
-        return this.#ifRoom(request, previousNodes(request, this.#nodesById));
+    #stranded(request: BindRequest): readonly BindCell[] | undefined {
+        return this.#ifRoom(request, previousCells(request, this.#cellsById));
     }
 
-    #ifRoom({ guarantee }: BindRequest, nodes: readonly FitNode[] | undefined): readonly FitNode[] | undefined {
-        const fits = nodes?.every(({ available, vm }) => covers(available, entitlementOn(guarantee.shape, vm)));
-        return fits === true ? nodes : undefined;
+    #ifRoom({ guarantee }: BindRequest, cells: readonly BindCell[] | undefined): readonly BindCell[] | undefined {
+        const fits = cells?.every(({ available, vm }) => covers(available, entitlementOn(guarantee.shape, vm)));
+        return fits === true ? cells : undefined;
     }
 
-    #fresh({ guarantee }: BindRequest): readonly FitNode[] | undefined {
+    #fresh({ guarantee }: BindRequest): readonly BindCell[] | undefined {
         const { shape } = guarantee;
+        this.#index ??= new FitIndex(
+            this.#vms,
+            (_, position) => this.#cells[position]?.available ?? noAmount(),
+            isReady,
+        );
         return fitGang(this.#index, {
             vms: shape.vms,
-            need: { accelerators: shape.acceleratorsPerVm, cores: shape.coresPerVm, memoryMb: shape.memoryMbPerVm },
+            need: needOf(shape),
             adjacency: shape.adjacency,
             accepts: node => isAllowedIn(guarantee, node.vm) && covers(node.available, entitlementOn(shape, node.vm)),
             cost: ({ available, rack }) =>
@@ -163,9 +177,17 @@
         });
     }
 
-    #take({ guarantee }: BindRequest, nodes: readonly FitNode[]): void {
-        for (const node of nodes) {
-            this.#index.take(node, entitlementOn(guarantee.shape, node.vm));
+    #take({ guarantee }: BindRequest, cells: readonly BindCell[]): void {
+        for (const { position, vm, available } of cells) {
+            const entitlement = entitlementOn(guarantee.shape, vm);
+            const node = this.#index?.nodes[position];
+            // The index shares its amounts with the cells.
+            if (this.#index === undefined || node === undefined) {
+                addTo(available, entitlement, -1);
+            }
+            else {
+                this.#index.take(node, entitlement);
+            }
         }
     }
 }
--- a/packages/placement/src/queueOrder.ts
+++ b/packages/placement/src/queueOrder.ts
@@ -51,23 +51,24 @@
     return MAX_SLACK_BOOST * clamp(1 - slack / (SLACK_WINDOW * cautious), 1);
 };
 
-const ageingBoost = ({ estimates, view }: PassContext, job: QueuedJob): number => {
-    const run = Math.max(MIN_AGEING_RUN_MS, estimates.expected(job));
+const ageingBoost = ({ view }: PassContext, job: QueuedJob, expectedMs: number): number => {
+    const run = Math.max(MIN_AGEING_RUN_MS, expectedMs);
     return clamp((view.now - job.submittedAt) / (AGEING_STEP * run), MAX_AGEING_BOOST);
 };
 
-const lengthPenalty = ({ estimates, view }: PassContext, job: QueuedJob): number => {
-    const length = Math.log1p(estimates.expected(job) / MS_PER_MINUTE) / Math.log1p(LONG_RUN_MINUTES);
+const lengthPenalty = ({ view }: PassContext, expectedMs: number): number => {
+    const length = Math.log1p(expectedMs / MS_PER_MINUTE) / Math.log1p(LONG_RUN_MINUTES);
     return SHORT_SPAN * view.rules.completionWeight * clamp(length, 1);
 };
 
 /** Place of a job in the queue as far as the use by its team does not change it. */
 const scoreOf = (context: PassContext, job: QueuedJob): number => {
-    const { options } = context;
+    const { options, estimates } = context;
+    const expectedMs = estimates.expected(job);
     return CLASS_RANK[job.spec.workClass]
         - (options.neededBySlack ? slackBoost(context, job) : 0)
-        - (options.ageing ? ageingBoost(context, job) : 0)
-        + (options.shortFirst ? lengthPenalty(context, job) : 0);
+        - (options.ageing ? ageingBoost(context, job, expectedMs) : 0)
+        + (options.shortFirst ? lengthPenalty(context, expectedMs) : 0);
 };
 
 const byScore: Ord.Ord<ScoredJob> = pipe(N.Ord, Ord.contramap(({ score }: ScoredJob) => score));
--- a/packages/placement/src/reservationPlan.ts
+++ b/packages/placement/src/reservationPlan.ts
@@ -133,6 +133,13 @@
     readonly lost: number;
 }
 
+/** Forecasts of the VMs that are as near to one another as the job demands. */
+interface ForecastGroup {
+    readonly all: VmForecast[];
+    /** Free within the grace time, with no work lost. */
+    readonly soonWithoutLoss: VmForecast[];
+}
+
 const earliestOf = (group: readonly VmForecast[], count: number): readonly VmForecast[] =>
     count === 1
         ? group.slice(0, 1).map(first => group.reduce((a, b) => compareForecasts(b, a) < 0 ? b : a, first))
@@ -163,14 +170,21 @@
     const { gang } = job.spec;
     const forecaster = { context, need: needOf(gang), stoppable: isStoppable(job.spec), mayStop, onlyByStopping };
     const groupOf = GROUPS[gang.vms === 1 ? "any" : gang.adjacency];
-    const groups = new Map<unknown, VmForecast[]>();
+    const groups = new Map<unknown, ForecastGroup>();
     for (const vm of context.cluster.vms) {
         const found = isReady(vm.vm) && vm.reservation === undefined ? forecast(vm, forecaster) : undefined;
         if (found !== undefined) {
-            const group = groups.get(groupOf(vm)) ?? [];
+            const group = groups.get(groupOf(vm)) ?? { all: [], soonWithoutLoss: [] };
             groups.set(groupOf(vm), group);
-            group.push(found);
+            group.all.push(found);
+            if (found.lost === 0 && found.readyAt <= context.view.now + context.view.rules.preemptionGraceMs) {
+                group.soonWithoutLoss.push(found);
+            }
+            // Nothing better can follow, so the other VMs need no forecast.
+            if (group.soonWithoutLoss.length === gang.vms) {
+                return planGroup(group.soonWithoutLoss, gang.vms);
+            }
         }
     }
-    return [...groups.values()].flatMap(group => planGroup(group, gang.vms) ?? []).sort(comparePlans)[0];
+    return [...groups.values()].flatMap(({ all }) => planGroup(all, gang.vms) ?? []).sort(comparePlans)[0];
 };
