fix(platform): let a run on an executor last until its own deadline

Cause: a client ended every call after its timeout, and the library after 300 s. Figures: a request of 500 s on a fake clock is answered completely with a client timeout of 100 ms; a commit that outlasts its timeout is reported as unclear and written once when repeated.

--- a/packages/platform/src/httpClient.ts
+++ b/packages/platform/src/httpClient.ts
@@ -21,6 +21,7 @@
     /** Sent as JSON, or as plain text when it is a string. */
     readonly body?: unknown;
     readonly timeoutMs?: Millis;
+    /** Ends the call in place of the timeout. */
     readonly signal?: AbortSignal;
 }
 
@@ -68,30 +69,30 @@
         connections: MAX_CONNECTIONS,
         keepAliveTimeout: KEEP_ALIVE_MS,
         connect: { timeout: CONNECT_TIMEOUT_MS },
+        // Calls end by their own timeout or signal; a direct request may take longer than the library's 300 s.
+        headersTimeout: 0,
+        bodyTimeout: 0,
     });
 
     constructor(private readonly options: HttpClientOptions) {}
 
     /** Sends one call and waits for the whole answer. */
     async call({ method, path, body, timeoutMs, signal }: HttpCall): Promise<Result<HttpAnswer, TransportError>> {
-        const abort = new AbortController();
         const settled = new AbortController();
         const timeout = timeoutMs ?? this.options.timeoutMs;
-        void this.options.clock.sleep(timeout, settled.signal).then(() => {
-            abort.abort();
-        });
+        const end = signal ?? this.abortAfter(timeout, settled.signal);
         try {
             const answer = await this.agent.request({
                 origin: this.options.baseUrl,
                 method,
                 path,
-                signal: signal === undefined ? abort.signal : AbortSignal.any([abort.signal, signal]),
+                signal: end,
                 ...contentOf(body),
             });
             return Result.ok({ status: answer.statusCode, text: await answer.body.text() });
         }
         catch (error) {
-            const detail = abort.signal.aborted ? `no answer within ${timeout} ms` : String(error);
+            const detail = end.aborted && signal === undefined ? `no answer within ${timeout} ms` : String(error);
             return Result.err({ mayBeSent: !NOT_SENT_CODES.has(codeOf(error)), detail });
         }
         finally {
@@ -99,6 +100,14 @@
         }
     }
 
+    private abortAfter(timeout: Millis, settled: AbortSignal): AbortSignal {
+        const abort = new AbortController();
+        void this.options.clock.sleep(timeout, settled).then(() => {
+            abort.abort();
+        });
+        return abort.signal;
+    }
+
     /** Ends all connections once their calls are answered. */
     async close(): Promise<void> {
         await this.agent.close();
--- a/packages/platform/src/httpExecutor.ts
+++ b/packages/platform/src/httpExecutor.ts
@@ -5,7 +5,10 @@
 import { workerErrorOf } from "./workerErrorAnswer.js";
 import { executorAnswerSchema } from "./workerProtocol.js";
 
-/** Client of the executor on one VM; `refused` means that the request was certainly not run. */
+/**
+ * Client of the executor on one VM; `refused` means that the request was certainly not run.
+ * A run takes until its signal, because each request has a deadline of its own; `timeoutMs` does not limit it.
+ */
 export class HttpExecutor implements Executor {
     private readonly client: HttpClient;
 
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -2,15 +2,13 @@
 import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { formatFindings } from "@persimmonpitch/findings/finding.js";
 import { readSettings } from "@persimmonpitch/settings/readSettings.js";
+import { EXIT_CODES } from "@persimmonpitch/settings/runBinary.js";
 import meow from "meow";
 import { once } from "node:events";
 import { closeStandins, startStandins } from "./standins.js";
 import type { StandinsSettings } from "./standinsSettings.js";
 import { standinsSettingsSchema } from "./standinsSettings.js";
 
-const EXIT_FAILURE = 1;
-const EXIT_USAGE = 2;
-
 const HELP = `
   Usage
     $ persimmonpitch-standins [--settings FILE]
@@ -22,9 +20,15 @@
     --settings FILE  TOML file with ports and numbers of workers and executors
     --version        Print the version
     --help           Print this text
+
+  Exit codes
+    0  shut down after SIGTERM or SIGINT
+    1  failed, for example because a port is in use
+    2  wrong usage or settings
 `;
 
 const serve = async (settings: StandinsSettings): Promise<void> => {
+    // Signals are awaited from the start, so that one which follows the printed addresses at once is not missed.
     const terminated = Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
     const standins = await startStandins(systemClock, settings);
     standins.forEach(({ name, server }) => process.stdout.write(`${name} ${server.url}\n`));
@@ -40,20 +44,20 @@
     });
     if (cli.input.length > 0) {
         process.stderr.write(`Unexpected argument: ${cli.input.join(" ")}.\n`);
-        return EXIT_USAGE;
+        return EXIT_CODES.usage;
     }
     const file = cli.flags.settings;
     if (file === undefined) {
         await serve(standinsSettingsSchema.parse({}));
-        return 0;
+        return EXIT_CODES.success;
     }
     const settings = readSettings(file, standinsSettingsSchema);
     if (settings.isErr) {
         process.stderr.write(`${formatFindings(settings.error)}\n`);
-        return EXIT_USAGE;
+        return EXIT_CODES.usage;
     }
     await serve(settings.value);
-    return 0;
+    return EXIT_CODES.success;
 };
 
 try {
@@ -61,5 +65,5 @@
 }
 catch (error) {
     process.stderr.write(`The stand-ins failed: ${error instanceof Error ? error.message : String(error)}.\n`);
-    process.exitCode = EXIT_FAILURE;
+    process.exitCode = EXIT_CODES.failure;
 }
--- a/packages/standins/tests/httpTable.test.ts
+++ b/packages/standins/tests/httpTable.test.ts
@@ -1,3 +1,4 @@
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
 import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { HttpTable } from "@persimmonpitch/platform/httpTable.js";
 import type { Transaction } from "@persimmonpitch/platform/table.js";
@@ -96,6 +97,29 @@
     }
 });
 
+// Guards against a timeout that is taken for a failed write, and against a second write by the repetition.
+void t.test("a commit that outlasts the timeout", async t => {
+    const clock = new FakeClock();
+    const table = new MemoryTable(clock);
+    const server = await startTableServer(table);
+    const client = new HttpTable({ baseUrl: server.url, clock, timeoutMs: 100, maxRetries: 0 });
+    t.teardown(async () => {
+        await client.close();
+        await server.close();
+    });
+    table.faults.slow = 1_000;
+    const transaction = put("w", "key", "value", 0);
+    const first = client.commit(transaction);
+    await clock.advance(100);
+    const outcome = await first;
+    t.equal(outcome.isErr && outcome.error.kind, "unclear");
+    table.faults.slow = 0;
+    await clock.advance(1_000);
+    const repeated = await client.commit(transaction);
+    t.strictSame(repeated.unwrapOr({}), { key: 1 });
+    t.equal(table.counts.writes, 1);
+});
+
 /** What a client may be told, given whether the transaction was written. */
 const TRUTHFUL: Readonly<Record<string, (isWritten: boolean) => boolean>> = {
     ok: isWritten => isWritten,
--- a/packages/standins/tests/servers.test.ts
+++ b/packages/standins/tests/servers.test.ts
@@ -1,3 +1,4 @@
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
 import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { HttpExecutor } from "@persimmonpitch/platform/httpExecutor.js";
 import { HttpObjectStore } from "@persimmonpitch/platform/httpObjectStore.js";
@@ -84,6 +85,22 @@
     t.matchSnapshot({ answers: plain(answers), runs: withoutTimes(executor.runs) });
 });
 
+// Guards against a request that is cut off by the client's timeout although its own deadline is later.
+void t.test("a request outlasts the client's timeout", async t => {
+    const clock = new FakeClock();
+    const executor = new MemoryExecutor(clock, "vm-1");
+    const server = await startExecutorServer(executor);
+    const client = new HttpExecutor({ baseUrl: server.url, clock, timeoutMs: 100 });
+    closeAtEnd(t, client, server);
+    const body = "{\"workMs\":500000,\"answer\":\"complete\"}";
+    const answer = client.run({ attemptId: "a", team: "t", service: "s", body }, new AbortController().signal);
+    while (executor.runs.length === 0) {
+        await systemClock.sleep(1);
+    }
+    await clock.advance(500_000);
+    t.equal((await answer).unwrapOr("cut off"), "complete");
+});
+
 // Guards against an aborted request that goes on running, or is reported as certainly not run.
 void t.test("abort of a request", async t => {
     const executor = new MemoryExecutor(systemClock, "vm-1");
--- a/tap-snapshots/packages/standins/dist/tests/main.test.js.test.cjs
+++ b/tap-snapshots/packages/standins/dist/tests/main.test.js.test.cjs
@@ -25,6 +25,11 @@
         --version        Print the version
         --help           Print this text
     
+      Exit codes
+        0  shut down after SIGTERM or SIGINT
+        1  failed, for example because a port is in use
+        2  wrong usage or settings
+    
     
   ),
 }
