--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -30,6 +30,9 @@
 /** Orphaned records sent with one report. */
 const MAX_ORPHANS_PER_REPORT = 100;
 
+/** A leaving agent keeps its copies of records until the entries have written theirs, but not through an outage. */
+const RECORD_WAIT_MS: Millis = 10_000;
+
 /** Interval at which a leaving agent looks whether its work is done. */
 const DRAIN_POLL_MS: Millis = 100;
 
@@ -81,6 +84,10 @@
         while (this.isBusy()) {
             await this.options.clock.sleep(DRAIN_POLL_MS);
         }
+        const recordsUntil = this.options.clock.now() + RECORD_WAIT_MS;
+        while (this.records.size > 0 && this.options.clock.now() < recordsUntil) {
+            await this.options.clock.sleep(DRAIN_POLL_MS);
+        }
         this.options.logger.log("info", "agent.left");
         this.stopController.abort();
     }
@@ -126,16 +133,17 @@
             identity: this.identity(),
             openLink: this.options.openLink,
             random: this.options.random ?? Math.random,
-            handlersFor: entryId => this.handlers(entryId),
+            needsLease: this.options.settings.kind === "worker" && this.options.settings.entries.length > 1,
+            handlersFor: entryInstanceId => this.handlers(entryInstanceId),
             fullReport: () => this.report(true),
             deltaReport: () => this.report(false),
             configVersion: () => this.configVersion,
-            onConnected: (entryId, limits, wake) => {
-                this.connected.set(entryId, wake);
+            onConnected: (entryInstanceId, limits, wake) => {
+                this.connected.set(entryInstanceId, wake);
                 this.requests.setLimits(limits);
             },
-            onDisconnected: entryId => {
-                this.connected.delete(entryId);
+            onDisconnected: entryInstanceId => {
+                this.connected.delete(entryInstanceId);
             },
             onGrant: (grant, sentAt) => {
                 this.lease.accept(grant, sentAt);
@@ -143,7 +151,7 @@
         };
     }
 
-    private handlers(entryId: () => string): HandlerTable<EntryToAgentMethods> {
+    private handlers(entryInstanceId: () => string): HandlerTable<EntryToAgentMethods> {
         const orders = createOrderHandlers({
             instanceId: this.instanceId,
             table: this.table,
@@ -155,7 +163,7 @@
         });
         return {
             ...orders,
-            "request.run": params => this.requests.run(params, entryId()),
+            "request.run": params => this.requests.run(params, entryInstanceId()),
             "request.recorded": ({ requestIds }) => {
                 this.records.confirm(requestIds);
                 return Promise.resolve({});
--- a/packages/agent/src/entryConnection.ts
+++ b/packages/agent/src/entryConnection.ts
@@ -29,14 +29,16 @@
     readonly identity: AgentIdentity;
     readonly openLink: OpenLink;
     readonly random: () => number;
-    /** Handlers of calls from the entry, whose id is known once it has answered the hello. */
-    readonly handlersFor: (entryId: () => string) => HandlerTable<EntryToAgentMethods>;
+    /** Whether the agent moves to another entry when this one cannot grant leases. */
+    readonly needsLease: boolean;
+    /** Handlers of calls from the entry, whose instance is known once it has answered the hello. */
+    readonly handlersFor: (entryInstanceId: () => string) => HandlerTable<EntryToAgentMethods>;
     readonly fullReport: () => AgentReport;
     /** Changes since the last report on this connection; undefined when there are none. */
     readonly deltaReport: () => AgentReport;
     readonly configVersion: () => number;
-    readonly onConnected: (entryId: string, limits: ExecutorLimits, wake: WakeSignal) => void;
-    readonly onDisconnected: (entryId: string) => void;
+    readonly onConnected: (entryInstanceId: string, limits: ExecutorLimits, wake: WakeSignal) => void;
+    readonly onDisconnected: (entryInstanceId: string) => void;
     readonly onGrant: (grant: LeaseGrant, sentAt: Millis) => void;
 }
 
@@ -48,27 +50,35 @@
 /** Changes within this time share one report. */
 const COALESCE_MS: Millis = 20;
 
-/** One connection to one entry, from the hello to its end; returns whether it got as far as the hello. */
+/** How a connection ended. */
+type ConnectionEnd =
+    | "unreachable"
+    | "closed"
+    /** The entry no longer grants leases, because it has lost the role holder. */
+    | "withoutGrant";
+
+/** One connection to one entry, from the hello to its end. */
 const runConnection = async (
     context: EntryConnectionContext,
     address: EntryAddress,
     signal: AbortSignal,
-): Promise<boolean> => {
+): Promise<ConnectionEnd> => {
     const { clock, logger } = context;
     const opened = await context.openLink(address);
     if (opened.isErr) {
         logger.log("debug", "entry.unreachable", { entry: address.id, detail: opened.error });
-        return false;
+        return "unreachable";
     }
-    let entryId = address.id;
+    let end: ConnectionEnd = "unreachable";
+    let entryInstanceId = address.id;
     const connection: EntryLink = new Connection({
         link: opened.value,
         clock,
         local: entryToAgentMethods,
         remote: agentToEntryMethods,
-        handlers: context.handlersFor(() => entryId),
+        handlers: context.handlersFor(() => entryInstanceId),
         onMalformed: detail => {
-            logger.log("warn", "message.malformed", { entry: entryId, detail });
+            logger.log("warn", "message.malformed", { entry: address.id, detail });
         },
     });
     const close = () => {
@@ -83,22 +93,22 @@
         configVersion: context.configVersion(),
     }, CALL_TIMEOUT_MS);
     if (hello.isOk) {
-        entryId = hello.value.entryId;
+        entryInstanceId = hello.value.entryInstanceId;
         context.onGrant(hello.value.grant, sentAt);
-        logger.log("info", "entry.connected", { entry: entryId });
+        logger.log("info", "entry.connected", { entry: address.id });
         const wake = new WakeSignal();
-        context.onConnected(entryId, hello.value.limits, wake);
+        context.onConnected(entryInstanceId, hello.value.limits, wake);
         void served.then(() => {
             wake.wake();
         });
-        await reportUntilClosed(context, connection, hello.value.heartbeatMs, wake);
-        context.onDisconnected(entryId);
-        logger.log("info", "entry.disconnected", { entry: entryId });
+        end = await reportUntilClosed(context, connection, hello.value.heartbeatMs, wake);
+        context.onDisconnected(entryInstanceId);
+        logger.log("info", "entry.disconnected", { entry: address.id });
     }
     connection.close();
     await served;
     signal.removeEventListener("abort", close);
-    return hello.isOk;
+    return end;
 };
 
 const reportUntilClosed = async (
@@ -106,25 +116,33 @@
     connection: EntryLink,
     heartbeatMs: Millis,
     wake: WakeSignal,
-): Promise<void> => {
+): Promise<ConnectionEnd> => {
     const { clock, logger } = context;
     let report = context.fullReport();
+    let wasGranted = false;
     while (connection.isOpen) {
         const sentAt = clock.now();
         const answer = await connection.call("agent.report", report, CALL_TIMEOUT_MS);
         if (answer.isErr) {
             logger.log("info", "report.unanswered", { detail: answer.error.detail });
-            return;
+            return "closed";
         }
         context.onGrant(answer.value, sentAt);
+        const isGranted = answer.value.grantMs >= heartbeatMs;
+        if (context.needsLease && wasGranted && !isGranted) {
+            logger.log("warn", "entry.withoutGrant", { grantMs: answer.value.grantMs });
+            return "withoutGrant";
+        }
+        wasGranted ||= isGranted;
         await wake.wait(clock, heartbeatMs);
         await clock.sleep(COALESCE_MS);
         report = context.deltaReport();
     }
+    return "closed";
 };
 
 /**
- * The task of one entry connection: connects to the first entry of `order()` that answers, reports until the
+ * The task of one entry connection: connects to the entries in order until one answers, reports until the
  * connection ends, and starts again after a delay with full jitter.
  */
 export const runEntryConnection = async (
@@ -132,14 +150,16 @@
     order: readonly EntryAddress[],
     signal: AbortSignal,
 ): Promise<void> => {
+    let next = 0;
     let failures = 0;
     while (!signal.aborted) {
-        const address = order[failures % order.length];
+        const address = order[next % order.length];
         if (address === undefined) {
             return;
         }
-        const connected = await runConnection(context, address, signal);
-        failures = connected ? 0 : failures + 1;
+        const end = await runConnection(context, address, signal);
+        next = end === "closed" ? 0 : next + 1;
+        failures = end === "unreachable" ? failures + 1 : 0;
         // After a connection that worked, the first retry is delayed too: all agents of a lost entry notice at once.
         await context.clock.sleep(backoffDelay(RECONNECT, Math.max(1, failures), context.random), signal);
     }
--- a/packages/agent/src/leaseTracker.ts
+++ b/packages/agent/src/leaseTracker.ts
@@ -5,6 +5,7 @@
 export class LeaseTracker {
     private deadline: Millis;
     private epoch = 0;
+    private isGranted = false;
 
     constructor(private readonly clock: Clock) {
         this.deadline = clock.now();
@@ -27,9 +28,18 @@
     accept(grant: LeaseGrant, sentAt: Millis): void {
         if (this.acceptEpoch(grant.epoch)) {
             this.deadline = Math.max(this.deadline, sentAt + grant.grantMs);
+            this.isGranted ||= grant.grantMs > 0;
         }
     }
 
+    /**
+     * Whether a lease was held and has run out. An agent that has just started holds none yet; the tasks it took
+     * over are bounded by the leases that the worker gave them.
+     */
+    get isLapsed(): boolean {
+        return this.isGranted && this.remaining() === 0;
+    }
+
     /** Time left; 0 once the lease has lapsed. */
     remaining(): Millis {
         return Math.max(0, this.deadline - this.clock.now());
--- a/packages/agent/src/recordStore.ts
+++ b/packages/agent/src/recordStore.ts
@@ -5,7 +5,7 @@
 
 interface Entry {
     readonly record: HistoryRecord;
-    readonly entryId: string;
+    readonly entryInstanceId: string;
 }
 
 /** Records of answered direct requests, kept until the entry that asked has made them durable. */
@@ -16,8 +16,12 @@
         return this.records.size >= MAX_RECORDS;
     }
 
-    add(record: HistoryRecord, entryId: string): void {
-        this.records.set(record.subjectId, { record, entryId });
+    get size(): number {
+        return this.records.size;
+    }
+
+    add(record: HistoryRecord, entryInstanceId: string): void {
+        this.records.set(record.subjectId, { record, entryInstanceId });
     }
 
     /** Drops records that are durable. */
@@ -28,11 +32,11 @@
     /** Records of entries that are gone, for another entry to write. */
     orphans(connectedEntries: ReadonlySet<string>, limit: number): readonly HistoryRecord[] {
         const orphaned: HistoryRecord[] = [];
-        for (const { record, entryId } of this.records.values()) {
+        for (const { record, entryInstanceId } of this.records.values()) {
             if (orphaned.length >= limit) {
                 break;
             }
-            if (!connectedEntries.has(entryId)) {
+            if (!connectedEntries.has(entryInstanceId)) {
                 orphaned.push(record);
             }
         }
--- a/packages/agent/src/requestHandler.ts
+++ b/packages/agent/src/requestHandler.ts
@@ -9,6 +9,7 @@
 
 type RunParams = ParamsOf<EntryToAgentMethods["request.run"]>;
 type RunResult = ResultOf<EntryToAgentMethods["request.run"]>;
+type RunOutcome = RunResult["outcome"];
 
 /** Attempts that are remembered so that a repeated order does not run twice. */
 const MAX_SEEN_ATTEMPTS = 50_000;
@@ -39,16 +40,17 @@
     }
 
     /** Runs one attempt for an entry, or refuses it before anything has run. */
-    async run(params: RunParams, entryId: string): Promise<RunResult> {
+    async run(params: RunParams, entryInstanceId: string): Promise<RunResult> {
         const reason = this.refusal(params);
         if (reason !== undefined) {
             this.context.logger.log("debug", "request.refused", { request: params.requestId, reason });
-            return { kind: "refused", reason };
+            return { inFlight: this.running, outcome: { kind: "refused", reason } };
         }
         this.remember(params.attemptId);
         this.running += 1;
         try {
-            return await this.execute(params, entryId);
+            const outcome = await this.execute(params, entryInstanceId);
+            return { inFlight: this.running - 1, outcome };
         }
         finally {
             this.running -= 1;
@@ -71,7 +73,7 @@
         return this.context.records.isFull ? "tooManyRecords" : undefined;
     }
 
-    private async execute(params: RunParams, entryId: string): Promise<RunResult> {
+    private async execute(params: RunParams, entryInstanceId: string): Promise<RunOutcome> {
         const { requestId, attemptId, team, service, body } = params;
         if (params.length !== Buffer.byteLength(body) || params.digest !== digestOf(body)) {
             return { kind: "failed", ran: "no", detail: "The body of the request arrived damaged." };
@@ -89,7 +91,7 @@
         if (answer.isErr) {
             return { kind: "failed", ran: "unknown", detail: answer.error.detail };
         }
-        this.context.records.add(this.recordOf(params, "finished"), entryId);
+        this.context.records.add(this.recordOf(params, "finished"), entryInstanceId);
         const text = answer.value;
         return { kind: "answered", requestId, answer: text, length: Buffer.byteLength(text), digest: digestOf(text) };
     }
--- a/packages/entry/src/directRequests.ts
+++ b/packages/entry/src/directRequests.ts
@@ -236,6 +236,10 @@
         const sentAt = clock.now();
         const attemptId = `${routed.requestId}.${randomUUID().slice(0, 8)}`;
         const answer = await this.send(service, executor, waiting, routed, attemptId);
+        if (answer.isOk) {
+            const { inFlight } = answer.value;
+            service.router.report(vmId, { inFlight, connections: inFlight, at: clock.now() });
+        }
         const judged = judge(answer, routed.requestId);
         const verdict = service.router.attemptEnded(routed, vmId, judged.outcome, sentAt, clock.now());
         if (judged.outcome !== "answered") {
@@ -304,7 +308,7 @@
             ? { outcome: "busy", ran: "no", detail: answer.error.detail }
             : { outcome: "unknown", ran: "unknown", detail: answer.error.detail };
     }
-    const result = answer.value;
+    const result = answer.value.outcome;
     switch (result.kind) {
         case "refused":
             return {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { BurnRecorder } from "@persimmonpitch/burn/burnRecorder.js";
 import { DEFAULT_OBJECTIVES } from "@persimmonpitch/burn/objective.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
@@ -99,6 +100,7 @@
         this.recorder = new HistoryBatcher({ table, clock, logger });
         this.inner = {
             ...common,
+            instanceId: randomUUID(),
             registry: this.registry,
             granter,
             config: this.config,
--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -21,6 +21,7 @@
 /** What the tasks of inbound connections share. */
 export interface InnerServerContext {
     readonly entryId: string;
+    readonly instanceId: string;
     readonly region: string;
     readonly clock: Clock;
     readonly logger: Logger;
@@ -71,6 +72,7 @@
                 logger.log("info", "agent.connected", { vm: identity.vmId, instance: identity.instanceId });
                 return Promise.resolve({
                     entryId: context.entryId,
+                    entryInstanceId: context.instanceId,
                     heartbeatMs: identity.kind === "worker" ? WORKER_HEARTBEAT_MS : EXECUTOR_HEARTBEAT_MS,
                     limits: limitsOf(context.config.configuration),
                     grant: context.granter.grant(context.config.version),
--- a/packages/history/src/invariants.ts
+++ b/packages/history/src/invariants.ts
@@ -1,6 +1,7 @@
 import type { Finding } from "@persimmonpitch/findings/finding.js";
 import { findingOf } from "@persimmonpitch/findings/finding.js";
 import type { MessageData, MessageTable } from "@persimmonpitch/findings/messageTable.js";
+import { countResumed } from "./countResumed.js";
 import { deviceOverlaps } from "./deviceIntervals.js";
 import { longestPartialSpan } from "./partialGang.js";
 import type { EvidenceIndex, KeyGroup, RunEvidence, Subject, ToldAnswer } from "./runEvidence.js";
@@ -115,7 +116,7 @@
     const attempts = new Set(taskRuns.map(run => run.attemptId)).size;
     const members = new Set(taskRuns.map(run => `${run.vmId}/${run.attemptId}`)).size;
     const repeated = taskRuns.length - members;
-    return attempts + repeated + requestRuns.length;
+    return attempts - countResumed(taskRuns) + repeated + requestRuns.length;
 };
 
 /** I5: what is not idempotent starts at most once under its request key. */
--- a/packages/platform/src/runRecord.ts
+++ b/packages/platform/src/runRecord.ts
@@ -10,6 +10,9 @@
     endedAt: z.number().optional(),
     state: z.enum(["running", "stopped", "finished", "failed"]),
     result: z.string().optional(),
+    /** Checkpoint from which the task went on, and the one that it wrote when it was stopped. */
+    resumedFrom: z.string().optional(),
+    checkpoint: z.string().optional(),
 });
 export type TaskRun = z.infer<typeof taskRunSchema>;
 
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -64,6 +64,8 @@
         }),
         result: z.object({
             entryId: identifierSchema,
+            /** New at each start of the entry: one that starts again has lost the records that it had not written. */
+            entryInstanceId: identifierSchema,
             heartbeatMs: millisSchema.positive(),
             limits: executorLimitsSchema,
             grant: leaseGrantSchema,
@@ -94,17 +96,21 @@
             digest: digestSchema,
             timeLeftMs: millisSchema,
         }),
-        result: z.discriminatedUnion("kind", [
-            z.object({
-                kind: z.literal("answered"),
-                requestId: identifierSchema,
-                answer: z.string(),
-                length: z.number().int().nonnegative(),
-                digest: digestSchema,
-            }),
-            z.object({ kind: z.literal("refused"), reason: requestRefusalSchema }),
-            z.object({ kind: z.literal("failed"), ran: ranSchema, detail: z.string() }),
-        ]),
+        result: z.object({
+            /** Requests in progress on the executor, so that entries learn of its load with each answer. */
+            inFlight: z.number().int().nonnegative(),
+            outcome: z.discriminatedUnion("kind", [
+                z.object({
+                    kind: z.literal("answered"),
+                    requestId: identifierSchema,
+                    answer: z.string(),
+                    length: z.number().int().nonnegative(),
+                    digest: digestSchema,
+                }),
+                z.object({ kind: z.literal("refused"), reason: requestRefusalSchema }),
+                z.object({ kind: z.literal("failed"), ran: ranSchema, detail: z.string() }),
+            ]),
+        }),
     },
     /** Names requests whose records are durable, so that the agent drops its copies. */
     "request.recorded": {
--- a/packages/settings/src/runBinary.ts
+++ b/packages/settings/src/runBinary.ts
@@ -21,18 +21,19 @@
         process.exitCode = EXIT_CODES.usage;
         return;
     }
+    // The signals are awaited before the start, so that one that comes during the start is not lost.
+    const stopped = new Promise<void>(resolve => {
+        process.once("SIGTERM", resolve);
+        process.once("SIGINT", resolve);
+    });
     try {
         const running = await start(settings.value);
-        const stop = () => {
-            void running.shutdown().then(() => {
-                process.exit(EXIT_CODES.success);
-            });
-        };
-        process.once("SIGTERM", stop);
-        process.once("SIGINT", stop);
+        await stopped;
+        await running.shutdown();
+        process.exit(EXIT_CODES.success);
     }
     catch (err) {
         process.stderr.write(`${err instanceof Error ? err.message : String(err)}\n`);
-        process.exitCode = EXIT_CODES.failure;
+        process.exit(EXIT_CODES.failure);
     }
 };
--- a/packages/standins/src/memoryWorker.ts
+++ b/packages/standins/src/memoryWorker.ts
@@ -193,6 +193,7 @@
             devices: [...devices],
             startedAt: now,
             state: "running",
+            ...(start.checkpoint === undefined ? {} : { resumedFrom: start.checkpoint }),
         };
         const running: RunningTask = {
             task: { attemptId, jobId, devices: [...devices], state: "running", progress: 0 },
@@ -233,6 +234,9 @@
         if (task.result !== undefined) {
             run.result = task.result;
         }
+        if (task.checkpoint !== undefined) {
+            run.checkpoint = task.checkpoint;
+        }
         this.forgetOldTasks();
     }
 
