--- a/packages/bench/src/replayCluster.ts
+++ b/packages/bench/src/replayCluster.ts
@@ -61,7 +61,9 @@
     /** Takes the room of a whole gang, or throws. */
     take(jobId: string, members: readonly GangMember[], shape: GangShape): void {
         if (members.length !== shape.vms || new Set(members.map(({ vmId }) => vmId)).size !== shape.vms) {
-            throw new ReplayError(`job ${jobId} was started with ${members.length} of ${shape.vms} members on own VMs`);
+            throw new ReplayError(
+                `job ${jobId} was started on ${members.length} VMs, not all different, or not the ${shape.vms} it needs`,
+            );
         }
         this.checkAdjacency(jobId, members, shape);
         for (const { vmId, accelerators } of members) {
