--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,3 @@
-import { randomUUID } from "node:crypto";
 import { BurnRecorder } from "@persimmonpitch/burn/burnRecorder.js";
 import { DEFAULT_OBJECTIVES } from "@persimmonpitch/burn/objective.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
@@ -10,6 +9,7 @@
 import { SchedulingRole } from "@persimmonpitch/scheduler/schedulingRole.js";
 import type { Configuration } from "@persimmonpitch/schema/configuration.js";
 import type { FastifyInstance } from "fastify";
+import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
 import { AgentRegistry } from "./agentRegistry.js";
 import type { ApiContext } from "./apiContext.js";
--- a/packages/verification/src/workload.ts
+++ b/packages/verification/src/workload.ts
@@ -1,11 +1,11 @@
+import { historyRowSchema } from "@persimmonpitch/history/historyRow.js";
 import type { RunEvidence, ToldAnswer } from "@persimmonpitch/history/runEvidence.js";
+import { directAnswerSchema } from "@persimmonpitch/schema/apiAnswers.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import { historyRecordSchema } from "@persimmonpitch/schema/historyRecord.js";
 import type { JobRecord, Ran } from "@persimmonpitch/schema/job.js";
 import { isTerminal, jobRecordSchema } from "@persimmonpitch/schema/job.js";
 import { problemSchema } from "@persimmonpitch/schema/problem.js";
-import { directAnswerSchema } from "@persimmonpitch/schema/apiAnswers.js";
-import { historyRowSchema } from "@persimmonpitch/history/historyRow.js";
 import type { HttpReply, InProcessDeployment } from "./inProcessDeployment.js";
 import { SERVICE, TOKENS } from "./smallBody.js";
 
@@ -21,7 +21,13 @@
     readonly checkpointable: boolean;
 }
 
-const job = (key: string, team: TeamName, gang: readonly [number, number], runMs: number, traits: string): JobShape => ({
+const job = (
+    key: string,
+    team: TeamName,
+    gang: readonly [number, number],
+    runMs: number,
+    traits: string,
+): JobShape => ({
     key,
     team,
     vms: gang[0],
@@ -71,7 +77,12 @@
             });
             this.submitted.push({ shape, reply });
             if (reply.status !== 202) {
-                this.told.push({ team: shape.team, requestKey: shape.key, ran: ranOf(reply), idempotent: shape.idempotent });
+                this.told.push({
+                    team: shape.team,
+                    requestKey: shape.key,
+                    ran: ranOf(reply),
+                    idempotent: shape.idempotent,
+                });
             }
         }
     }
@@ -98,7 +109,14 @@
             const answer = directAnswerSchema.safeParse(reply.body);
             this.told.push(
                 answer.success
-                    ? { team: "beta", requestKey, idempotent, ran: "yes", answer: answer.data.body, subjectId: answer.data.requestId }
+                    ? {
+                        team: "beta",
+                        requestKey,
+                        idempotent,
+                        ran: "yes",
+                        answer: answer.data.body,
+                        subjectId: answer.data.requestId,
+                    }
                     : { team: "beta", requestKey, idempotent, ran: ranOf(reply) },
             );
         }
@@ -118,7 +136,10 @@
     /** Waits until every accepted job has ended and every record is durable. */
     async finish(limitMs: number): Promise<void> {
         const { deployment } = this;
-        await deployment.runUntil(() => this.jobs().every(({ state }) => isTerminal(state)) ? true : undefined, limitMs);
+        await deployment.runUntil(
+            () => this.jobs().every(({ state }) => isTerminal(state)) ? true : undefined,
+            limitMs,
+        );
         await deployment.clock.advance(10_000);
     }
 
@@ -143,7 +164,13 @@
         const fromJobs = jobs.flatMap(({ jobId, spec, outcome }): ToldAnswer[] =>
             outcome === undefined
                 ? []
-                : [{ team: spec.team, requestKey: spec.requestKey, ran: outcome.ran, subjectId: jobId, idempotent: spec.idempotent }]
+                : [{
+                    team: spec.team,
+                    requestKey: spec.requestKey,
+                    ran: outcome.ran,
+                    subjectId: jobId,
+                    idempotent: spec.idempotent,
+                }]
         );
         return {
             history: this.history(),
