fix(placement): bound the wait of a large gang

Cause: plans ranked VMs by estimated end of work. When an estimate changed, the plan moved to other VMs, and work that cannot be stopped had started on those meanwhile. A gang without room also kept the next one from a plan. Change: plans of the first large gang rank VMs by the start of the newest work that cannot be stopped, which keeps the same VMs; a gang without room does not count as the first. A property test bounds the wait. In it, work in the way starts one pass before the rest: a trace showed a tie in start time that passes 50 ms apart cannot produce.

--- a/packages/placement/src/ordinaryWork.ts
+++ b/packages/placement/src/ordinaryWork.ts
@@ -29,6 +29,8 @@
     /** Needs that found no VMs earlier in the pass; free resources only shrink from then on. */
     readonly #failed = new Set<string>();
     #plansLeft = MAX_PLANS;
+    #largeGangPlansLeft = MAX_PLANS;
+    /** A large gang that bound cells leave no room for does not count; it would keep the next one waiting. */
     #largeGangSeen = false;
 
     constructor(context: PassContext) {
@@ -106,18 +108,19 @@
     /** Stops work for the job, or reserves VMs for it; false when it only waits. */
     #makeRoom(job: QueuedJob): boolean {
         const { options } = this.#context;
-        const isFirstLargeGang = !this.#largeGangSeen && isLargeGang(job.spec);
-        this.#largeGangSeen ||= isFirstLargeGang;
+        const isFirstLargeGang = !this.#largeGangSeen && this.#largeGangPlansLeft > 0 && isLargeGang(job.spec);
         const mayStop = preemptionRight(this.#context, job, isFirstLargeGang);
         const reserves = options.reservation && (this.#reservations.length === 0 || isFirstLargeGang);
         if ((mayStop === undefined && !reserves) || (this.#plansLeft === 0 && !isFirstLargeGang)) {
             return false;
         }
-        this.#plansLeft -= this.#plansLeft > 0 ? 1 : 0;
-        const plan = planReservation(this.#context, job, mayStop, !reserves);
+        this.#largeGangPlansLeft -= isFirstLargeGang ? 1 : 0;
+        this.#plansLeft -= isFirstLargeGang ? 0 : 1;
+        const plan = planReservation(this.#context, job, mayStop, isFirstLargeGang, !reserves);
         if (plan === undefined) {
             return false;
         }
+        this.#largeGangSeen ||= isFirstLargeGang;
         if (this.#stopNow(job, plan, mayStop ?? mayStopNothing)) {
             return true;
         }
--- a/packages/placement/src/reservationPlan.ts
+++ b/packages/placement/src/reservationPlan.ts
@@ -19,6 +19,11 @@
 /** When a VM has room for the job, and the work lost by it. */
 interface VmForecast {
     readonly vm: VmState;
+    /**
+     * Start of the newest work that cannot be stopped on the VM; 0 where the wait is not bounded. None starts on
+     * reserved VMs, so choosing by it keeps the same VMs from pass to pass even when estimates change.
+     */
+    readonly blockedSince: number;
     readonly readyAt: number;
     readonly lost: number;
 }
@@ -28,6 +33,7 @@
     readonly need: Amount;
     readonly stoppable: boolean;
     readonly mayStop: MayStop | undefined;
+    readonly isWaitBounded: boolean;
     /** Leaves out VMs on which work that cannot be stopped has to end first. */
     readonly onlyByStopping: boolean;
 }
@@ -87,6 +93,9 @@
     return undefined;
 };
 
+const newestUnstoppable = ({ placed }: VmState): number =>
+    placed.reduce((newest, { job, stoppable }) => stoppable ? newest : Math.max(newest, job.startedAt), 0);
+
 const forecast = (vm: VmState, forecaster: Forecaster): VmForecast | undefined => {
     const { context: { view }, need, stoppable, mayStop, onlyByStopping } = forecaster;
     const unbound = unboundRoom(vm);
@@ -95,12 +104,12 @@
     }
     const isFree = covers(vm.node.available, need) && (stoppable || covers(unbound, need));
     if (isFree) {
-        return { vm, readyAt: view.now, lost: 0 };
+        return { vm, blockedSince: 0, readyAt: view.now, lost: 0 };
     }
     const afterGrace = view.now + view.rules.preemptionGraceMs;
     const room = new FutureRoom(vm, unbound, forecaster);
     if (room.isEnough()) {
-        return { vm, readyAt: afterGrace, lost: 0 };
+        return { vm, blockedSince: 0, readyAt: afterGrace, lost: 0 };
     }
     let lost = 0;
     for (const placed of vm.placed) {
@@ -110,14 +119,19 @@
         }
     }
     if (room.isEnough()) {
-        return { vm, readyAt: afterGrace, lost };
+        return { vm, blockedSince: 0, readyAt: afterGrace, lost };
     }
     const endsAt = onlyByStopping ? undefined : forecastEnd(vm, room, forecaster);
-    return endsAt === undefined ? undefined : { vm, readyAt: Math.max(endsAt, afterGrace), lost };
+    return endsAt === undefined ? undefined : {
+        vm,
+        blockedSince: forecaster.isWaitBounded ? newestUnstoppable(vm) : 0,
+        readyAt: Math.max(endsAt, afterGrace),
+        lost,
+    };
 };
 
 const compareForecasts = (left: VmForecast, right: VmForecast): number =>
-    left.readyAt - right.readyAt || left.lost - right.lost
+    left.blockedSince - right.blockedSince || left.readyAt - right.readyAt || left.lost - right.lost
     || left.vm.node.available.accelerators - right.vm.node.available.accelerators;
 
 type GroupOf = (vm: VmState) => unknown;
@@ -130,6 +144,7 @@
 };
 
 interface GroupPlan extends ReservationPlan {
+    readonly blockedSince: number;
     readonly lost: number;
 }
 
@@ -149,13 +164,14 @@
     const chosen = earliestOf(group, count);
     return chosen.length < count ? undefined : {
         vms: chosen.map(({ vm }) => vm),
+        blockedSince: chosen.reduce((newest, { blockedSince }) => Math.max(newest, blockedSince), 0),
         readyAt: chosen.reduce((latest, { readyAt }) => Math.max(latest, readyAt), 0),
         lost: chosen.reduce((sum, { lost }) => sum + lost, 0),
     };
 };
 
 const comparePlans = (left: GroupPlan, right: GroupPlan): number =>
-    left.readyAt - right.readyAt || left.lost - right.lost;
+    left.blockedSince - right.blockedSince || left.readyAt - right.readyAt || left.lost - right.lost;
 
 /**
  * Finds the VMs that can be free for the job earliest; undefined when bound cells leave it no room at all. With
@@ -165,10 +181,12 @@
     context: PassContext,
     job: QueuedJob,
     mayStop: MayStop | undefined,
+    isWaitBounded: boolean,
     onlyByStopping: boolean,
 ): ReservationPlan | undefined => {
     const { gang } = job.spec;
-    const forecaster = { context, need: needOf(gang), stoppable: isStoppable(job.spec), mayStop, onlyByStopping };
+    const stoppable = isStoppable(job.spec);
+    const forecaster = { context, need: needOf(gang), stoppable, mayStop, isWaitBounded, onlyByStopping };
     const groupOf = GROUPS[gang.vms === 1 ? "any" : gang.adjacency];
     const groups = new Map<unknown, ForecastGroup>();
     for (const vm of context.cluster.vms) {
