perf(placement): judge single-VM jobs by the largest VM sizes

Cause: the check for jobs that can never fit built an index in each pass. Change: a gang of one VM is compared with the VM sizes that no other exceeds.

--- a/packages/placement/src/refusals.ts
+++ b/packages/placement/src/refusals.ts
@@ -1,5 +1,5 @@
-import { needOf } from "./amount.js";
-import type { ClusterView, QueuedJob } from "./clusterView.js";
+import { covers, needOf } from "./amount.js";
+import type { ClusterView, QueuedJob, VmView } from "./clusterView.js";
 import { FitIndex } from "./fitIndex.js";
 import { fitGang } from "./gangFit.js";
 import { isWithinGuarantee } from "./guaranteedWork.js";
@@ -12,13 +12,24 @@
 export class InventoryFit {
     readonly #view: ClusterView;
     readonly #known = new Map<string, boolean>();
+    /** VMs that no earlier one exceeds; enough to judge a gang of one VM without an index. */
+    readonly #sizes: VmView[] = [];
     #index: FitIndex | undefined;
 
     constructor(view: ClusterView) {
         this.#view = view;
+        for (const vm of view.vms) {
+            if (!this.#sizes.some(size => covers(size, vm))) {
+                this.#sizes.push(vm);
+            }
+        }
     }
 
     isPossible({ spec: { gang } }: QueuedJob): boolean {
+        if (gang.vms === 1) {
+            const need = needOf(gang);
+            return this.#sizes.some(size => covers(size, need));
+        }
         const key = shapeKey(gang);
         const known = this.#known.get(key);
         if (known !== undefined) {
