--- a/packages/cli/src/cliMessages.ts
+++ b/packages/cli/src/cliMessages.ts
@@ -16,6 +16,7 @@
     | "notAvailable"
     | "fileNotWritten"
     | "fileNotRead"
+    | "wrongDeploymentKey"
     | "incompleteAnswer"
     | "answerOfAnother";
 
@@ -33,6 +34,7 @@
     notAvailable: "This build does not contain the function behind the command \"{name}\".",
     fileNotWritten: "The file cannot be written: {detail}.",
     fileNotRead: "The file cannot be read: {detail}.",
+    wrongDeploymentKey: "A deployment key is 64 lower-case hexadecimal digits.",
     incompleteAnswer: "The answer is not complete: its body does not match its length and digest.",
     answerOfAnother: "The answer belongs to the request key \"{actual}\", not to \"{expected}\".",
 };
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -8,6 +8,7 @@
 import { history } from "./commands/history.js";
 import { job } from "./commands/job.js";
 import { load } from "./commands/load.js";
+import { processKey } from "./commands/processKey.js";
 import { request } from "./commands/request.js";
 import { show } from "./commands/show.js";
 import { status } from "./commands/status.js";
@@ -26,6 +27,7 @@
     | "cancel"
     | "export"
     | "verify"
+    | "process-key"
     | "burn"
     | "submit"
     | "job"
@@ -44,6 +46,7 @@
     cancel,
     export: exportHistory,
     verify,
+    "process-key": processKey,
     burn,
     submit,
     job,
