--- a/tap-snapshots/packages/cli/dist/tests/runCli.test.js.test.cjs
+++ b/tap-snapshots/packages/cli/dist/tests/runCli.test.js.test.cjs
@@ -358,21 +358,22 @@
 persimmonpitch COMMAND [ARGUMENTS] [OPTIONS]
 
 Commands:
-  check FILE              checks an inventory file and reports every finding
-  diff FILE [OLDER_FILE]  compares a file with the configuration in force, or with an older file
-  load FILE               loads an inventory file if no other load came first
-  show                    shows the configuration in force
-  history                 lists the versions of the configuration
-  status                  shows VMs, teams, jobs with reasons, and unmet guarantees
-  drain VM                gives a VM no new work
-  cancel JOB              cancels a job
-  export                  writes a team's whole history to a file
-  verify FILE             checks an exported history
-  burn                    shows objectives, error budgets and burn rates
-  submit FILE             submits the job of a TOML file
-  job JOB                 shows a job of the own team
-  wait JOB                waits until a job of the own team has ended
-  request SERVICE FILE    sends the direct request of a TOML file and prints the answer
+  check FILE               checks an inventory file and reports every finding
+  diff FILE [OLDER_FILE]   compares a file with the configuration in force, or with an older file
+  load FILE                loads an inventory file if no other load came first
+  show                     shows the configuration in force
+  history                  lists the versions of the configuration
+  status                   shows VMs, teams, jobs with reasons, and unmet guarantees
+  drain VM                 gives a VM no new work
+  cancel JOB               cancels a job
+  export                   writes a team's whole history to a file
+  verify FILE              checks an exported history
+  process-key VM KEY_FILE  derives the key of one process from the file with the deployment key
+  burn                     shows objectives, error budgets and burn rates
+  submit FILE              submits the job of a TOML file
+  job JOB                  shows a job of the own team
+  wait JOB                 waits until a job of the own team has ended
+  request SERVICE FILE     sends the direct request of a TOML file and prints the answer
 
 Options:
   --settings FILE   settings in TOML: entries, token
