feat(scheduler): watch the invariants while running, and start nothing without a claim

Cause: breaches could only be found after a run. A cancellation could call a running idempotent job not run, between the return of the table and its late claim. A stop order that was lost with its connection was never repeated. A non-idempotent job whose gang never started was refused by a new holder. Change: a monitor counts breaches by invariant and logs each, and the status shows the counts; claims are never deferred; stop orders are repeated every 5 s; an attempt that never started does not count. Ruled out: answering cancellations of waiting jobs with unknown, which would be true but useless to most callers. Conclusion: a started job always has its claim.

--- a/packages/entry/src/apiContext.ts
+++ b/packages/entry/src/apiContext.ts
@@ -1,6 +1,7 @@
 import type { BurnRecorder } from "@persimmonpitch/burn/burnRecorder.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { HistoryBatcher } from "@persimmonpitch/history/historyBatcher.js";
+import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Table } from "@persimmonpitch/platform/table.js";
 import type { JobStore } from "@persimmonpitch/scheduler/jobStore.js";
@@ -22,6 +23,7 @@
     readonly region: string;
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly monitor: InvariantMonitor;
     readonly table: Table;
     readonly store: JobStore;
     readonly role: SchedulingRole;
--- a/packages/entry/src/configWatch.ts
+++ b/packages/entry/src/configWatch.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Table, TableError } from "@persimmonpitch/platform/table.js";
 import { rowKeys } from "@persimmonpitch/scheduler/rowKeys.js";
@@ -24,6 +25,7 @@
         private readonly table: Table,
         private readonly clock: Clock,
         private readonly logger: Logger,
+        private readonly monitor: InvariantMonitor,
     ) {}
 
     get configuration(): Configuration | undefined {
@@ -99,8 +101,17 @@
         return Result.err({ kind: "storeUnavailable", error: written.error });
     }
 
+    /** An older row is a stale read and is ignored; another content of the same version would be a breach. */
+    private checkRevert({ version, loadedAt, loadedBy }: Configuration): void {
+        const { current } = this;
+        if (current?.version === version && (current.loadedAt !== loadedAt || current.loadedBy !== loadedBy)) {
+            this.monitor.report("I8", { version, loadedBy });
+        }
+    }
+
     private apply(configuration: Configuration): void {
         if (configuration.version <= this.version) {
+            this.checkRevert(configuration);
             return;
         }
         this.current = configuration;
--- a/packages/entry/src/directRequests.ts
+++ b/packages/entry/src/directRequests.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { EntryToAgentMethods, RequestRefusal } from "@persimmonpitch/protocol/agentMessages.js";
 import type { CallError } from "@persimmonpitch/protocol/connection.js";
@@ -50,6 +51,7 @@
 export interface DirectRequestsContext {
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly monitor: InvariantMonitor;
     readonly dataCentre: string;
     readonly slots: () => number;
     readonly connections: () => number;
@@ -68,6 +70,10 @@
     readonly router: ServiceRouter;
     readonly executors: Map<string, ConnectedExecutor>;
     readonly waiting: Map<string, Waiting>;
+    /** Requests whose callers were told that they were not run; the newest only. */
+    readonly toldNotRun: Set<string>;
+    /** When executors announced that they leave. */
+    readonly leavingSince: Map<string, Millis>;
     readonly wake: WakeSignal;
 }
 
@@ -78,6 +84,12 @@
 /** The answer of an executor may take this much longer than its deadline to cross the network. */
 const ANSWER_MARGIN_MS: Millis = 500;
 
+/** A leaving executor gets no new work after this time. */
+const LEAVING_LIMIT_MS: Millis = 3_000;
+
+/** Requests remembered as not run, to notice an answer that says otherwise. */
+const MAX_TOLD_NOT_RUN = 10_000;
+
 const REFUSAL_OUTCOMES: Readonly<Record<RequestRefusal, AttemptOutcome>> = {
     busy: "busy",
     leaving: "leaving",
@@ -114,6 +126,7 @@
         const now = this.context.clock.now();
         service.router.report(vmId, { inFlight: load.inFlight, connections: load.inFlight, at: now });
         if (load.leaving) {
+            service.leavingSince.set(vmId, service.leavingSince.get(vmId) ?? now);
             service.router.setState(vmId, "leaving", now);
         }
         service.wake.wake();
@@ -122,6 +135,7 @@
     removeExecutor(serviceName: string, vmId: string): void {
         const service = this.service(serviceName);
         service.executors.delete(vmId);
+        service.leavingSince.delete(vmId);
         service.router.setState(vmId, "lost", this.context.clock.now());
         service.wake.wake();
     }
@@ -176,6 +190,8 @@
             router: new ServiceRouter(name, this.context.dataCentre, this.context.clock.now()),
             executors: new Map(),
             waiting: new Map(),
+            toldNotRun: new Set(),
+            leavingSince: new Map(),
             wake: new WakeSignal(),
         };
         this.services.set(name, service);
@@ -220,6 +236,13 @@
     }
 
     private finish(service: Service, requestId: string, outcome: DirectOutcome): void {
+        if (outcome.kind === "refused" && outcome.ran === "no") {
+            service.toldNotRun.add(requestId);
+            const [oldest] = service.toldNotRun;
+            if (service.toldNotRun.size > MAX_TOLD_NOT_RUN) {
+                service.toldNotRun.delete(oldest ?? requestId);
+            }
+        }
         service.waiting.get(requestId)?.finish(outcome);
         service.waiting.delete(requestId);
     }
@@ -241,6 +264,7 @@
             service.router.report(vmId, { inFlight, connections: inFlight, at: clock.now() });
         }
         const judged = judge(answer, routed.requestId);
+        this.checkAttempt(service, routed, vmId, judged);
         const verdict = service.router.attemptEnded(routed, vmId, judged.outcome, sentAt, clock.now());
         if (judged.outcome !== "answered") {
             logger.log("info", "request.attemptFailed", {
@@ -271,6 +295,22 @@
         service.wake.wake();
     }
 
+    /** Checks what an attempt shows about the invariants. */
+    private checkAttempt(service: Service, routed: RoutedRequest, vmId: string, judged: Judgement): void {
+        const { monitor, clock } = this.context;
+        const fields = { request: routed.requestId, vm: vmId };
+        if (judged.isDamaged) {
+            monitor.report("I3", fields);
+        }
+        if (!service.waiting.has(routed.requestId) && judged.ran !== "no" && service.toldNotRun.has(routed.requestId)) {
+            monitor.report("I4", fields);
+        }
+        const leavingSince = service.leavingSince.get(vmId);
+        if (judged.isLeavingRefusal && leavingSince !== undefined && clock.now() - leavingSince > LEAVING_LIMIT_MS) {
+            monitor.report("I6", fields);
+        }
+    }
+
     private send(
         service: Service,
         { link }: ConnectedExecutor,
@@ -298,6 +338,9 @@
     readonly outcome: AttemptOutcome;
     readonly ran: Ran;
     readonly detail: string;
+    /** The answer arrived, but is not whole or belongs to another request. */
+    readonly isDamaged?: boolean;
+    readonly isLeavingRefusal?: boolean;
     readonly answer?: { readonly text: string; readonly length: number; readonly digest: string; };
 }
 
@@ -326,7 +369,12 @@
                 && digest === digestOf(text);
             return isWhole
                 ? { outcome: "answered", ran: "yes", detail: "", answer: { text, length, digest } }
-                : { outcome: "unknown", ran: "yes", detail: "The answer is damaged or belongs to another request." };
+                : {
+                    outcome: "unknown",
+                    ran: "yes",
+                    detail: "The answer is damaged or belongs to another request.",
+                    isDamaged: true,
+                };
         }
         default:
             return result satisfies never;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,6 +2,7 @@
 import { DEFAULT_OBJECTIVES } from "@persimmonpitch/burn/objective.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { HistoryBatcher } from "@persimmonpitch/history/historyBatcher.js";
+import { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Table } from "@persimmonpitch/platform/table.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
@@ -53,14 +54,16 @@
     private readonly waiters: JobWaiters;
     private readonly stopController = new AbortController();
     private readonly inbound = new Set<Link>();
+    private readonly monitor: InvariantMonitor;
     private isShuttingDown = false;
 
     constructor(private readonly options: EntryOptions) {
         const { settings, clock, logger, table } = options;
         const { id: entryId, region, dataCentre } = settings;
-        const common = { entryId, region, clock, logger };
+        this.monitor = new InvariantMonitor(logger);
+        const common = { entryId, region, clock, logger, monitor: this.monitor };
         const { signal } = this.stopController;
-        this.config = new ConfigWatch(table, clock, logger);
+        this.config = new ConfigWatch(table, clock, logger, this.monitor);
         this.registry = new AgentRegistry(clock, async (peerId, agent, method, params, timeoutMs) => {
             const answer = await this.peers.link(peerId)?.call(
                 "peer.order",
@@ -92,6 +95,7 @@
         this.direct = new DirectRequests({
             clock,
             logger,
+            monitor: this.monitor,
             dataCentre,
             slots: () => this.config.configuration?.body.rules.slotsPerExecutor ?? 1,
             connections: () => this.config.configuration?.body.rules.connectionsPerExecutor ?? 1,
@@ -156,6 +160,9 @@
             await clock.sleep(DRAIN_POLL_MS);
         }
         await this.http.close();
+        if (this.direct.active > 0) {
+            this.monitor.report("I7", { active: this.direct.active });
+        }
         await this.recorder.drain();
         this.kill();
     }
--- a/packages/entry/src/statusReport.ts
+++ b/packages/entry/src/statusReport.ts
@@ -68,5 +68,6 @@
             return { jobId, team: spec.team, state, ...explanation };
         }),
         unmetGuarantees: explained.unmetGuarantees,
+        breaches: { ...context.monitor.counts },
     };
 };
--- a/packages/scheduler/src/attempt.ts
+++ b/packages/scheduler/src/attempt.ts
@@ -20,6 +20,9 @@
 /** Interval at which a running attempt looks for members whose lease has lapsed. */
 const LOSS_CHECK_MS: Millis = 1_000;
 
+/** Interval at which members that still run are told again to stop. */
+const STOP_RETRY_MS: Millis = 5_000;
+
 /** A job whose gang could not start is not tried again at once, so that a faulty VM causes no busy loop. */
 const RETRY_DELAY_MS: Millis = 500;
 
@@ -86,20 +89,15 @@
     neverStarted: ReadonlySet<string> = NOBODY,
 ): Promise<void> => {
     const since = context.clock.now();
-    let isStopping = false;
+    const stopper = new MemberStopper(context, job, attempt);
     let views = viewMembers(context, attempt, neverStarted, since);
     while (!context.role.isLost) {
         views = viewMembers(context, attempt, neverStarted, since);
         if (views.every(({ state }) => ENDED[state])) {
             break;
         }
-        const mustStop = job.stopReason !== undefined
-            || views.some(({ state }) => ENDED[state] && state !== "finished");
-        if (mustStop && !isStopping && context.role.mayAct()) {
-            isStopping = true;
-            void stopAll(context, attempt, job.stored.record.spec.checkpointable, graceOf(context)).then(() => {
-                job.wake.wake();
-            });
+        if (job.stopReason !== undefined || views.some(({ state }) => ENDED[state] && state !== "finished")) {
+            stopper.stop(views);
         }
         await job.wake.wait(context.clock, LOSS_CHECK_MS);
     }
@@ -109,6 +107,49 @@
     }
 };
 
+/** Stops the members of an attempt that still run, again and again until the last has ended. */
+class MemberStopper {
+    private firstAt: Millis | undefined;
+    private lastAt = -Infinity;
+    private isReported = false;
+
+    constructor(
+        private readonly context: RoleContext,
+        private readonly job: BookedJob,
+        private readonly attempt: Attempt,
+    ) {}
+
+    stop(views: readonly MemberView[]): void {
+        const { clock, role } = this.context;
+        const now = clock.now();
+        this.firstAt ??= now;
+        this.reportPartialGang(views, now - this.firstAt);
+        // An order can be lost with the connection that carried it, so it is repeated.
+        if (!role.mayAct() || now - this.lastAt < STOP_RETRY_MS) {
+            return;
+        }
+        this.lastAt = now;
+        const running = views.filter(({ state }) => state === "running").map(({ member }) => member);
+        const { checkpointable } = this.job.stored.record.spec;
+        void stopAll(this.context, { ...this.attempt, members: running }, checkpointable, graceOf(this.context))
+            .then(() => {
+                this.job.wake.wake();
+            });
+    }
+
+    private reportPartialGang(views: readonly MemberView[], stoppingMs: Millis): void {
+        const ended = views.filter(({ state }) => ENDED[state] && state !== "finished").length;
+        if (
+            !this.isReported && ended > 0
+            && stoppingMs > AGENT_LEASE_MS * DRIFT_FACTOR + graceOf(this.context) + STOP_RETRY_MS
+        ) {
+            this.isReported = true;
+            const { jobId } = this.job.stored.record;
+            this.context.monitor.report("I2", { job: jobId, ended, members: views.length, stoppingMs });
+        }
+    }
+}
+
 const attemptOf = (context: RoleContext, job: BookedJob, members: readonly GangMember[]): Attempt => {
     const { jobId, attempts } = job.stored.record;
     // The random part keeps apart the ids of two holders, and of two reservations before one claim.
@@ -160,6 +201,11 @@
     if (!context.role.mayAct() || job.stopReason !== undefined) {
         return false;
     }
+    const { spec, attempts, checkpoint, jobId } = job.stored.record;
+    if (!spec.idempotent && attempts > 0 && checkpoint === undefined) {
+        context.monitor.report("I5", { job: jobId, attempts });
+        return false;
+    }
     const claimed = await context.store.claim(job.stored, attempt, epochCheckOf(context));
     if (claimed.isOk) {
         job.stored = claimed.value;
@@ -172,23 +218,7 @@
         await refresh(context, job);
         return job.stored.record.attempt?.attemptId === attempt.attemptId;
     }
-    return startWithoutClaim(context, job, attempt);
-};
-
-/** During a store outage an idempotent job may start; its claim is written with its outcome. */
-const startWithoutClaim = (context: RoleContext, job: BookedJob, attempt: Attempt): boolean => {
-    if (!job.stored.record.spec.idempotent || !context.role.isHeldOver) {
-        return false;
-    }
-    context.logger.log("warn", "claim.deferred", { job: job.stored.record.jobId, attempt: attempt.attemptId });
-    const record = {
-        ...job.stored.record,
-        attempt,
-        state: "running" as const,
-        attempts: job.stored.record.attempts + 1,
-    };
-    job.stored = { ...job.stored, record };
-    return true;
+    return false;
 };
 
 const startAll = async (context: RoleContext, job: BookedJob, attempt: Attempt): Promise<boolean> => {
@@ -351,10 +381,11 @@
     views: readonly MemberView[],
     event: "preempted" | "requeued",
     detail: string,
+    isNotRun = false,
 ): Promise<void> => {
     const checkpoint = views.map(({ task }) => task?.checkpoint).find(found => found !== undefined);
     const failedOn = views.filter(({ state }) => state === "failed").map(({ member }) => member.vmId);
-    const change = { failedOn, ...(checkpoint === undefined ? {} : { checkpoint }) };
+    const change = { failedOn, isNotRun, ...(checkpoint === undefined ? {} : { checkpoint }) };
     const progress = Math.min(...views.map(({ task }) => task?.progress ?? 0));
     await commitUntilSettled(
         context,
@@ -373,7 +404,7 @@
     neverStarted: (context, job, views) =>
         job.stopReason === "cancelled"
             ? end(context, job, "cancelled", { ran: "no", code: "cancelled", detail: "Cancelled before the start." })
-            : requeue(context, job, views, "requeued", "No member of the gang started."),
+            : requeue(context, job, views, "requeued", "No member of the gang started.", true),
     finished: (context, job, views) => {
         const result = views.map(({ task }) => task?.result).find(found => found !== undefined);
         const outcome = {
--- a/packages/scheduler/src/jobStore.ts
+++ b/packages/scheduler/src/jobStore.ts
@@ -112,7 +112,12 @@
     /** Puts a job back into the queue after an attempt that ended without an outcome. */
     requeue(
         job: StoredJob,
-        change: { readonly checkpoint?: string; readonly failedOn?: readonly string[]; },
+        change: {
+            readonly checkpoint?: string;
+            readonly failedOn?: readonly string[];
+            /** Every agent confirmed that the attempt never started, so it does not count. */
+            readonly isNotRun: boolean;
+        },
         event: HistoryEvent,
         detail: string,
         epoch: EpochCheck,
@@ -121,6 +126,7 @@
         const record: JobRecord = {
             ...rest,
             state: "queued",
+            attempts: rest.attempts - (change.isNotRun ? 1 : 0),
             failedOn: [...new Set([...rest.failedOn, ...(change.failedOn ?? [])])],
             ...(change.checkpoint === undefined ? {} : { checkpoint: change.checkpoint }),
         };
--- a/packages/scheduler/src/roleContext.ts
+++ b/packages/scheduler/src/roleContext.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@persimmonpitch/clock/clock.js";
 import type { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { RunTimeLearner } from "@persimmonpitch/placement/runTimeLearner.js";
 import type { WorkerHealth } from "@persimmonpitch/placement/workerHealth.js";
@@ -13,6 +14,7 @@
 export interface RoleContext {
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly monitor: InvariantMonitor;
     readonly region: string;
     readonly gateway: AgentGateway;
     readonly store: JobStore;
--- a/packages/scheduler/src/schedulingRole.ts
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { GuaranteeBinding, VmCondition } from "@persimmonpitch/placement/clusterView.js";
 import type { UnmetGuarantee } from "@persimmonpitch/placement/placementDecisions.js";
@@ -26,6 +27,7 @@
     readonly table: Table;
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly monitor: InvariantMonitor;
     readonly region: string;
     readonly holderId: string;
     readonly gateway: AgentGateway;
@@ -286,7 +288,7 @@
         const known = new Set(this.unmet.map(({ team, name, instance }) => `${team}/${name}/${instance}`));
         for (const { team, name, instance } of unmet) {
             if (!known.has(`${team}/${name}/${instance}`)) {
-                context.logger.log("error", "guarantee.unmet", { team, guarantee: name, instance });
+                context.monitor.report("I1", { team, guarantee: name, instance });
             }
         }
         this.unmet = unmet;
--- a/packages/scheduler/src/settledCommit.ts
+++ b/packages/scheduler/src/settledCommit.ts
@@ -27,11 +27,8 @@
         if (written.error.kind !== "unavailable") {
             const read = await context.store.read(jobId);
             if (read.isOk && read.value !== undefined) {
-                const isDone = isTerminal(read.value.record.state)
-                    || (attempt !== undefined && read.value.record.attempt?.attemptId !== attempt.attemptId
-                        && read.value.record.attempts >= job.stored.record.attempts);
-                job.stored = isDone ? read.value : mergeDeferredClaim(job.stored, read.value);
-                if (isDone) {
+                job.stored = read.value;
+                if (isSettled(read.value, attempt?.attemptId)) {
                     return;
                 }
             }
@@ -41,10 +38,6 @@
     }
 };
 
-/** Keeps an attempt that started during an outage, whose claim is not in the row yet. */
-const mergeDeferredClaim = (known: StoredJob, read: StoredJob): StoredJob => {
-    const { attempt, attempts, state } = known.record;
-    return attempt === undefined || read.record.attempts >= attempts
-        ? read
-        : { ...read, record: { ...read.record, attempt, attempts, state } };
-};
+/** Whether the row shows that the attempt has been concluded. */
+const isSettled = ({ record }: StoredJob, attemptId: string | undefined): boolean =>
+    isTerminal(record.state) || record.attempt?.attemptId !== attemptId;
--- a/packages/schema/src/apiAnswers.ts
+++ b/packages/schema/src/apiAnswers.ts
@@ -73,5 +73,7 @@
         detail: z.string().optional(),
     })),
     unmetGuarantees: z.array(z.object({ team: identifierSchema, name: identifierSchema, instance: countSchema })),
+    /** Breaches of the invariants that this process has noticed since its start, by invariant id. */
+    breaches: z.record(z.string(), countSchema).default({}),
 });
 export type StatusAnswer = z.infer<typeof statusAnswerSchema>;
--- a/packages/schema/src/job.ts
+++ b/packages/schema/src/job.ts
@@ -72,6 +72,7 @@
     spec: jobSpecSchema,
     state: jobStateSchema,
     submittedAt: millisSchema,
+    /** Attempts that ran or may have run. */
     attempts: z.number().int().nonnegative(),
     attempt: attemptSchema.optional(),
     /** Reference to the newest checkpoint, from which a later attempt resumes. */
