feat(agent): make up for a lost configuration push with the next report

Cause: an agent whose push was lost kept old limits until it connected again. Change: reports carry the agent's version, and the answer brings the limits when they are newer; an entry named twice in the settings is refused.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,7 +2,12 @@
 import type { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Executor, Worker } from "@persimmonpitch/platform/worker.js";
-import type { AgentIdentity, AgentReport, EntryToAgentMethods } from "@persimmonpitch/protocol/agentMessages.js";
+import type {
+    AgentIdentity,
+    AgentReport,
+    EntryToAgentMethods,
+    ExecutorLimits,
+} from "@persimmonpitch/protocol/agentMessages.js";
 import type { HandlerTable } from "@persimmonpitch/protocol/method.js";
 import { randomUUID } from "node:crypto";
 import type { AgentSettings } from "./agentSettings.js";
@@ -119,6 +124,7 @@
         return {
             full,
             leaving: this.isLeaving,
+            configVersion: this.configVersion,
             tasks,
             removed: [...changes.removed],
             inFlight: this.requests.inFlight,
@@ -138,19 +144,30 @@
             fullReport: () => this.report(true),
             deltaReport: () => this.report(false),
             configVersion: () => this.configVersion,
-            onConnected: (entryInstanceId, limits, wake) => {
+            onConnected: (entryInstanceId, wake) => {
                 this.connected.set(entryInstanceId, wake);
-                this.requests.setLimits(limits);
             },
             onDisconnected: entryInstanceId => {
                 this.connected.delete(entryInstanceId);
             },
-            onGrant: (grant, sentAt) => {
-                this.lease.accept(grant, sentAt);
+            onGrant: (answer, sentAt) => {
+                this.lease.accept(answer, sentAt);
+                if (answer.limits !== undefined) {
+                    this.applyConfig(answer.configVersion, answer.limits);
+                }
             },
         };
     }
 
+    /** Applies limits; versions only rise. */
+    private applyConfig(version: number, limits: ExecutorLimits): void {
+        if (version > this.configVersion) {
+            this.configVersion = version;
+            this.requests.setLimits(limits);
+            this.options.logger.log("info", "config.applied", { version });
+        }
+    }
+
     private handlers(entryInstanceId: () => string): HandlerTable<EntryToAgentMethods> {
         const orders = createOrderHandlers({
             instanceId: this.instanceId,
@@ -169,11 +186,7 @@
                 return Promise.resolve({});
             },
             "config.changed": ({ version, limits }) => {
-                if (version > this.configVersion) {
-                    this.configVersion = version;
-                    this.requests.setLimits(limits);
-                    this.options.logger.log("info", "config.applied", { version });
-                }
+                this.applyConfig(version, limits);
                 return Promise.resolve({ version: this.configVersion });
             },
         };
--- a/packages/agent/src/entryConnection.ts
+++ b/packages/agent/src/entryConnection.ts
@@ -7,8 +7,7 @@
     AgentReport,
     AgentToEntryMethods,
     EntryToAgentMethods,
-    ExecutorLimits,
-    LeaseGrant,
+    ReportAnswer,
 } from "@persimmonpitch/protocol/agentMessages.js";
 import { agentToEntryMethods, entryToAgentMethods, PROTOCOL_VERSION } from "@persimmonpitch/protocol/agentMessages.js";
 import { Connection } from "@persimmonpitch/protocol/connection.js";
@@ -37,9 +36,9 @@
     /** Changes since the last report on this connection; undefined when there are none. */
     readonly deltaReport: () => AgentReport;
     readonly configVersion: () => number;
-    readonly onConnected: (entryInstanceId: string, limits: ExecutorLimits, wake: WakeSignal) => void;
+    readonly onConnected: (entryInstanceId: string, wake: WakeSignal) => void;
     readonly onDisconnected: (entryInstanceId: string) => void;
-    readonly onGrant: (grant: LeaseGrant, sentAt: Millis) => void;
+    readonly onGrant: (answer: ReportAnswer, sentAt: Millis) => void;
 }
 
 const CALL_TIMEOUT_MS: Millis = 5_000;
@@ -94,10 +93,10 @@
     }, CALL_TIMEOUT_MS);
     if (hello.isOk) {
         entryInstanceId = hello.value.entryInstanceId;
-        context.onGrant(hello.value.grant, sentAt);
+        context.onGrant({ ...hello.value.grant, limits: hello.value.limits }, sentAt);
         logger.log("info", "entry.connected", { entry: address.id });
         const wake = new WakeSignal();
-        context.onConnected(entryInstanceId, hello.value.limits, wake);
+        context.onConnected(entryInstanceId, wake);
         void served.then(() => {
             wake.wake();
         });
--- a/packages/entry/src/agentRegistry.ts
+++ b/packages/entry/src/agentRegistry.ts
@@ -231,6 +231,7 @@
         const report: AgentReport = {
             full: isFull,
             leaving,
+            configVersion: 0,
             inFlight,
             tasks: ids.flatMap(id => tasks.get(id) ?? []),
             removed: isFull ? [] : ids.filter(id => !tasks.has(id)),
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -31,5 +31,14 @@
     /** Service-level objectives; the defaults of the burn report apply without them. */
     objectives: objectivesSchema.optional(),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
+}).superRefine(({ id, peers }, context) => {
+    const known = new Set([id]);
+    peers.forEach((peer, index) => {
+        if (known.has(peer.id)) {
+            const error = `The entry ${peer.id} is named twice.`;
+            context.addIssue({ code: "custom", path: ["peers", index, "id"], message: error });
+        }
+        known.add(peer.id);
+    });
 });
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -84,7 +84,12 @@
                 if (report.orphanedRecords.length > 0) {
                     void confirmOrphans(context, connection, report.orphanedRecords);
                 }
-                return Promise.resolve(context.granter.grant(context.config.version));
+                const grant = context.granter.grant(context.config.version);
+                // A push that was lost is made up for with the next report.
+                const isBehind = report.configVersion < context.config.version;
+                return Promise.resolve(
+                    isBehind ? { ...grant, limits: limitsOf(context.config.configuration) } : grant,
+                );
             },
         },
         onMalformed: detail => {
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -40,10 +40,16 @@
 });
 export type ExecutorLimits = z.infer<typeof executorLimitsSchema>;
 
+/** The answer to a report: the grant, and the limits when the agent does not have the newest ones. */
+export const reportAnswerSchema = leaseGrantSchema.extend({ limits: executorLimitsSchema.optional() });
+export type ReportAnswer = z.infer<typeof reportAnswerSchema>;
+
 /** The state of an agent; a delta holds only the tasks that changed. */
 export const agentReportSchema = z.object({
     full: z.boolean(),
     leaving: z.boolean(),
+    /** The newest version that the agent applies. */
+    configVersion: z.number().int().nonnegative(),
     tasks: z.array(taskReportSchema),
     /** Attempts that the agent no longer knows. */
     removed: z.array(identifierSchema),
@@ -71,7 +77,7 @@
             grant: leaseGrantSchema,
         }),
     },
-    "agent.report": { params: agentReportSchema, result: leaseGrantSchema },
+    "agent.report": { params: agentReportSchema, result: reportAnswerSchema },
 } as const;
 export type AgentToEntryMethods = typeof agentToEntryMethods;
 
--- a/packages/protocol/tests/transport.test.ts
+++ b/packages/protocol/tests/transport.test.ts
@@ -7,7 +7,15 @@
 
 const DEPLOYMENT_KEY = Buffer.alloc(32, 7);
 
-const report = { full: true, leaving: false, tasks: [], removed: [], inFlight: 3, orphanedRecords: [] };
+const report = {
+    full: true,
+    leaving: false,
+    configVersion: 0,
+    tasks: [],
+    removed: [],
+    inFlight: 3,
+    orphanedRecords: [],
+};
 
 // Guards against a process that claims the name of another: only the holder of the derived key gets a connection.
 void t.test("a call crosses an authenticated link, and a wrong key does not", async t => {
