--- a/packages/bench/tests/measures.test.ts
+++ b/packages/bench/tests/measures.test.ts
@@ -1,3 +1,4 @@
+import { inspect } from "node:util";
 import t from "tap";
 import { sampleFragmentation } from "../src/fragmentation.js";
 import { feasibleJobs, meanCompletionBound } from "../src/lowerBound.js";
@@ -10,6 +11,18 @@
 import { gangShape, makeDeployment } from "../src/traceDeployments.js";
 import { makeHandTrace, SECOND_MS } from "./handMadeTrace.js";
 
+const SNAPSHOT_FORMAT = {
+    depth: 10,
+    breakLength: 120,
+    compact: 6,
+    sorted: true,
+    maxArrayLength: Infinity,
+    maxStringLength: Infinity,
+};
+
+// Compact snapshots keep a case on a few lines, so that a change is seen at a glance.
+t.formatSnapshot = value => typeof value === "string" ? value : inspect(value, SNAPSHOT_FORMAT);
+
 const { vms } = makeDeployment("cooperative");
 const size = { cores: 128, memoryMb: 512 * 1_024 };
 
--- a/packages/standins/tests/memoryWorker.test.ts
+++ b/packages/standins/tests/memoryWorker.test.ts
@@ -1,8 +1,21 @@
 import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
 import type { TaskStart } from "@persimmonpitch/platform/worker.js";
+import { inspect } from "node:util";
 import t from "tap";
 import { MemoryWorker } from "../src/memoryWorker.js";
 
+const SNAPSHOT_FORMAT = {
+    depth: 10,
+    breakLength: 120,
+    compact: 6,
+    sorted: true,
+    maxArrayLength: Infinity,
+    maxStringLength: Infinity,
+};
+
+// Compact snapshots keep a case on a few lines, so that a change is seen at a glance.
+t.formatSnapshot = value => typeof value === "string" ? value : inspect(value, SNAPSHOT_FORMAT);
+
 const LEASE_MS = 10_000;
 
 const startOf = (attemptId: string, devices: readonly number[], payload: object, checkpoint?: string): TaskStart => ({
--- a/packages/standins/tests/servers.test.ts
+++ b/packages/standins/tests/servers.test.ts
@@ -3,6 +3,7 @@
 import { HttpExecutor } from "@persimmonpitch/platform/httpExecutor.js";
 import { HttpObjectStore } from "@persimmonpitch/platform/httpObjectStore.js";
 import { HttpWorker } from "@persimmonpitch/platform/httpWorker.js";
+import { inspect } from "node:util";
 import type { Test } from "tap";
 import t from "tap";
 import { startExecutorServer } from "../src/executorServer.js";
@@ -13,6 +14,18 @@
 import type { RunningServer } from "../src/server.js";
 import { startWorkerServer } from "../src/workerServer.js";
 
+const SNAPSHOT_FORMAT = {
+    depth: 10,
+    breakLength: 120,
+    compact: 6,
+    sorted: true,
+    maxArrayLength: Infinity,
+    maxStringLength: Infinity,
+};
+
+// Compact snapshots keep a case on a few lines, so that a change is seen at a glance.
+t.formatSnapshot = value => typeof value === "string" ? value : inspect(value, SNAPSHOT_FORMAT);
+
 const TIMEOUT_MS = 5_000;
 
 interface Closable {
--- a/tap-snapshots/packages/bench/dist/tests/replay.test.js.test.cjs
+++ b/tap-snapshots/packages/bench/dist/tests/replay.test.js.test.cjs
@@ -6,356 +6,356 @@
  */
 'use strict'
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles a job that finishes > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 100.02,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 100020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "a",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
-    },
+{
+  heldSeconds: 100.02,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 100020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'a',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 0,
-  "lostToPreemptionSeconds": 0,
+  lostToFaultsSeconds: 0,
+  lostToPreemptionSeconds: 0
 }
 `
 
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles a job that finishes within the grace > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 200.04,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 100020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "a",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
-    },
-    Object {
-      "acceptedAt": 99000,
-      "endedAt": 199020,
-      "firstRunAt": 99020,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "b",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+{
+  heldSeconds: 200.04,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 100020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'a',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
     },
+    {
+      acceptedAt: 99000,
+      endedAt: 199020,
+      firstRunAt: 99020,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'b',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 0,
-  "lostToPreemptionSeconds": 0,
+  lostToFaultsSeconds: 0,
+  lostToPreemptionSeconds: 0
 }
 `
 
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles a lost VM: checkpoint each 10 min, from the start, and not idempotent > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 5706.04,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 2102020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "a",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": true,
-      "wasUnmet": false,
-    },
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 2702020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "b",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": true,
-      "wasUnmet": false,
+{
+  heldSeconds: 5706.04,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 2102020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'a',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: true,
+      wasUnmet: false
     },
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 902000,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "c",
-      "preemptions": 0,
-      "state": "failed",
-      "wasHitByFault": true,
-      "wasUnmet": false,
+    {
+      acceptedAt: 0,
+      endedAt: 2702020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'b',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: true,
+      wasUnmet: false
     },
+    {
+      acceptedAt: 0,
+      endedAt: 902000,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'c',
+      preemptions: 0,
+      state: 'failed',
+      wasHitByFault: true,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 2106,
-  "lostToPreemptionSeconds": 0,
+  lostToFaultsSeconds: 2106,
+  lostToPreemptionSeconds: 0
 }
 `
 
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles a store outage: idempotent jobs start, others and new ones wait > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 9101.82,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 100020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "a",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+{
+  heldSeconds: 9101.82,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 100020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'a',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
     },
-    Object {
-      "acceptedAt": 1000,
-      "endedAt": 200070,
-      "firstRunAt": 100070,
-      "hadToWait": true,
-      "isWithinGuarantee": false,
-      "jobId": "b",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+    {
+      acceptedAt: 1000,
+      endedAt: 200070,
+      firstRunAt: 100070,
+      hadToWait: true,
+      isWithinGuarantee: false,
+      jobId: 'b',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
     },
-    Object {
-      "acceptedAt": 2000,
-      "endedAt": 400020,
-      "firstRunAt": 300020,
-      "hadToWait": true,
-      "isWithinGuarantee": false,
-      "jobId": "c",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": true,
-      "wasUnmet": false,
-    },
-    Object {
-      "acceptedAt": 300000,
-      "endedAt": 400020,
-      "firstRunAt": 300020,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "d",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+    {
+      acceptedAt: 2000,
+      endedAt: 400020,
+      firstRunAt: 300020,
+      hadToWait: true,
+      isWithinGuarantee: false,
+      jobId: 'c',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: true,
+      wasUnmet: false
     },
+    {
+      acceptedAt: 300000,
+      endedAt: 400020,
+      firstRunAt: 300020,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'd',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 0,
-  "lostToPreemptionSeconds": 0,
+  lostToFaultsSeconds: 0,
+  lostToPreemptionSeconds: 0
 }
 `
 
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles a worker that fails every task, and a job that fails on every worker > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 125.12,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 105040,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "a",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": true,
-      "wasUnmet": false,
-    },
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 5020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "b",
-      "preemptions": 0,
-      "state": "failed",
-      "wasHitByFault": true,
-      "wasUnmet": false,
+{
+  heldSeconds: 125.12,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 105040,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'a',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: true,
+      wasUnmet: false
     },
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 15060,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "c",
-      "preemptions": 0,
-      "state": "refused",
-      "wasHitByFault": true,
-      "wasUnmet": false,
+    {
+      acceptedAt: 0,
+      endedAt: 5020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'b',
+      preemptions: 0,
+      state: 'failed',
+      wasHitByFault: true,
+      wasUnmet: false
     },
+    {
+      acceptedAt: 0,
+      endedAt: 15060,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'c',
+      preemptions: 0,
+      state: 'refused',
+      wasHitByFault: true,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 25.1,
-  "lostToPreemptionSeconds": 0,
+  lostToFaultsSeconds: 25.1,
+  lostToPreemptionSeconds: 0
 }
 `
 
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles cancellation while waiting, while running and after the end > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 516.02,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 52000,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "a",
-      "preemptions": 0,
-      "state": "cancelled",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+{
+  heldSeconds: 516.02,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 52000,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'a',
+      preemptions: 0,
+      state: 'cancelled',
+      wasHitByFault: false,
+      wasUnmet: false
     },
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 20000,
-      "firstRunAt": undefined,
-      "hadToWait": true,
-      "isWithinGuarantee": false,
-      "jobId": "b",
-      "preemptions": 0,
-      "state": "cancelled",
-      "wasHitByFault": false,
-      "wasUnmet": false,
-    },
-    Object {
-      "acceptedAt": 30000,
-      "endedAt": 130020,
-      "firstRunAt": 30020,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "c",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+    {
+      acceptedAt: 0,
+      endedAt: 20000,
+      firstRunAt: undefined,
+      hadToWait: true,
+      isWithinGuarantee: false,
+      jobId: 'b',
+      preemptions: 0,
+      state: 'cancelled',
+      wasHitByFault: false,
+      wasUnmet: false
     },
+    {
+      acceptedAt: 30000,
+      endedAt: 130020,
+      firstRunAt: 30020,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'c',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 0,
-  "lostToPreemptionSeconds": 0,
+  lostToFaultsSeconds: 0,
+  lostToPreemptionSeconds: 0
 }
 `
 
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles preemption with a checkpoint > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 202.06,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 102040,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "a",
-      "preemptions": 1,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
-    },
-    Object {
-      "acceptedAt": 40000,
-      "endedAt": 140020,
-      "firstRunAt": 40020,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "b",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+{
+  heldSeconds: 202.06,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 102040,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'a',
+      preemptions: 1,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
     },
+    {
+      acceptedAt: 40000,
+      endedAt: 140020,
+      firstRunAt: 40020,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'b',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 0,
-  "lostToPreemptionSeconds": 2.02,
+  lostToFaultsSeconds: 0,
+  lostToPreemptionSeconds: 2.02
 }
 `
 
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles preemption without a checkpoint > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 242.04,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 142020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "a",
-      "preemptions": 1,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
-    },
-    Object {
-      "acceptedAt": 40000,
-      "endedAt": 140020,
-      "firstRunAt": 40020,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "b",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+{
+  heldSeconds: 242.04,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 142020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'a',
+      preemptions: 1,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
     },
+    {
+      acceptedAt: 40000,
+      endedAt: 140020,
+      firstRunAt: 40020,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'b',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 0,
-  "lostToPreemptionSeconds": 42,
+  lostToFaultsSeconds: 0,
+  lostToPreemptionSeconds: 42
 }
 `
 
 exports[`packages/bench/dist/tests/replay.test.js > TAP > the replay handles urgent jobs within and beyond the guarantee of the team > must match snapshot 1`] = `
-Object {
-  "heldSeconds": 3200.64,
-  "jobs": Array [
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 100020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": true,
-      "jobId": "a",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
-    },
-    Object {
-      "acceptedAt": 0,
-      "endedAt": 100020,
-      "firstRunAt": 20,
-      "hadToWait": false,
-      "isWithinGuarantee": false,
-      "jobId": "b",
-      "preemptions": 0,
-      "state": "finished",
-      "wasHitByFault": false,
-      "wasUnmet": false,
+{
+  heldSeconds: 3200.64,
+  jobs: [
+    {
+      acceptedAt: 0,
+      endedAt: 100020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: true,
+      jobId: 'a',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
     },
+    {
+      acceptedAt: 0,
+      endedAt: 100020,
+      firstRunAt: 20,
+      hadToWait: false,
+      isWithinGuarantee: false,
+      jobId: 'b',
+      preemptions: 0,
+      state: 'finished',
+      wasHitByFault: false,
+      wasUnmet: false
+    }
   ],
-  "lostToFaultsSeconds": 0,
-  "lostToPreemptionSeconds": 0,
+  lostToFaultsSeconds: 0,
+  lostToPreemptionSeconds: 0
 }
 `
 
