refactor(scheduler): split the attempt by concern and conclude late claims

Change: gang orders, member views, stopping and conclusions stand in files of their own; after a claim the start is always tried, and agents whose reservations have lapsed refuse it, so the attempt ends as never started. Conclusion: every durable claim reaches a conclusion.

--- a/packages/entry/src/leaseGranter.ts
+++ b/packages/entry/src/leaseGranter.ts
@@ -2,7 +2,7 @@
 import type { LeaseGrant } from "@persimmonpitch/protocol/agentMessages.js";
 import type { ResultOf } from "@persimmonpitch/protocol/method.js";
 import type { PeerMethods } from "@persimmonpitch/protocol/peerMessages.js";
-import { AGENT_LEASE_MS } from "@persimmonpitch/scheduler/attempt.js";
+import { AGENT_LEASE_MS } from "@persimmonpitch/scheduler/leaseTimes.js";
 
 type PeerAnswer = ResultOf<PeerMethods["peer.report"]>;
 
--- /dev/null
+++ b/packages/scheduler/src/memberStopper.ts
@@ -0,0 +1,54 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { Attempt } from "@persimmonpitch/schema/job.js";
+import { graceOf, stopAll } from "./gangOrders.js";
+import type { BookedJob } from "./jobBook.js";
+import { AGENT_LEASE_MS, DRIFT_FACTOR } from "./leaseTimes.js";
+import type { MemberView } from "./memberView.js";
+import { hasEnded } from "./memberView.js";
+import type { RoleContext } from "./roleContext.js";
+
+/** Interval at which members that still run are told again to stop. */
+const STOP_RETRY_MS: Millis = 5_000;
+
+/** Stops the members of an attempt that still run, again and again until the last has ended. */
+export class MemberStopper {
+    private firstAt: Millis | undefined;
+    private lastAt = -Infinity;
+    private isReported = false;
+
+    constructor(
+        private readonly context: RoleContext,
+        private readonly job: BookedJob,
+        private readonly attempt: Attempt,
+    ) {}
+
+    stop(views: readonly MemberView[]): void {
+        const { clock, role } = this.context;
+        const now = clock.now();
+        this.firstAt ??= now;
+        this.reportPartialGang(views, now - this.firstAt);
+        // An order can be lost with the connection that carried it, so it is repeated.
+        if (!role.mayAct() || now - this.lastAt < STOP_RETRY_MS) {
+            return;
+        }
+        this.lastAt = now;
+        const running = views.filter(({ state }) => state === "running").map(({ member }) => member);
+        const { checkpointable } = this.job.stored.record.spec;
+        void stopAll(this.context, { ...this.attempt, members: running }, checkpointable, graceOf(this.context))
+            .then(() => {
+                this.job.wake.wake();
+            });
+    }
+
+    private reportPartialGang(views: readonly MemberView[], stoppingMs: Millis): void {
+        const ended = views.filter(({ state }) => hasEnded(state) && state !== "finished").length;
+        if (
+            !this.isReported && ended > 0
+            && stoppingMs > AGENT_LEASE_MS * DRIFT_FACTOR + graceOf(this.context) + STOP_RETRY_MS
+        ) {
+            this.isReported = true;
+            const { jobId } = this.job.stored.record;
+            this.context.monitor.report("I2", { job: jobId, ended, members: views.length, stoppingMs });
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/memberView.ts
@@ -0,0 +1,77 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { TaskReport } from "@persimmonpitch/protocol/taskMessages.js";
+import type { Attempt, GangMember } from "@persimmonpitch/schema/job.js";
+import { AGENT_LEASE_MS, DRIFT_FACTOR } from "./leaseTimes.js";
+import type { RoleContext } from "./roleContext.js";
+
+/** A report that comes so long after the start and does not show the task proves that the agent lost it. */
+const VISIBLE_MS: Millis = 7_000;
+
+/** What the holder knows of one member of a gang. */
+export type MemberState = "running" | "finished" | "failed" | "stopped" | "lost" | "neverStarted";
+
+/** One member of an attempt in progress. */
+export interface MemberView {
+    readonly member: GangMember;
+    readonly state: MemberState;
+    readonly task: TaskReport | undefined;
+}
+
+const ENDED: Readonly<Record<MemberState, boolean>> = {
+    running: false,
+    finished: true,
+    failed: true,
+    stopped: true,
+    lost: true,
+    neverStarted: true,
+};
+
+/** Whether a member in this state runs no more. */
+export const hasEnded = (state: MemberState): boolean => ENDED[state];
+
+const AGENT_STATES: Readonly<Record<TaskReport["state"], MemberState>> = {
+    reserved: "running",
+    running: "running",
+    stopping: "running",
+    stopped: "stopped",
+    finished: "finished",
+    failed: "failed",
+};
+
+/** What is known of each member now. `since` is when the holder began to follow the attempt. */
+export const viewMembers = (
+    context: RoleContext,
+    attempt: Attempt,
+    neverStarted: ReadonlySet<string>,
+    since: Millis,
+): readonly MemberView[] =>
+    attempt.members.map(member => {
+        if (neverStarted.has(member.vmId)) {
+            return { member, task: undefined, state: "neverStarted" };
+        }
+        const agent = context.gateway.worker(member.vmId);
+        const task = agent?.tasks.get(attempt.attemptId);
+        if (task !== undefined && AGENT_STATES[task.state] !== "running") {
+            return { member, task, state: AGENT_STATES[task.state] };
+        }
+        const lastContactAt = Math.max(agent?.lastReportAt ?? 0, context.heldSince);
+        const isLapsed = context.clock.now() - lastContactAt > AGENT_LEASE_MS * DRIFT_FACTOR;
+        const isForgotten = agent?.connected === true && task === undefined && agent.lastReportAt - since > VISIBLE_MS;
+        return { member, task, state: isLapsed || isForgotten ? "lost" : "running" };
+    });
+
+/** How an attempt ended. */
+export type AttemptOutcome = Exclude<MemberState, "running">;
+
+/** The worst of the members' states decides. */
+export const outcomeOf = (views: readonly MemberView[]): AttemptOutcome => {
+    const states = new Set(views.map(({ state }) => state));
+    const isUniform = states.size === 1;
+    if (isUniform && states.has("finished")) {
+        return "finished";
+    }
+    if (isUniform && states.has("neverStarted")) {
+        return "neverStarted";
+    }
+    return states.has("failed") ? "failed" : states.has("lost") ? "lost" : "stopped";
+};
--- a/packages/scheduler/src/roleLease.ts
+++ b/packages/scheduler/src/roleLease.ts
@@ -3,6 +3,7 @@
 import type { Row, Table } from "@persimmonpitch/platform/table.js";
 import { randomUUID } from "node:crypto";
 import { z } from "zod";
+import { DRIFT_FACTOR } from "./leaseTimes.js";
 import { rowKeys } from "./rowKeys.js";
 
 /** The row of the scheduling role. */
@@ -19,9 +20,6 @@
 const RENEW_MS: Millis = 2_000;
 const OBSERVE_MS: Millis = 500;
 
-/** An observer waits longer than a term, because clocks of two VMs may run at different speeds. */
-const DRIFT_FACTOR = 1.25;
-
 /** What a role lease works on. */
 export interface RoleLeaseContext {
     readonly table: Table;
--- a/packages/verification/src/faults.ts
+++ b/packages/verification/src/faults.ts
@@ -96,6 +96,15 @@
             table.faults.slow = 0;
         },
     },
+    /** Each call takes longer than a reservation lasts, and longer than the term of the role. */
+    tableStalls: {
+        changesRole: false,
+        run: async ({ table, clock }) => {
+            table.faults.slow = 12_000;
+            await clock.advance(LONG_MS);
+            table.faults.slow = 0;
+        },
+    },
     answersLost: {
         changesRole: false,
         run: async ({ table, clock }) => {
--- a/tap-snapshots/packages/verification/dist/tests/faultTable.test.js.test.cjs
+++ b/tap-snapshots/packages/verification/dist/tests/faultTable.test.js.test.cjs
@@ -249,6 +249,23 @@
 ]
 `
 
+exports[`packages/verification/dist/tests/faultTable.test.js > TAP > invariants hold under tableStalls > must match snapshot 1`] = `
+Array [
+  "gang-2x8 finished ran=yes attempts=1",
+  "gang-3x4 finished ran=yes attempts=1",
+  "gang-2x2 failed ran=unknown attempts=1",
+  "single-4 finished ran=yes attempts=1",
+  "single-2 finished ran=yes attempts=1",
+  "single-1 finished ran=yes attempts=1",
+  "request-1-0 ran=yes answer request-1-0",
+  "request-1-1 ran=yes answer request-1-1",
+  "request-1-2 ran=yes answer request-1-2",
+  "request-2-0 ran=yes answer request-2-0",
+  "request-2-1 ran=yes answer request-2-1",
+  "request-2-2 ran=yes answer request-2-2",
+]
+`
+
 exports[`packages/verification/dist/tests/faultTable.test.js > TAP > invariants hold under vmLost > must match snapshot 1`] = `
 Array [
   "gang-2x8 failed ran=unknown attempts=1",
