feat(verification): find a counterexample to each broken rule and replay traces against the real code

Cause: invariants and scopes prove something only if they notice a wrong protocol, and a specification only if it matches the code.

--- a/packages/verification/src/agentRules.ts
+++ b/packages/verification/src/agentRules.ts
@@ -113,7 +113,7 @@
     // Members of a gang work together, so one of them finishes only while all others run or have finished.
     finish: (state, { bounds }) =>
         state.agents.flatMap((agent, index) =>
-            forEachOf(agent.tasks, ({ id }) => `attempt ${id} at agent ${index}`, ({ id, state: taskState }) => {
+            forEachOf(agent.tasks, ({ id }) => ({ attempt: id, agents: [index] }), ({ id, state: taskState }) => {
                 const active = state.agents.flatMap(({ tasks }) => tasks).filter(task =>
                     task.id === id && (task.state === "running" || task.state === "finished")
                 );
--- a/packages/verification/src/brokenRules.ts
+++ b/packages/verification/src/brokenRules.ts
@@ -37,18 +37,18 @@
     },
     startWithoutReservation: {
         description: "Agents start what they hold no reservation for.",
-        violates: "notRunNeverStarted",
+        violates: "concludedIsStopped",
         scope: "gang",
         guards: { mayStart: ({ lease }) => lease > 0 },
     },
     retryAfterUnclear: {
         description: "A non-idempotent job runs again after an unclear outcome.",
         violates: "startedAtMostOnce",
-        scope: "gang",
+        scope: "role",
         guards: { mayRunAgain: () => true },
     },
     neverStartedOfNewInstance: {
-        description: "An agent that restarted may answer that an attempt never started.",
+        description: "An agent that was replaced may answer that an attempt never started.",
         violates: "notRunNeverStarted",
         scope: "gang",
         guards: { provesNeverStarted: () => true },
--- a/packages/verification/src/canonicalKey.ts
+++ b/packages/verification/src/canonicalKey.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 import type { Message, ModelState } from "./modelState.js";
 
 /** All orders of the numbers below `count`. */
@@ -50,7 +50,7 @@
 };
 
 /** A digest keeps a few hundred thousand keys within the memory of a CI machine. */
-const digest = (text: string): string => createHash("sha256").update(text).digest("base64").slice(0, 22);
+const digest = (text: string): string => hash("sha256", text, "base64").slice(0, 22);
 
 /** The key of one state. */
 export const plainKey = (state: ModelState): string => digest(JSON.stringify(state));
--- a/packages/verification/src/explore.ts
+++ b/packages/verification/src/explore.ts
@@ -3,7 +3,8 @@
 import type { BrokenRuleName } from "./brokenRules.js";
 import { BROKEN_RULES, isBrokenRule, modelOf } from "./brokenRules.js";
 import type { ExploreOptions } from "./explorer.js";
-import { explore, formatTrace } from "./explorer.js";
+import { explore } from "./explorer.js";
+import { formatTrace } from "./formatTrace.js";
 import type { BoundsName, Scope } from "./scopes.js";
 import { BOUNDS, startOf } from "./scopes.js";
 
--- a/packages/verification/src/explorer.ts
+++ b/packages/verification/src/explorer.ts
@@ -86,7 +86,3 @@
     }
     return { states: seen.size, depth, isComplete: level.length === 0, uses, counterexample: undefined };
 };
-
-/** The trace of a counterexample, one step a line. */
-export const formatTrace = (steps: readonly Step[]): string =>
-    steps.map(({ rule, what }, index) => `${index + 1}. ${rule} ${what}`.trimEnd()).join("\n");
--- a/packages/verification/src/guards.ts
+++ b/packages/verification/src/guards.ts
@@ -35,7 +35,7 @@
     hasCapacity: ({ tasks }, accelerators) => tasks.filter(holdsAccelerator).length < accelerators,
     mayStart: ({ tasks, lease }, id) => lease > 0 && tasks.some(task => task.id === id && task.state === "reserved"),
     mayRunAgain: ({ idempotent }) => idempotent,
-    // An agent that restarted has forgotten what it ran, so only the instance that reserved can tell.
+    // A replaced agent does not know what its VM ran before, so only the instance that reserved can tell.
     provesNeverStarted: ({ instances }, member, instance) => instances[member] === instance,
     mayCancel: job => !hasEnded(job),
     // An idempotent job may run under a claim that is not in its row yet.
--- a/packages/verification/src/holderRules.ts
+++ b/packages/verification/src/holderRules.ts
@@ -8,7 +8,7 @@
     OrderKind,
     Outcome,
 } from "./modelState.js";
-import { CONTACT_TICKS, hasEnded, holdsAccelerator, jobOf, LEASE_TICKS, observer } from "./modelState.js";
+import { CONTACT_TICKS, hasEnded, holdsAccelerator, jobOf, LEASE_TICKS, observer, RESERVATION_TICKS } from "./modelState.js";
 import type { Model, Rule, Successor } from "./rule.js";
 import { changeHolder, changeJob, forEachOf, replaceAt, send, spendFault } from "./rule.js";
 
@@ -37,7 +37,7 @@
     state.holders.flatMap((holder, index) =>
         forEachOf(
             holder.tasks,
-            ({ id }) => `attempt ${id} by holder ${index}`,
+            ({ id }) => ({ attempt: id, holder: index }),
             task => change(task, holder, index),
         )
     );
@@ -65,6 +65,7 @@
             members: job.members,
             instances: job.members.map(() => 0),
             phase: "started",
+            ticksLeft: 0,
             ends: job.members.map(() => UNENDED),
             version: job.version,
             deferred: false,
@@ -88,6 +89,7 @@
             members,
             instances: members.map(() => 0),
             phase: "reserving",
+            ticksLeft: RESERVATION_TICKS,
             ends: members.map(() => UNENDED),
             version: row.version,
             deferred: false,
@@ -95,14 +97,14 @@
         const tasks = [...holder.tasks, task].sort((a, b) => a.id < b.id ? -1 : 1);
         const next = changeHolder(changeJob(state, job, { tries: row.tries + 1 }), index, { tasks });
         return {
-            what: `attempt ${id} at agents ${members.join(", ")} by holder ${index}`,
+            subject: { attempt: id, agents: members, holder: index },
             state: send(next, ordersFor(task, holder.epoch, "reserve")),
         };
     });
 };
 
-const isReserved = ({ phase, instances }: AttemptTask): boolean =>
-    phase === "reserving" && instances.every(instance => instance > 0);
+const isReserved = ({ phase, instances, ticksLeft }: AttemptTask): boolean =>
+    phase === "reserving" && ticksLeft > 0 && instances.every(instance => instance > 0);
 
 const writeClaim = (state: ModelState, { job, id, members }: AttemptTask): ModelState => {
     const row = state.jobs[job];
@@ -124,7 +126,9 @@
 const release = (state: ModelState, { epoch }: Holder, index: number, task: AttemptTask): ModelState =>
     send(changeTask(state, index, task, undefined), ordersFor(task, epoch, "stop"));
 
-const hasAllEnded = ({ ends }: AttemptTask): boolean => ends.every(end => end !== UNENDED);
+/** How the members have ended; one whose agent has not been heard of for a whole lease is lost. */
+const endsOf = ({ members, ends }: AttemptTask, { contact }: Holder): readonly MemberEnd[] =>
+    members.map((agent, member) => ends[member] === UNENDED && contact[agent] === 0 ? "lost" : ends[member] ?? UNENDED);
 
 /** What the row becomes after an attempt whose members have all ended. */
 const conclusionOf = (job: JobState, task: AttemptTask, model: Model): Partial<JobState> => {
@@ -215,7 +219,7 @@
 export const HOLDER_RULES = {
     // An observer may take the role at any moment, which includes a holder that is paused past its term.
     takeRole: (state, { bounds }) =>
-        forEachOf(state.holders, (_, index) => `holder ${index}`, (holder, index) => {
+        forEachOf(state.holders, (_, index) => ({ holder: index }), (holder, index) => {
             const { store } = state;
             if (!store.isUp || holder.epoch > 0 || store.epoch >= bounds.maxEpoch) {
                 return undefined;
@@ -228,7 +232,7 @@
     loseRole: state =>
         forEachOf(
             state.holders,
-            (_, index) => `holder ${index}`,
+            (_, index) => ({ holder: index }),
             ({ epoch }, index) =>
                 state.store.isUp && epoch > 0 && state.store.epoch > epoch
                     ? changeHolder(state, index, observer(state.agents.length))
@@ -237,7 +241,7 @@
     releaseRole: state =>
         forEachOf(
             state.holders,
-            (_, index) => `holder ${index}`,
+            (_, index) => ({ holder: index }),
             (_, index) =>
                 state.store.isUp && state.store.holder === index && state.holders[index]?.epoch === state.store.epoch
                     ? changeHolder(
@@ -251,7 +255,7 @@
         state.holders.flatMap(({ epoch, fenced }, index) =>
             forEachOf(
                 fenced,
-                (_, agent) => `agent ${agent} by holder ${index}`,
+                (_, agent) => ({ agents: [agent], holder: index }),
                 (instance, agent) =>
                     epoch > 0 && instance === 0
                         ? send(state, [{ kind: "fence", agent, epoch, id: "" }])
@@ -314,7 +318,7 @@
     stopUnknown: state =>
         state.holders.flatMap((holder, index) =>
             state.agents.flatMap(({ tasks, instance }, agent) =>
-                forEachOf(tasks, ({ id }) => `attempt ${id} at agent ${agent} by holder ${index}`, task => {
+                forEachOf(tasks, ({ id }) => ({ attempt: id, agents: [agent], holder: index }), task => {
                     const isUnknown = holder.tasks.every(({ job }) => job !== jobOf(task.id))
                         && holder.epoch > 0 && holder.fenced[agent] === instance && holdsAccelerator(task);
                     return isUnknown
@@ -325,37 +329,29 @@
         ),
     // A holder past its term grants nothing, because it checks its deadline first.
     report: state =>
-        state.holders.flatMap(({ epoch }, index) =>
-            forEachOf(state.agents, (_, agent) => `agent ${agent} to holder ${index}`, (reporter, agent) => {
-                if (epoch === 0) {
-                    return undefined;
-                }
-                const next = takeReport(state, index, agent);
-                // A grant to an agent that has a full lease of this epoch changes nothing, now or later.
-                const isOfUse = (reporter?.lease ?? 0) < LEASE_TICKS || (reporter?.epoch ?? 0) < epoch;
-                return state.store.epoch === epoch && isOfUse
+        state.holders.flatMap((holder, index) =>
+            forEachOf(state.agents, (_, agent) => ({ agents: [agent], holder: index }), ({ lease }, agent) => {
+                const { epoch } = holder;
+                // A grant to an agent with a full lease changes nothing, now or later.
+                const isGranted = state.store.epoch === epoch && lease < LEASE_TICKS;
+                const next = epoch === 0 ? state : takeReport(state, index, agent);
+                return isGranted
                     ? send(next, [{ kind: "grant", agent, epoch, left: LEASE_TICKS }])
+                    : JSON.stringify(next.holders[index]) === JSON.stringify(holder)
+                    ? undefined
                     : next;
             })
         ),
-    judgeLost: state =>
-        forEachTask(state, (task, { contact }, index) => {
-            const ends = task.members.map((agent, member) =>
-                task.ends[member] === UNENDED && contact[agent] === 0 ? "lost" : task.ends[member] ?? UNENDED
-            );
-            const isFollowed = task.phase === "started" || task.phase === "stopping";
-            return isFollowed && ends.some((end, member) => end !== task.ends[member])
-                ? changeTask(state, index, task, { ends })
-                : undefined;
-        }),
     conclude: (state, model) =>
         forEachTask(state, (task, holder, index) => {
             const job = state.jobs[task.job];
-            if (!hasAllEnded(task) || job === undefined || !state.store.isUp) {
+            const ends = endsOf(task, holder);
+            const isFollowed = task.phase === "started" || task.phase === "stopping";
+            if (!isFollowed || ends.includes(UNENDED) || job === undefined || !state.store.isUp) {
                 return undefined;
             }
             const isOwn = model.guards.passesEpochCheck(state, holder) && model.guards.mayConclude(job, task);
-            const next = isOwn ? changeJob(state, task.job, conclusionOf(job, task, model)) : state;
+            const next = isOwn ? changeJob(state, task.job, conclusionOf(job, { ...task, ends }, model)) : state;
             return changeTask(next, index, task, undefined);
         }),
     // A claim whose answer was lost may have taken effect without a start; its cancellation still needs an end.
@@ -363,7 +359,7 @@
         state.holders.flatMap(({ epoch, tasks }, index) =>
             forEachOf(
                 state.jobs,
-                (_, job) => `job ${job} by holder ${index}`,
+                (_, job) => ({ job, holder: index }),
                 (job, at) =>
                     state.store.isUp && epoch === state.store.epoch && job.cancelRequested && !hasEnded(job)
                         && tasks.every(task => task.job !== at)
--- a/packages/verification/src/modelInvariants.ts
+++ b/packages/verification/src/modelInvariants.ts
@@ -35,9 +35,14 @@
     oneEndWins: (before, { state }) =>
         before.jobs.every((job, index) => !hasEnded(job) || state.jobs[index]?.version === job.version),
     /** An order or a grant below the highest epoch that an agent has seen takes no effect there. */
-    staleOrderIgnored: (before, { rule, state }) =>
-        (rule !== "deliver" && rule !== "repeat")
-        || before.agents.every((agent, index) => agent.epoch <= (state.agents[index]?.epoch ?? 0)),
+    staleOrderIgnored: (before, { subject: { message }, state }) => {
+        if (message === undefined || message.kind === "config") {
+            return true;
+        }
+        const agent = before.agents[message.agent];
+        const isStale = agent !== undefined && message.epoch < agent.epoch;
+        return !isStale || JSON.stringify(agent) === JSON.stringify(state.agents[message.agent]);
+    },
     /** A job whose caller was told that it is accepted has a row. */
     acceptedIsKept: (_, { state }) => state.jobs.every(({ accepted, status }) => !accepted || status !== "absent"),
     /** The configuration of a process never falls. */
--- a/packages/verification/src/modelState.ts
+++ b/packages/verification/src/modelState.ts
@@ -18,9 +18,11 @@
     readonly faults: number;
 }
 
-/** Lease of an agent in ticks; the holder waits one tick longer before it counts a member as lost. */
-export const LEASE_TICKS = 2;
-export const CONTACT_TICKS = LEASE_TICKS + 1;
+/** Lease of an agent in ticks. All clocks tick together, so the model needs no margin for drift. */
+export const LEASE_TICKS = 3;
+
+/** Ticks without a report after which a holder counts the members at an agent as lost. */
+export const CONTACT_TICKS = LEASE_TICKS;
 
 /** Time to live of a reservation in ticks; it is shorter than a lease, as in the code. */
 export const RESERVATION_TICKS = 1;
@@ -57,6 +59,8 @@
     readonly instances: readonly number[];
     readonly phase: "reserving" | "unclear" | "started" | "stopping";
     readonly ends: readonly MemberEnd[];
+    /** Ticks for which reservations are waited for; a claim that comes later starts nothing. */
+    readonly ticksLeft: number;
     /** Version of the row that the claim depends on. */
     readonly version: number;
     /** Whether the attempt started in an outage without a claim in the row. */
--- a/packages/verification/src/rule.ts
+++ b/packages/verification/src/rule.ts
@@ -7,9 +7,19 @@
     readonly guards: Guards;
 }
 
-/** A state that a rule leads to; `what` says with which process, job or message. */
+/** What a step concerns, as far as it applies. */
+export interface Subject {
+    readonly attempt?: string;
+    readonly job?: number;
+    readonly agents?: readonly number[];
+    readonly holder?: number;
+    readonly message?: Message;
+    readonly isAnswerLost?: boolean;
+}
+
+/** A state that a rule leads to. */
 export interface Successor {
-    readonly what: string;
+    readonly subject: Subject;
     readonly state: ModelState;
 }
 
@@ -48,10 +58,10 @@
 /** One successor for each element for which `change` gives a state. */
 export const forEachOf = <T>(
     list: readonly T[],
-    name: (element: T, index: number) => string,
+    subjectOf: (element: T, index: number) => Subject,
     change: (element: T, index: number) => ModelState | undefined,
 ): readonly Successor[] =>
     list.flatMap((element, index) => {
         const state = change(element, index);
-        return state === undefined ? [] : [{ what: name(element, index), state }];
+        return state === undefined ? [] : [{ subject: subjectOf(element, index), state }];
     });
--- a/packages/verification/src/scopes.ts
+++ b/packages/verification/src/scopes.ts
@@ -23,19 +23,19 @@
     role: {
         description: "role, epochs, fencing and claims of two holders",
         bounds: { ...SIZES, holders: 2, agents: 1, jobs: [SINGLE], maxEpoch: 2, faults: 1 },
-        without: [...CONFIG_RULES, "tick"],
-        isReady: false,
+        without: [...CONFIG_RULES, "tick", "outage", "cancel"],
+        isReady: true,
     },
     gang: {
-        description: "reservation, start, stop, cancellation and restarts of one gang",
+        description: "reservation, start, stop, cancellation and lost VMs under one gang",
         bounds: { ...SIZES, jobs: [GANG] },
-        without: [...CONFIG_RULES, "tick", "outage", "crashHolder", "releaseRole"],
+        without: [...CONFIG_RULES, "tick", "outage", "crashHolder", "releaseRole", "stopUnknown"],
         isReady: true,
     },
     lease: {
         description: "lapse of leases and reservations under one gang",
         bounds: { ...SIZES, jobs: [GANG], maxTries: 1, faults: 1 },
-        without: [...CONFIG_RULES, "repeat", "releaseRole", "cancel"],
+        without: [...CONFIG_RULES, "outage", "claimAnswerLost", "repeat", "releaseRole", "cancel"],
         isReady: true,
     },
     contention: {
@@ -53,11 +53,11 @@
             jobs: [{ members: 1, idempotent: true }],
             maxEpoch: 2,
         },
-        without: [...CONFIG_RULES, "tick", "repeat", "restartAgent"],
+        without: [...CONFIG_RULES, "tick", "repeat", "replaceVm"],
         isReady: true,
     },
     configuration: {
-        description: "acceptance of jobs, loads and pushes of configurations, restarts",
+        description: "acceptance of jobs, loads and pushes of configurations, lost VMs",
         bounds: { ...SIZES, holders: 1, jobs: [SINGLE], maxConfig: 3, maxTries: 0 },
         without: ["tick", "fence", "report"],
         isReady: false,
--- a/packages/verification/src/specification.ts
+++ b/packages/verification/src/specification.ts
@@ -1,4 +1,5 @@
 import { AGENT_RULES, deliverConfig, deliverGrant, deliverOrder, tickAgent } from "./agentRules.js";
+import { dropDeadMessages } from "./dropDeadMessages.js";
 import { HOLDER_RULES } from "./holderRules.js";
 import type { Message, ModelState } from "./modelState.js";
 import type { Model, Rule, Successor } from "./rule.js";
@@ -23,22 +24,12 @@
 
 const deliver = (state: ModelState, message: Message, model: Model): readonly Successor[] => {
     const delivery = DELIVERIES[message.kind] as Delivery<Kind>;
-    const what = describe(message);
-    return delivery(state, message, model)
-        .map((next, index) => ({ what: index === 0 ? what : `${what}, answer lost`, state: next }));
+    return delivery(state, message, model).map((next, index) => ({
+        subject: { message, isAnswerLost: index > 0 },
+        state: next,
+    }));
 };
 
-const DESCRIPTIONS: { readonly [K in Kind]: (message: Extract<Message, { readonly kind: K; }>) => string; } = {
-    fence: ({ agent, epoch }) => `fence to agent ${agent}, epoch ${epoch}`,
-    reserve: ({ agent, epoch, id }) => `reserve ${id} to agent ${agent}, epoch ${epoch}`,
-    start: ({ agent, epoch, id }) => `start ${id} to agent ${agent}, epoch ${epoch}`,
-    stop: ({ agent, epoch, id }) => `stop ${id} to agent ${agent}, epoch ${epoch}`,
-    grant: ({ agent, epoch, left }) => `grant of ${left} ticks to agent ${agent}, epoch ${epoch}`,
-    config: ({ agent, version }) => `configuration ${version} to agent ${agent}`,
-};
-
-const describe = (message: Message): string => (DESCRIPTIONS[message.kind] as (described: Message) => string)(message);
-
 const without = (state: ModelState, message: Message): ModelState => ({
     ...state,
     messages: state.messages.filter(other => other !== message),
@@ -59,9 +50,10 @@
         const holders = state.holders.map(holder => ({
             ...holder,
             contact: holder.contact.map(left => Math.max(0, left - 1)),
+            tasks: holder.tasks.map(task => ({ ...task, ticksLeft: Math.max(0, task.ticksLeft - 1) })),
         }));
         const agents = state.agents.map(agent => tickAgent(agent, model));
-        return [{ what: "", state: { ...state, messages, holders, agents } }];
+        return [{ subject: {}, state: { ...state, messages, holders, agents } }];
     },
 } satisfies Readonly<Record<string, Rule>>;
 
@@ -77,4 +69,7 @@
 
 /** All steps from a state under the named rules. */
 export const stepsFrom = (state: ModelState, model: Model, names: readonly RuleName[] = RULE_NAMES): readonly Step[] =>
-    names.flatMap(rule => (RULES[rule] as Rule)(state, model).map(successor => ({ rule, ...successor })));
+    names.flatMap(rule =>
+        (RULES[rule] as Rule)(state, model)
+            .map(successor => ({ ...successor, rule, state: dropDeadMessages(successor.state, model) }))
+    );
--- a/packages/verification/src/storeRules.ts
+++ b/packages/verification/src/storeRules.ts
@@ -5,7 +5,7 @@
 /** What callers and operators do, and the faults of the platform and of processes. */
 export const STORE_RULES = {
     accept: (state, { guards }) =>
-        forEachOf(state.jobs, (_, job) => `job ${job}`, (job, index) => {
+        forEachOf(state.jobs, (_, job) => ({ job }), (job, index) => {
             if (job.status !== "absent" || job.accepted || !guards.mayAnswerAccepted(state)) {
                 return undefined;
             }
@@ -13,7 +13,7 @@
             return changeJob(state, index, { ...row, accepted: true });
         }),
     cancel: (state, { guards, bounds }) =>
-        forEachOf(state.jobs, (_, job) => `job ${job}`, (job, index) => {
+        forEachOf(state.jobs, (_, job) => ({ job }), (job, index) => {
             const spec = bounds.jobs[index];
             const isDone = job.status === "absent" || job.status === "cancelled" || job.cancelRequested;
             if (!state.store.isUp || spec === undefined || isDone || !guards.mayCancel(job)) {
@@ -26,10 +26,10 @@
         }),
     loadConfig: (state, { bounds }) =>
         state.store.isUp && state.store.config < bounds.maxConfig
-            ? [{ what: "", state: { ...state, store: { ...state.store, config: state.store.config + 1 } } }]
+            ? [{ subject: {}, state: { ...state, store: { ...state.store, config: state.store.config + 1 } } }]
             : [],
     pushConfig: state =>
-        forEachOf(state.agents, (_, agent) => `agent ${agent}`, (agent, index) =>
+        forEachOf(state.agents, (_, agent) => ({ agents: [agent] }), (agent, index) =>
             agent.config < state.store.config
                 && state.messages.every(sent =>
                     sent.kind !== "config" || sent.agent !== index || sent.version !== state.store.config
@@ -38,19 +38,19 @@
                 : undefined),
     outage: state => {
         const next = state.store.isUp ? spendFault(state) : undefined;
-        return next === undefined ? [] : [{ what: "", state: { ...next, store: { ...next.store, isUp: false } } }];
+        return next === undefined ? [] : [{ subject: {}, state: { ...next, store: { ...next.store, isUp: false } } }];
     },
     storeReturns: state =>
-        state.store.isUp ? [] : [{ what: "", state: { ...state, store: { ...state.store, isUp: true } } }],
+        state.store.isUp ? [] : [{ subject: {}, state: { ...state, store: { ...state.store, isUp: true } } }],
     crashHolder: state =>
-        forEachOf(state.holders, (_, holder) => `holder ${holder}`, ({ epoch }, index) => {
+        forEachOf(state.holders, (_, holder) => ({ holder }), ({ epoch }, index) => {
             const next = epoch > 0 ? spendFault(state) : undefined;
             return next === undefined ? undefined : changeHolder(next, index, observer(state.agents.length));
         }),
-    // Reservations, revoked attempts and the epoch are lost; a lapsed lease stops what the worker still runs.
-    // Connections end with the process, so nothing in flight reaches the next instance.
-    restartAgent: state =>
-        forEachOf(state.agents, (_, agent) => `agent ${agent}`, ({ instance, tasks }, index) => {
+    // Everything that the VM ran, reserved and knew is lost. Connections end with the process, so nothing in flight
+    // reaches the next instance.
+    replaceVm: state =>
+        forEachOf(state.agents, (_, agent) => ({ agents: [agent] }), ({ instance, tasks }, index) => {
             const next = tasks.length > 0 ? spendFault(state) : undefined;
             if (next === undefined) {
                 return undefined;
