--- a/packages/verification/src/agentRules.ts
+++ b/packages/verification/src/agentRules.ts
@@ -1,5 +1,5 @@
-import { takeAnswer } from "./holderRules.js";
-import type { Message, ModelAgent, ModelState, ModelTask, OrderKind, Outcome } from "./modelState.js";
+import { takeAnswer } from "./holderNews.js";
+import type { MessageOf, ModelAgent, ModelState, ModelTask, OrderKind, Outcome } from "./modelState.js";
 import { jobOf, RESERVATION_TICKS } from "./modelState.js";
 import type { Model, Rule } from "./rule.js";
 import { changeAgent, changeJob, forEachOf } from "./rule.js";
@@ -47,7 +47,7 @@
     },
 };
 
-type Order = Extract<Message, { readonly kind: OrderKind; }>;
+type Order = MessageOf<OrderKind>;
 
 /** Delivers an order to its agent; the second state is that in which the answer is lost. */
 export const deliverOrder = (state: ModelState, order: Order, model: Model): readonly ModelState[] => {
@@ -70,7 +70,7 @@
 /** Takes a lease grant. */
 export const deliverGrant = (
     state: ModelState,
-    grant: Extract<Message, { readonly kind: "grant"; }>,
+    grant: MessageOf<"grant">,
     { guards }: Model,
 ): readonly ModelState[] => {
     const agent = state.agents[grant.agent];
@@ -84,7 +84,7 @@
 /** Takes a configuration if it is newer. */
 export const deliverConfig = (
     state: ModelState,
-    { agent: index, version }: Extract<Message, { readonly kind: "config"; }>,
+    { agent: index, version }: MessageOf<"config">,
     { guards }: Model,
 ): readonly ModelState[] => {
     const agent = state.agents[index];
--- a/packages/verification/src/canonicalKey.ts
+++ b/packages/verification/src/canonicalKey.ts
@@ -52,11 +52,21 @@
 /** A digest keeps a few hundred thousand keys within the memory of a CI machine. */
 const digest = (text: string): string => hash("sha256", text, "base64").slice(0, 22);
 
+/** Texts of parts; states share most of their parts with the state that they follow. */
+const texts = new WeakMap<object, string>();
+
+const textOf = (part: object): string => {
+    const text = texts.get(part) ?? JSON.stringify(part);
+    texts.set(part, text);
+    return text;
+};
+
 /** The key of one state. */
-export const plainKey = (state: ModelState): string => digest(JSON.stringify(state));
+export const plainKey = ({ store, jobs, holders, agents, messages, faultsLeft }: ModelState): string =>
+    digest([faultsLeft, ...[store, ...jobs, ...holders, ...agents, ...messages].map(textOf)].join());
 
 /** One key for all states that differ only in the names of the agents. */
 export const canonicalKey = (state: ModelState): string => {
-    const texts = permutationsOf(state.agents.length).map(order => JSON.stringify(renameAgents(state, order)));
-    return digest(texts.reduce((a, b) => a < b ? a : b));
+    const names = permutationsOf(state.agents.length).map(order => JSON.stringify(renameAgents(state, order)));
+    return digest(names.reduce((a, b) => a < b ? a : b));
 };
--- a/packages/verification/src/formatTrace.ts
+++ b/packages/verification/src/formatTrace.ts
@@ -1,10 +1,10 @@
-import type { Message } from "./modelState.js";
+import type { Message, MessageOf } from "./modelState.js";
 import type { Subject } from "./rule.js";
 import type { Step } from "./specification.js";
 
 type Kind = Message["kind"];
 
-const DESCRIPTIONS: { readonly [K in Kind]: (message: Extract<Message, { readonly kind: K; }>) => string; } = {
+const DESCRIPTIONS: { readonly [K in Kind]: (message: MessageOf<K>) => string; } = {
     fence: ({ agent, epoch }) => `fence to agent ${agent}, epoch ${epoch}`,
     reserve: ({ agent, epoch, id }) => `reserve ${id} to agent ${agent}, epoch ${epoch}`,
     start: ({ agent, epoch, id }) => `start ${id} to agent ${agent}, epoch ${epoch}`,
--- a/packages/verification/src/guards.ts
+++ b/packages/verification/src/guards.ts
@@ -1,7 +1,7 @@
-import type { AttemptTask, Holder, JobState, Message, ModelAgent, ModelJob, ModelState, Told } from "./modelState.js";
+import type { AttemptTask, Holder, JobState, MessageOf, ModelAgent, ModelJob, ModelState, Told } from "./modelState.js";
 import { hasEnded, holdsAccelerator } from "./modelState.js";
 
-type Grant = Extract<Message, { readonly kind: "grant"; }>;
+type Grant = MessageOf<"grant">;
 
 /** The conditions that the protocol's safety rests on; a broken rule replaces one of them. */
 export interface Guards {
--- a/packages/verification/src/modelState.ts
+++ b/packages/verification/src/modelState.ts
@@ -106,6 +106,8 @@
     | { readonly kind: "grant"; readonly agent: number; readonly epoch: number; readonly left: number; }
     | { readonly kind: "config"; readonly agent: number; readonly version: number; };
 
+export type MessageOf<K extends Message["kind"]> = Message & { readonly kind: K; };
+
 /** The platform's table: role row, epoch row and configuration; the jobs' rows are in `jobs`. */
 export interface StoreState {
     readonly isUp: boolean;
--- a/packages/verification/src/replayTrace.ts
+++ b/packages/verification/src/replayTrace.ts
@@ -1,5 +1,5 @@
 import type { Attempt } from "@persimmonpitch/schema/job.js";
-import type { JobState, Message, ModelState, OrderKind } from "./modelState.js";
+import type { JobState, MessageOf, ModelState, OrderKind } from "./modelState.js";
 import { hasEnded, jobOf, LEASE_TICKS } from "./modelState.js";
 import { ReplayWorld, TICK_MS } from "./replayWorld.js";
 import type { Subject } from "./rule.js";
@@ -19,8 +19,8 @@
 /** Time within which a holder renews its role, or learns that it has lost it. */
 const RENEW_MS = 2_500;
 
-type Order = Extract<Message, { readonly kind: OrderKind; }>;
-type Grant = Extract<Message, { readonly kind: "grant"; }>;
+type Order = MessageOf<OrderKind>;
+type Grant = MessageOf<"grant">;
 
 const sendOrder: { readonly [K in OrderKind]: (world: ReplayWorld, order: Order) => Promise<unknown>; } = {
     fence: async (world, { agent, epoch }) => world.agents[agent]?.handlers["task.fence"]({ epoch }),
--- a/packages/verification/src/replayWorld.ts
+++ b/packages/verification/src/replayWorld.ts
@@ -27,7 +27,7 @@
 /** Time within which a role whose holder is silent can be taken. */
 const TAKE_ROLE_MS: Millis = 10_000;
 
-const REGION = "region-1";
+export const REGION = "region-1";
 
 /** A task that ends only when the replay makes it fast. */
 const PAYLOAD = JSON.stringify({ runMs: 1e12 });
--- a/packages/verification/src/specification.ts
+++ b/packages/verification/src/specification.ts
@@ -1,7 +1,8 @@
 import { AGENT_RULES, deliverConfig, deliverGrant, deliverOrder, tickAgent } from "./agentRules.js";
+import { ATTEMPT_RULES } from "./attemptRules.js";
 import { dropDeadMessages } from "./dropDeadMessages.js";
-import { HOLDER_RULES } from "./holderRules.js";
-import type { Message, ModelState } from "./modelState.js";
+import type { Message, MessageOf, ModelState } from "./modelState.js";
+import { ROLE_RULES } from "./roleRules.js";
 import type { Model, Rule, Successor } from "./rule.js";
 import { spendFault } from "./rule.js";
 import { STORE_RULES } from "./storeRules.js";
@@ -9,7 +10,7 @@
 type Kind = Message["kind"];
 type Delivery<K extends Kind> = (
     state: ModelState,
-    message: Extract<Message, { readonly kind: K; }>,
+    message: MessageOf<K>,
     model: Model,
 ) => readonly ModelState[];
 
@@ -58,7 +59,7 @@
 } satisfies Readonly<Record<string, Rule>>;
 
 /** All rules of the core protocol, by name. */
-export const RULES = { ...STORE_RULES, ...HOLDER_RULES, ...AGENT_RULES, ...MESSAGE_RULES };
+export const RULES = { ...STORE_RULES, ...ROLE_RULES, ...ATTEMPT_RULES, ...AGENT_RULES, ...MESSAGE_RULES };
 export type RuleName = keyof typeof RULES;
 export const RULE_NAMES = Object.keys(RULES) as readonly RuleName[];
 
@@ -70,6 +71,6 @@
 /** All steps from a state under the named rules. */
 export const stepsFrom = (state: ModelState, model: Model, names: readonly RuleName[] = RULE_NAMES): readonly Step[] =>
     names.flatMap(rule =>
-        (RULES[rule] as Rule)(state, model)
+        (RULES[rule])(state, model)
             .map(successor => ({ ...successor, rule, state: dropDeadMessages(successor.state, model) }))
     );
