fix(scheduler): believe only the agent that reserved, and follow unclear claims

A neverStarted answer of a replaced agent put a non-idempotent job back into the queue. A claim whose answer was lost was given up while its row showed it, so a cancellation of the job never ended. Change: reservations and neverStarted carry the agent's instance; after an unconfirmed claim the row is read until it is known.

--- a/packages/agent/src/orderHandlers.ts
+++ b/packages/agent/src/orderHandlers.ts
@@ -56,7 +56,11 @@
                 return Promise.resolve(refuse("staleEpoch", params.attemptId));
             }
             const reason = context.isLeaving() ? "leaving" : table.reserve(params);
-            return Promise.resolve(reason === undefined ? { kind: "reserved" } : refuse(reason, params.attemptId));
+            return Promise.resolve(
+                reason === undefined
+                    ? { kind: "reserved", instanceId: context.instanceId }
+                    : refuse(reason, params.attemptId),
+            );
         },
         "task.start": async ({ epoch, attemptId, payload, checkpoint }) => {
             if (!lease.acceptEpoch(epoch)) {
@@ -96,7 +100,7 @@
             if (task === undefined || task.report.state === "reserved") {
                 table.revoke(attemptId);
                 context.notify();
-                return { kind: "neverStarted" };
+                return { kind: "neverStarted", instanceId: context.instanceId };
             }
             if (holdsResources(task.report.state)) {
                 table.update(attemptId, { state: "stopping" });
--- a/packages/protocol/src/taskMessages.ts
+++ b/packages/protocol/src/taskMessages.ts
@@ -60,7 +60,10 @@
             spansVms: z.boolean(),
             timeToLiveMs: millisSchema,
         }),
-        result: z.discriminatedUnion("kind", [z.object({ kind: z.literal("reserved") }), refusedSchema]),
+        result: z.discriminatedUnion("kind", [
+            z.object({ kind: z.literal("reserved"), instanceId: identifierSchema }),
+            refusedSchema,
+        ]),
     },
     "task.start": {
         params: z.object({
@@ -80,7 +83,7 @@
         }),
         result: z.discriminatedUnion("kind", [
             /** The attempt never started here and never will. */
-            z.object({ kind: z.literal("neverStarted") }),
+            z.object({ kind: z.literal("neverStarted"), instanceId: identifierSchema }),
             z.object({ kind: z.literal("stopped"), task: taskReportSchema }),
             refusedSchema,
         ]),
--- a/packages/scheduler/src/attempt.ts
+++ b/packages/scheduler/src/attempt.ts
@@ -1,3 +1,4 @@
+import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Attempt, GangMember } from "@persimmonpitch/schema/job.js";
 import { randomUUID } from "node:crypto";
@@ -12,6 +13,8 @@
 /** Interval at which a running attempt looks for members whose lease has lapsed. */
 const LOSS_CHECK_MS: Millis = 1_000;
 
+const READ_RETRY = { baseMs: 100, maxMs: 5_000 };
+
 const NOBODY: ReadonlySet<string> = new Set();
 
 /** Runs one attempt of a job from the reservation of its gang to its end. */
@@ -23,15 +26,16 @@
     const attempt = attemptOf(context, job, members);
     job.members = members;
     job.startedAt = context.clock.wallTime();
-    const reserved = await reserveAll(context, job, attempt);
-    if (!reserved || !await claim(context, job, attempt)) {
-        await stopAll(context, attempt, false, 0);
-        backToQueue(context, job);
+    const { isComplete, instances } = await reserveAll(context, job, attempt);
+    const isClaimed = isComplete && await claim(context, job, attempt);
+    if (!isClaimed) {
+        const neverStarted = await stopAll(context, attempt, false, 0, instances);
+        await settleUnclaimed(context, job, attempt, neverStarted);
         return;
     }
     context.logger.log("info", "attempt.claimed", { job: job.stored.record.jobId, attempt: attempt.attemptId });
-    const started = await startAll(context, job, attempt);
-    const neverStarted = started ? NOBODY : await stopAll(context, attempt, false, 0);
+    const isStarted = await startAll(context, job, attempt);
+    const neverStarted = isStarted ? NOBODY : await stopAll(context, attempt, false, 0, instances);
     await superviseAttempt(context, job, attempt, neverStarted);
 };
 
@@ -91,19 +95,38 @@
         return true;
     }
     const { kind } = claimed.error;
-    context.logger.log("info", "claim.failed", { job: job.stored.record.jobId, kind });
-    if (kind === "conflict" || kind === "unclear") {
-        await refresh(context, job);
-        return job.stored.record.attempt?.attemptId === attempt.attemptId;
-    }
+    context.logger.log("info", "claim.failed", { job: jobId, kind });
+    job.isRowUnclear = kind !== "unavailable";
     return false;
 };
 
-/** Reads the row again after a conflict: a caller may have asked for cancellation. */
-const refresh = async (context: RoleContext, job: BookedJob): Promise<void> => {
-    const read = await context.store.read(job.stored.record.jobId);
-    if (read.isOk && read.value !== undefined) {
-        job.stored = read.value;
-        job.stopReason = read.value.record.cancelRequested ? "cancelled" : job.stopReason;
+/**
+ * Lets a job wait again whose claim was not confirmed. The row decides: a claim whose answer was lost may have taken
+ * effect, and then the attempt needs its conclusion like any other.
+ */
+const settleUnclaimed = async (
+    context: RoleContext,
+    job: BookedJob,
+    attempt: Attempt,
+    neverStarted: ReadonlySet<string>,
+): Promise<void> => {
+    for (let failures = 0; job.isRowUnclear && !context.role.isLost; failures += 1) {
+        const read = await context.store.read(job.stored.record.jobId);
+        if (read.isOk && read.value !== undefined) {
+            job.stored = read.value;
+            job.isRowUnclear = false;
+        }
+        else {
+            await context.clock.sleep(backoffDelay(READ_RETRY, failures, Math.random));
+        }
+    }
+    const { state, attempt: claimed } = job.stored.record;
+    if (state === "running" && claimed !== undefined && !context.role.isLost) {
+        job.members = claimed.members;
+        job.stopReason = job.stored.record.cancelRequested ? "cancelled" : job.stopReason;
+        const isOwn = claimed.attemptId === attempt.attemptId;
+        await superviseAttempt(context, job, claimed, isOwn ? neverStarted : NOBODY);
+        return;
     }
+    backToQueue(context, job);
 };
--- a/packages/scheduler/src/gangOrders.ts
+++ b/packages/scheduler/src/gangOrders.ts
@@ -17,10 +17,18 @@
     timeoutMs: Millis = ORDER_TIMEOUT_MS,
 ) => context.gateway.order(vmId, name, params, timeoutMs);
 
-/** Reserves all members in parallel; true when every agent holds its part. */
-export const reserveAll = async (context: RoleContext, job: BookedJob, attempt: Attempt): Promise<boolean> => {
+/** Instances of the agents that hold reservations, by VM. */
+export type ReservedInstances = ReadonlyMap<string, string>;
+
+/** Reserves all members in parallel; a gang is complete when every agent holds its part. */
+export const reserveAll = async (
+    context: RoleContext,
+    job: BookedJob,
+    attempt: Attempt,
+): Promise<{ readonly isComplete: boolean; readonly instances: ReservedInstances; }> => {
     const { jobId, spec } = job.stored.record;
-    const answers = await Promise.all(attempt.members.map(async ({ vmId, accelerators }) => {
+    const instances = new Map<string, string>();
+    await Promise.all(attempt.members.map(async ({ vmId, accelerators }) => {
         const answer = await order(context, vmId, "task.reserve", {
             epoch: context.role.epoch,
             attemptId: attempt.attemptId,
@@ -31,18 +39,14 @@
             spansVms: attempt.members.length > 1,
             timeToLiveMs: RESERVATION_MS,
         });
-        if (answer.isErr || answer.value.kind === "refused") {
-            const reason = answer.isErr
-                ? answer.error.kind
-                : answer.value.kind === "refused"
-                ? answer.value.reason
-                : "";
-            context.logger.log("info", "reservation.refused", { job: jobId, vm: vmId, reason });
-            return false;
+        if (answer.isOk && answer.value.kind === "reserved") {
+            instances.set(vmId, answer.value.instanceId);
+            return;
         }
-        return true;
+        const reason = answer.isErr ? answer.error.kind : answer.value.kind === "refused" ? answer.value.reason : "";
+        context.logger.log("info", "reservation.refused", { job: jobId, vm: vmId, reason });
     }));
-    return answers.every(isReserved => isReserved);
+    return { isComplete: instances.size === attempt.members.length, instances };
 };
 
 /** Starts all members; true when every agent confirmed its start. */
@@ -64,19 +68,27 @@
     return answers.every(isStarted => isStarted);
 };
 
-/** Stops or revokes all members; returns the VMs on which the attempt never started and never will. */
+/**
+ * Stops or revokes all members, and returns the VMs on which the attempt never started and never will, as the
+ * instances that made the reservations confirm. order is made up for by the lapse of the reservation
+ * or by a repetition.
+ */
 export const stopAll = async (
     context: RoleContext,
     attempt: Attempt,
     checkpoint: boolean,
     graceMs: Millis,
+    instances: ReservedInstances = new Map(),
 ): Promise<ReadonlySet<string>> => {
     const { epoch } = context.role;
     const { attemptId, members } = attempt;
     const timeoutMs = graceMs + ORDER_TIMEOUT_MS;
     const answers = await Promise.all(members.map(async ({ vmId }) => {
         const answer = await order(context, vmId, "task.stop", { epoch, attemptId, checkpoint, graceMs }, timeoutMs);
-        return answer.isOk && answer.value.kind === "neverStarted" ? vmId : undefined;
+        // An agent that was replaced since the reservation does not know what its VM ran before.
+        const isProof = answer.isOk && answer.value.kind === "neverStarted"
+            && answer.value.instanceId === instances.get(vmId);
+        return isProof ? vmId : undefined;
     }));
     return new Set(answers.filter(vmId => vmId !== undefined));
 };
--- a/packages/scheduler/src/schedulingRole.ts
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -208,7 +208,10 @@
             job.stopReason = "cancelled";
             job.wake.wake();
         }
-        if (!isKnown && attempt !== undefined) {
+        // Also for a known job that waits here: a claim whose answer was lost can take effect late.
+        const isUnfollowed = !isKnown || job.members === undefined;
+        if (isUnfollowed && state === "running" && attempt !== undefined) {
+            job.members = attempt.members;
             void superviseAttempt(context, job, attempt);
         }
     }
--- a/packages/verification/src/guards.ts
+++ b/packages/verification/src/guards.ts
@@ -17,8 +17,10 @@
     readonly provesNeverStarted: (task: AttemptTask, member: number, instance: number) => boolean;
     /** Whether a cancellation may write to a row that it has read earlier. */
     readonly mayCancel: (job: JobState) => boolean;
+    /** Whether an idempotent job may start in an outage with a claim that is written later. */
+    readonly mayStartWithoutClaim: boolean;
     /** What the caller hears when a job is cancelled while its row says `queued`. */
-    readonly toldForQueued: (job: JobState, spec: ModelJob) => Told;
+    readonly toldForQueued: (job: JobState) => Told;
     /** Whether a holder may write the outcome of its attempt to this row. */
     readonly mayConclude: (job: JobState, task: AttemptTask) => boolean;
     /** Lease that an agent takes from a grant. */
@@ -38,8 +40,9 @@
     // A replaced agent does not know what its VM ran before, so only the instance that reserved can tell.
     provesNeverStarted: ({ instances }, member, instance) => instances[member] === instance,
     mayCancel: job => !hasEnded(job),
-    // An idempotent job may run under a claim that is not in its row yet.
-    toldForQueued: ({ attempts }, { idempotent }) => attempts === 0 && !idempotent ? "no" : "unknown",
+    // Every start has its claim in the row, and an attempt that never started does not count.
+    mayStartWithoutClaim: false,
+    toldForQueued: ({ attempts }) => attempts === 0 ? "no" : "unknown",
     mayConclude: (job, { id, deferred }) => !hasEnded(job) && (job.attempt === id || deferred),
     leaseOf: ({ left }) => left,
     mayAnswerAccepted: ({ store }) => store.isUp,
--- a/packages/verification/src/scopes.ts
+++ b/packages/verification/src/scopes.ts
@@ -45,7 +45,7 @@
         isReady: true,
     },
     outage: {
-        description: "store outage, lost answers, deferred claims and a second holder",
+        description: "store outage, lost answers and a second holder",
         bounds: {
             ...SIZES,
             holders: 2,
