--- /dev/null
+++ b/packages/capacity/src/report.ts
@@ -0,0 +1,34 @@
+import type { Measured } from "./measurement.js";
+
+const DIGITS = 4;
+
+/** A number with a few significant digits and without an exponent. */
+export const formatNumber = (value: number): string => {
+    const rounded = Number(value.toPrecision(DIGITS));
+    return Math.abs(rounded) < 1e-6 ? "0" : rounded.toLocaleString("en-US", { maximumSignificantDigits: DIGITS });
+};
+
+/** Rows as columns of equal width. */
+export const alignRows = (rows: readonly (readonly string[])[]): string => {
+    const widths = (rows[0] ?? []).map((_, column) => Math.max(...rows.map(row => row[column]?.length ?? 0)));
+    return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  ").trimEnd()).join("\n");
+};
+
+/** The points and the fits of one measurement as text. */
+export const formatMeasured = ({ name, sizeUnit, points, series }: Measured): string => {
+    const header = [
+        `${name} (per ${sizeUnit})`,
+        ...points.map(({ size }) => String(size)),
+        "slope",
+        "intercept",
+        "residual",
+    ];
+    const rows = series.map(({ figure, fit }) => [
+        figure,
+        ...points.map(({ values }) => formatNumber(values[figure] ?? 0)),
+        formatNumber(fit.slope),
+        formatNumber(fit.intercept),
+        formatNumber(fit.residual),
+    ]);
+    return alignRows([header, ...rows]);
+};
