--- a/packages/capacity/src/agentFleet.ts
+++ b/packages/capacity/src/agentFleet.ts
@@ -89,3 +89,13 @@
         this.events.push({ kind, name, at: performance.now() });
     }
 }
+
+/** Runs with a fleet of agents and ends them afterwards. */
+export const withFleet = async <T>(fleet: AgentFleet, use: (fleet: AgentFleet) => Promise<T>): Promise<T> => {
+    try {
+        return await use(fleet);
+    }
+    finally {
+        await fleet.kill();
+    }
+};
--- a/packages/capacity/src/configurationBody.ts
+++ b/packages/capacity/src/configurationBody.ts
@@ -1,6 +1,7 @@
 import type { ConfigurationBody, InventoryVm, Operator } from "@persimmonpitch/schema/configuration.js";
 import { configurationBodySchema } from "@persimmonpitch/schema/configuration.js";
 import { createHash } from "node:crypto";
+import { PLAN } from "./planSizes.js";
 
 const VMS_PER_RACK = 16;
 const ACCELERATORS = 8;
@@ -46,3 +47,10 @@
         })),
         operators: [OPERATOR],
     });
+
+/** So many worker VMs. */
+export const workerVms = (count: number): readonly InventoryVm[] =>
+    Array.from({ length: count }, (_, index) => workerVm(index));
+
+/** As many teams as the plan has for so many workers. */
+export const planTeams = (workers: number): number => Math.max(1, Math.round(workers * PLAN.teams / PLAN.workers));
--- a/packages/capacity/src/measurement.ts
+++ b/packages/capacity/src/measurement.ts
@@ -36,3 +36,16 @@
     readonly quickSizes: readonly number[];
     readonly run: (options: RunOptions) => Promise<readonly Point[]>;
 }
+
+/** Measures one size after another, so that no measurement disturbs the next. */
+export const eachSize = (
+    measure: (size: number, options: RunOptions) => Promise<Readonly<Record<string, number>>>,
+): Measurement["run"] =>
+async options => {
+    const points: Point[] = [];
+    for (const size of options.sizes) {
+        points.push({ size, values: { ...await measure(size, options) } });
+        options.note(`  size ${size} done`);
+    }
+    return points;
+};
--- a/packages/capacity/src/testbed.ts
+++ b/packages/capacity/src/testbed.ts
@@ -181,3 +181,23 @@
         await systemClock.sleep(POLL_MS);
     }
 };
+
+/** The entry of a position, which must exist. */
+export const entryAt = ({ entries }: Testbed, index: number): TestEntry => {
+    const entry = entries[index];
+    if (entry === undefined) {
+        throw new Error(`The testbed has no entry ${index}.`);
+    }
+    return entry;
+};
+
+/** Runs with a testbed of so many entries and ends its processes afterwards. */
+export const withTestbed = async <T>(entryCount: number, use: (bed: Testbed) => Promise<T>): Promise<T> => {
+    const bed = await startTestbed(entryCount);
+    try {
+        return await use(bed);
+    }
+    finally {
+        await bed.close();
+    }
+};
