--- a/packages/capacity/src/binaryProcess.ts
+++ b/packages/capacity/src/binaryProcess.ts
@@ -9,10 +9,14 @@
 import { readUsage } from "./processUsage.js";
 
 /** Bundled binaries that a measurement starts. */
-export type BinaryName = "persimmonpitch-entry" | "persimmonpitch-agent";
+export type BinaryName = "persimmonpitch-entry" | "persimmonpitch-agent" | "persimmonpitch";
 
 const BINARIES = new URL("../../../../dist/bin/", import.meta.url);
 const READY_TIMEOUT_MS = 20_000;
+const EXIT_BY_SIGNAL = -1;
+
+/** A short process lives for some hundred milliseconds. */
+const SAMPLE_MS = 5;
 
 type LineListener = (line: string) => void;
 
@@ -21,13 +25,19 @@
     readonly pid: number;
     private readonly listeners = new Set<LineListener>();
     private readonly lines: string[] = [];
-    private readonly ended: Promise<void>;
+    private readonly ended: Promise<number>;
 
     private constructor(private readonly child: ChildProcess, private readonly folder: string) {
         this.pid = child.pid ?? 0;
+        // An interrupted command must not leave processes behind.
+        const killChild = () => {
+            child.kill("SIGKILL");
+        };
+        process.once("exit", killChild);
         this.ended = new Promise(resolve => {
-            child.once("exit", () => {
-                resolve();
+            child.once("exit", code => {
+                process.off("exit", killChild);
+                resolve(code ?? EXIT_BY_SIGNAL);
             });
         });
         if (child.stderr !== null) {
@@ -41,12 +51,14 @@
     }
 
     /** Starts a binary with settings in TOML. */
-    static start(name: BinaryName, settings: string): BinaryProcess {
+    static start(name: BinaryName, settings: string, args: readonly string[] = []): BinaryProcess {
         const folder = mkdtempSync(join(tmpdir(), "persimmonpitch-capacity-"));
         const file = join(folder, "settings.toml");
         writeFileSync(file, settings);
         const binary = fileURLToPath(new URL(`${name}.mjs`, BINARIES));
-        const child = spawn(process.execPath, [binary, "--settings", file], { stdio: ["ignore", "ignore", "pipe"] });
+        const child = spawn(process.execPath, [binary, ...args, "--settings", file], {
+            stdio: ["ignore", "ignore", "pipe"],
+        });
         return new BinaryProcess(child, folder);
     }
 
@@ -78,6 +90,21 @@
         });
     }
 
+    /** Waits until the process ends by itself, and samples its memory until then. */
+    async runToEnd(): Promise<{ readonly exitCode: number; readonly peakMb: number; }> {
+        let peakMb = 0;
+        const sampler = setInterval(() => {
+            // The process may have ended since the last sample.
+            if (this.child.exitCode === null) {
+                peakMb = Math.max(peakMb, this.usage.residentMb);
+            }
+        }, SAMPLE_MS);
+        const exitCode = await this.ended;
+        clearInterval(sampler);
+        rmSync(this.folder, { recursive: true, force: true });
+        return { exitCode, peakMb };
+    }
+
     /** Ends the process at once, as a lost VM would. */
     async kill(): Promise<void> {
         this.child.kill("SIGKILL");
--- a/packages/capacity/src/measurement.ts
+++ b/packages/capacity/src/measurement.ts
@@ -23,6 +23,8 @@
     readonly sizes: readonly number[];
     /** Length of each stretch over which processor time and bytes are counted, in milliseconds. */
     readonly stretchMs: number;
+    /** Waits until a change has settled, for so long in a full run and shorter in a quick one. */
+    readonly settle: (ms: number) => Promise<void>;
     /** Tells how far the run is. */
     readonly note: (text: string) => void;
 }
@@ -34,6 +36,8 @@
     readonly sizes: readonly number[];
     /** Tiny sizes for a fast run that checks that everything works. */
     readonly quickSizes: readonly number[];
+    /** Reads the processor time or the heap of the command itself, so nothing else may run at the same time. */
+    readonly runsAlone?: boolean;
     readonly run: (options: RunOptions) => Promise<readonly Point[]>;
 }
 
--- a/packages/capacity/src/measurements.ts
+++ b/packages/capacity/src/measurements.ts
@@ -1,32 +1,36 @@
 import type { Measurement } from "./measurement.js";
 import { agentBusy } from "./measurements/agentBusy.js";
 import { agentIdle } from "./measurements/agentIdle.js";
+import { commandLine } from "./measurements/commandLine.js";
 import { configSpread } from "./measurements/configSpread.js";
+import { configurationSize } from "./measurements/configurationSize.js";
 import { directRequests } from "./measurements/directRequests.js";
 import { entryAgents } from "./measurements/entryAgents.js";
 import { historyExport } from "./measurements/historyExport.js";
 import { reconnection } from "./measurements/reconnection.js";
-import { roleChange } from "./measurements/roleChange.js";
+import { region } from "./measurements/region.js";
 import { schedulingTurn } from "./measurements/schedulingTurn.js";
 import { tableIdle } from "./measurements/tableIdle.js";
 import { tableJobs } from "./measurements/tableJobs.js";
 import { tableOutage } from "./measurements/tableOutage.js";
 
-/** All measurements by the name that `--only` takes. */
+/** All measurements by the name that `--only` takes, the longest first where several run at the same time. */
 export const MEASUREMENTS = {
+    schedulingTurn,
+    historyExport,
+    commandLine,
+    region,
     agentIdle,
+    entryAgents,
     agentBusy,
     directRequests,
-    entryAgents,
-    schedulingTurn,
-    roleChange,
-    configSpread,
+    tableJobs,
     reconnection,
+    configurationSize,
     tableIdle,
-    tableJobs,
     tableOutage,
-    historyExport,
-} as const satisfies Readonly<Record<string, Measurement>>;
+    configSpread,
+} satisfies Readonly<Record<string, Measurement>>;
 
 /** Name of a measurement. */
 export type MeasurementName = keyof typeof MEASUREMENTS;
--- a/packages/capacity/src/measurements/agentBusy.ts
+++ b/packages/capacity/src/measurements/agentBusy.ts
@@ -1,4 +1,3 @@
-import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { startAgentProcess } from "../agentProcess.js";
 import { buildBody, workerVm } from "../configurationBody.js";
 import type { Measurement } from "../measurement.js";
@@ -17,7 +16,7 @@
     sizeUnit: "running task",
     sizes: [1, 4, 8],
     quickSizes: [1, 2, 3],
-    run: eachSize((size, { stretchMs }) =>
+    run: eachSize((size, { settle, stretchMs }) =>
         withTestbed(1, async bed => {
             const vm = workerVm(0);
             const entry = entryAt(bed, 0);
@@ -27,7 +26,7 @@
                 for (let task = 0; task < size; task += 1) {
                     await submitJob(entry, { vms: 1, runMs: RUN_MS, key: `task-${task}` });
                 }
-                await systemClock.sleep(SETTLE_MS);
+                await settle(SETTLE_MS);
                 const [use] = await watch([agent.watched], stretchMs);
                 return use === undefined ? {} : figuresOf("agent", use);
             }
--- a/packages/capacity/src/measurements/configSpread.ts
+++ b/packages/capacity/src/measurements/configSpread.ts
@@ -1,4 +1,3 @@
-import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { AgentFleet, withFleet } from "../agentFleet.js";
 import { buildBody, planTeams, workerVms } from "../configurationBody.js";
 import { bytesBetween } from "../countingRelay.js";
@@ -17,7 +16,7 @@
     sizeUnit: "agent",
     sizes: [10, 60, 186],
     quickSizes: [2, 4, 6],
-    run: eachSize(size =>
+    run: eachSize((size, { settle }) =>
         withTestbed(2, async bed => {
             const entry = entryAt(bed, 1);
             const vms = workerVms(size);
@@ -27,7 +26,7 @@
             return withFleet(new AgentFleet(bed.deploymentKey, addresses), async fleet => {
                 fleet.start(vms);
                 await waitUntil(`the fences of ${size} agents`, () => fleet.count("called", "task.fence") >= size);
-                await systemClock.sleep(SETTLE_MS);
+                await settle(SETTLE_MS);
                 const agents = entry.agents.bytes;
                 const table = entry.table.bytes;
                 const usage = entry.process.usage.cpuSeconds;
@@ -35,7 +34,7 @@
                 const pushes = () => fleet.times("called", "config.changed", startedAt);
                 await loadConfiguration(entryAt(bed, 0), { ...body, drained: ["worker-0"] }, 1);
                 await waitUntil(`the change at ${size} agents`, () => pushes().length >= size);
-                await systemClock.sleep(TAIL_MS);
+                await settle(TAIL_MS);
                 return {
                     "messages to agents": pushes().length,
                     "last agent told after ms": Math.max(...pushes()) - startedAt,
--- a/packages/capacity/src/measurements/historyExport.ts
+++ b/packages/capacity/src/measurements/historyExport.ts
@@ -15,6 +15,7 @@
     sizeUnit: "record",
     sizes: [2_000, 50_000, 200_000],
     quickSizes: [100, 200, 400],
+    runsAlone: true,
     run: eachSize(async size => {
         const table = new GeneratedHistory(TEAM, size);
         const before = collectGarbage();
--- a/packages/capacity/src/measurements/reconnection.ts
+++ b/packages/capacity/src/measurements/reconnection.ts
@@ -1,4 +1,3 @@
-import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { AgentFleet, withFleet } from "../agentFleet.js";
 import { buildBody, planTeams, workerVms } from "../configurationBody.js";
 import type { Measurement } from "../measurement.js";
@@ -15,7 +14,7 @@
     sizeUnit: "agent",
     sizes: [20, 60, 186],
     quickSizes: [2, 4, 6],
-    run: eachSize(size =>
+    run: eachSize((size, { settle }) =>
         withTestbed(2, async bed => {
             const survivor = entryAt(bed, 0);
             const lost = entryAt(bed, 1);
@@ -29,14 +28,14 @@
                 const beforeStart = lost.process.usage.cpuSeconds;
                 fleet.start(vms);
                 await waitUntil(`the fences of ${size} agents`, () => fleet.count("called", "task.fence") >= size);
-                await systemClock.sleep(SETTLE_MS);
+                await settle(SETTLE_MS);
                 const startCpu = lost.process.usage.cpuSeconds - beforeStart;
                 const before = survivor.process.usage.cpuSeconds;
                 const lostAt = performance.now();
                 await lost.process.kill();
                 const moved = () => fleet.times("connected", survivor.id, lostAt);
                 await waitUntil(`the move of ${size} agents`, () => moved().length >= size);
-                await systemClock.sleep(TAIL_MS);
+                await settle(TAIL_MS);
                 return {
                     "peak connections/s at start": peakPerSecond(fleet.times("connected", lost.id)),
                     "entry cpu ms at start": startCpu * 1_000,
--- a/packages/capacity/src/measurements/schedulingTurn.ts
+++ b/packages/capacity/src/measurements/schedulingTurn.ts
@@ -18,6 +18,7 @@
     sizeUnit: "worker",
     sizes: [232, 465, 930],
     quickSizes: [10, 20, 40],
+    runsAlone: true,
     run: eachSize(async size => {
         const before = collectGarbage();
         const state = createHolderState(size);
--- a/packages/capacity/src/processUsage.ts
+++ b/packages/capacity/src/processUsage.ts
@@ -24,3 +24,10 @@
 /** Share of one core in percent between two readings. */
 export const corePercent = (before: ProcessUsage, after: ProcessUsage, elapsedMs: number): number =>
     (after.cpuSeconds - before.cpuSeconds) / (elapsedMs / 1_000) * 100;
+
+/** Processor time of all ended children of this process; user and system time are fields 16 and 17. */
+export const readChildrenSeconds = (): number => {
+    const stat = readFileSync("/proc/self/stat", "utf8");
+    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+    return (Number(fields[13]) + Number(fields[14])) / TICKS_PER_SECOND;
+};
--- a/packages/capacity/src/report.ts
+++ b/packages/capacity/src/report.ts
@@ -32,3 +32,15 @@
     ]);
     return alignRows([header, ...rows]);
 };
+
+/** The fits of one measurement as a Markdown table. */
+export const formatMeasuredMarkdown = ({ name, sizeUnit, points, series }: Measured): string => {
+    const header = ["figure", ...points.map(({ size }) => `at ${size}`), "slope", "intercept", "residual"];
+    const rows = series.map(({ figure, fit }) => [
+        figure,
+        ...points.map(({ values }) => formatNumber(values[figure] ?? 0)),
+        ...[fit.slope, fit.intercept, fit.residual].map(formatNumber),
+    ]);
+    const table = [header, header.map(() => "---"), ...rows].map(cells => `| ${cells.join(" | ")} |`).join("\n");
+    return `### ${name}\n\n\`npm run capacity -- --only ${name}\`; per ${sizeUnit}.\n\n${table}`;
+};
--- a/packages/capacity/src/runMeasurement.ts
+++ b/packages/capacity/src/runMeasurement.ts
@@ -1,3 +1,4 @@
+import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { fitLine } from "./fit.js";
 import type { Measured, Measurement, Point, Series } from "./measurement.js";
 
@@ -19,8 +20,10 @@
     readonly note: (text: string) => void;
 }
 
-const STRETCH_MS = 12_000;
+/** Two heartbeats of a worker, so that every stretch holds the same number of them. */
+const STRETCH_MS = 10_000;
 const QUICK_STRETCH_MS = 500;
+const QUICK_SETTLE_SHARE = 0.1;
 
 /** Runs one measurement and fits its figures. */
 export const runMeasurement = async (
@@ -31,6 +34,7 @@
     const points = await run({
         sizes: isQuick ? quickSizes : sizes,
         stretchMs: isQuick ? QUICK_STRETCH_MS : STRETCH_MS,
+        settle: ms => systemClock.sleep(isQuick ? ms * QUICK_SETTLE_SHARE : ms),
         note,
     });
     return { name, sizeUnit, points: [...points], series: fitPoints(points) };
--- a/packages/capacity/src/stretch.ts
+++ b/packages/capacity/src/stretch.ts
@@ -3,6 +3,7 @@
 import type { CountingRelay, RelayBytes } from "./countingRelay.js";
 import { bytesBetween } from "./countingRelay.js";
 import { corePercent } from "./processUsage.js";
+import type { TestEntry } from "./testbed.js";
 
 /** Which relays carry the traffic of a process, and on which side of each it stands. */
 export interface WatchedProcess {
@@ -11,6 +12,13 @@
     readonly asClient: readonly CountingRelay[];
 }
 
+/** An entry process with all its connections. */
+export const watchedEntry = ({ process, agents, peersIn, peersOut, table }: TestEntry): WatchedProcess => ({
+    process,
+    asTarget: [agents, ...peersIn],
+    asClient: [...peersOut, table],
+});
+
 /** Use of one process over a stretch of time. */
 export interface StretchUse {
     readonly corePercent: number;
--- a/packages/capacity/src/testbed.ts
+++ b/packages/capacity/src/testbed.ts
@@ -18,8 +18,10 @@
     readonly url: string;
     /** Between agents and this entry. */
     readonly agents: CountingRelay;
-    /** Between the other entries and this entry. */
-    readonly peers: CountingRelay;
+    /** Calls of the other entries to this one, one relay for each. */
+    readonly peersIn: readonly CountingRelay[];
+    /** Calls of this entry to the other ones. */
+    readonly peersOut: readonly CountingRelay[];
     /** Between this entry and the table. */
     readonly table: CountingRelay;
 }
@@ -42,16 +44,28 @@
 
 const entryId = (index: number): string => `entry-${index}`;
 
+/** A relay for the calls of one entry to another. */
+interface PeerRelay {
+    readonly from: number;
+    readonly to: number;
+    readonly relay: CountingRelay;
+}
+
+const listenForPeers = (entryCount: number): Promise<readonly PeerRelay[]> => {
+    const indexes = Array.from({ length: entryCount }, (_, index) => index);
+    const pairs = indexes.flatMap(from => indexes.filter(to => to !== from).map(to => ({ from, to })));
+    return Promise.all(pairs.map(async pair => ({ ...pair, relay: await CountingRelay.listen() })));
+};
+
 const entryToml = (
     index: number,
     tablePort: number,
-    peers: readonly CountingRelay[],
+    peers: readonly PeerRelay[],
     deploymentKey: Buffer,
 ): string => {
     const listen = toToml({ host: LOOPBACK, port: 0 });
-    const sections = peers.map((relay, peer) => ({ peer, port: relay.port }))
-        .filter(({ peer }) => peer !== index)
-        .map(({ peer, port }) => `[[peers]]\n${toToml({ id: entryId(peer), host: LOOPBACK, port })}`);
+    const sections = peers.filter(({ from }) => from === index)
+        .map(({ to, relay }) => `[[peers]]\n${toToml({ id: entryId(to), host: LOOPBACK, port: relay.port })}`);
     return [
         toToml({
             id: entryId(index),
@@ -70,7 +84,7 @@
 const startEntry = async (
     index: number,
     tableServer: RunningServer,
-    peerRelays: readonly CountingRelay[],
+    peerRelays: readonly PeerRelay[],
     deploymentKey: Buffer,
 ): Promise<TestEntry> => {
     const table = await CountingRelay.listen(Number(new URL(tableServer.url).port));
@@ -78,10 +92,13 @@
     const process = BinaryProcess.start("persimmonpitch-entry", settings);
     const started = await process.waitForLine("event=entry.started");
     const innerPort = Number(fieldOf(started, "innerPort"));
-    const peers = peerRelays[index] ?? await CountingRelay.listen();
-    peers.targetPort = innerPort;
+    const peersIn = peerRelays.filter(({ to }) => to === index).map(({ relay }) => relay);
+    const peersOut = peerRelays.filter(({ from }) => from === index).map(({ relay }) => relay);
+    peersIn.forEach(relay => {
+        relay.targetPort = innerPort;
+    });
     const agents = await CountingRelay.listen(innerPort);
-    return { id: entryId(index), process, url: fieldOf(started, "http"), agents, peers, table };
+    return { id: entryId(index), process, url: fieldOf(started, "http"), agents, peersIn, peersOut, table };
 };
 
 /** Starts a table and entries; the first entry takes the scheduling role. */
@@ -89,7 +106,7 @@
     const deploymentKey = randomBytes(KEY_BYTES);
     const table = new MemoryTable(systemClock);
     const tableServer = await startTableServer(table);
-    const peerRelays = await Promise.all(Array.from({ length: entryCount }, () => CountingRelay.listen()));
+    const peerRelays = await listenForPeers(entryCount);
     const entries: TestEntry[] = [];
     for (let index = 0; index < entryCount; index += 1) {
         const entry = await startEntry(index, tableServer, peerRelays, deploymentKey);
@@ -110,7 +127,7 @@
         })),
         close: async () => {
             await Promise.all(entries.map(({ process }) => process.kill()));
-            entries.flatMap(({ agents, peers, table: relay }) => [agents, peers, relay]).forEach(relay => {
+            entries.flatMap(({ agents, peersIn, table: relay }) => [agents, ...peersIn, relay]).forEach(relay => {
                 relay.close();
             });
             await tableServer.close();
@@ -172,7 +189,7 @@
     });
 
 /** Waits until a condition holds; a timeout throws with what was waited for. */
-export const waitUntil = async (what: string, holds: () => boolean, timeoutMs = 40_000): Promise<void> => {
+export const waitUntil = async (what: string, holds: () => boolean, timeoutMs = 60_000): Promise<void> => {
     const deadline = performance.now() + timeoutMs;
     while (!holds()) {
         if (performance.now() > deadline) {
