--- a/packages/capacity/src/capacity.ts
+++ b/packages/capacity/src/capacity.ts
@@ -2,7 +2,7 @@
 import meow from "meow";
 import { readFileSync } from "node:fs";
 import { z } from "zod";
-import type { Measured, Measurement } from "./measurement.js";
+import type { Measured } from "./measurement.js";
 import { measuredSchema } from "./measurement.js";
 import type { MeasurementName } from "./measurements.js";
 import { isMeasurementName, MEASUREMENTS } from "./measurements.js";
@@ -81,7 +81,7 @@
 };
 
 const measureAll = async (names: readonly MeasurementName[], isQuick: boolean): Promise<Measured[]> => {
-    const runsAlone = (name: MeasurementName) => (MEASUREMENTS[name] as Measurement).runsAlone === true;
+    const runsAlone = (name: MeasurementName) => MEASUREMENTS[name].runsAlone === true;
     const alone = await measureInLanes(names.filter(runsAlone), isQuick, 1);
     return [...alone, ...await measureInLanes(names.filter(name => !runsAlone(name)), isQuick, LANES)];
 };
