--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,7 +2,12 @@
 import type { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Executor, Worker } from "@persimmonpitch/platform/worker.js";
-import type { AgentIdentity, AgentReport, EntryToAgentMethods } from "@persimmonpitch/protocol/agentMessages.js";
+import type {
+    AgentIdentity,
+    AgentReport,
+    EntryToAgentMethods,
+    ExecutorLimits,
+} from "@persimmonpitch/protocol/agentMessages.js";
 import type { HandlerTable } from "@persimmonpitch/protocol/method.js";
 import { randomUUID } from "node:crypto";
 import type { AgentSettings } from "./agentSettings.js";
@@ -30,6 +35,9 @@
 /** Orphaned records sent with one report. */
 const MAX_ORPHANS_PER_REPORT = 100;
 
+/** A leaving agent keeps its copies of records until the entries have written theirs, but not through an outage. */
+const RECORD_WAIT_MS: Millis = 10_000;
+
 /** Interval at which a leaving agent looks whether its work is done. */
 const DRAIN_POLL_MS: Millis = 100;
 
@@ -81,6 +89,10 @@
         while (this.isBusy()) {
             await this.options.clock.sleep(DRAIN_POLL_MS);
         }
+        const recordsUntil = this.options.clock.now() + RECORD_WAIT_MS;
+        while (this.records.size > 0 && this.options.clock.now() < recordsUntil) {
+            await this.options.clock.sleep(DRAIN_POLL_MS);
+        }
         this.options.logger.log("info", "agent.left");
         this.stopController.abort();
     }
@@ -112,6 +124,7 @@
         return {
             full,
             leaving: this.isLeaving,
+            configVersion: this.configVersion,
             tasks,
             removed: [...changes.removed],
             inFlight: this.requests.inFlight,
@@ -126,24 +139,36 @@
             identity: this.identity(),
             openLink: this.options.openLink,
             random: this.options.random ?? Math.random,
-            handlersFor: entryId => this.handlers(entryId),
+            needsLease: this.options.settings.kind === "worker" && this.options.settings.entries.length > 1,
+            handlersFor: entryInstanceId => this.handlers(entryInstanceId),
             fullReport: () => this.report(true),
             deltaReport: () => this.report(false),
             configVersion: () => this.configVersion,
-            onConnected: (entryId, limits, wake) => {
-                this.connected.set(entryId, wake);
-                this.requests.setLimits(limits);
+            onConnected: (entryInstanceId, wake) => {
+                this.connected.set(entryInstanceId, wake);
             },
-            onDisconnected: entryId => {
-                this.connected.delete(entryId);
+            onDisconnected: entryInstanceId => {
+                this.connected.delete(entryInstanceId);
             },
-            onGrant: (grant, sentAt) => {
-                this.lease.accept(grant, sentAt);
+            onGrant: (answer, sentAt) => {
+                this.lease.accept(answer, sentAt);
+                if (answer.limits !== undefined) {
+                    this.applyConfig(answer.configVersion, answer.limits);
+                }
             },
         };
     }
 
-    private handlers(entryId: () => string): HandlerTable<EntryToAgentMethods> {
+    /** Applies limits; versions only rise. */
+    private applyConfig(version: number, limits: ExecutorLimits): void {
+        if (version > this.configVersion) {
+            this.configVersion = version;
+            this.requests.setLimits(limits);
+            this.options.logger.log("info", "config.applied", { version });
+        }
+    }
+
+    private handlers(entryInstanceId: () => string): HandlerTable<EntryToAgentMethods> {
         const orders = createOrderHandlers({
             instanceId: this.instanceId,
             table: this.table,
@@ -155,17 +180,13 @@
         });
         return {
             ...orders,
-            "request.run": params => this.requests.run(params, entryId()),
+            "request.run": params => this.requests.run(params, entryInstanceId()),
             "request.recorded": ({ requestIds }) => {
                 this.records.confirm(requestIds);
                 return Promise.resolve({});
             },
             "config.changed": ({ version, limits }) => {
-                if (version > this.configVersion) {
-                    this.configVersion = version;
-                    this.requests.setLimits(limits);
-                    this.options.logger.log("info", "config.applied", { version });
-                }
+                this.applyConfig(version, limits);
                 return Promise.resolve({ version: this.configVersion });
             },
         };
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -40,10 +40,16 @@
 });
 export type ExecutorLimits = z.infer<typeof executorLimitsSchema>;
 
+/** The answer to a report: the grant, and the limits when the agent does not have the newest ones. */
+export const reportAnswerSchema = leaseGrantSchema.extend({ limits: executorLimitsSchema.optional() });
+export type ReportAnswer = z.infer<typeof reportAnswerSchema>;
+
 /** The state of an agent; a delta holds only the tasks that changed. */
 export const agentReportSchema = z.object({
     full: z.boolean(),
     leaving: z.boolean(),
+    /** The newest version that the agent applies. */
+    configVersion: z.number().int().nonnegative(),
     tasks: z.array(taskReportSchema),
     /** Attempts that the agent no longer knows. */
     removed: z.array(identifierSchema),
@@ -64,12 +70,14 @@
         }),
         result: z.object({
             entryId: identifierSchema,
+            /** New at each start of the entry: one that starts again has lost the records that it had not written. */
+            entryInstanceId: identifierSchema,
             heartbeatMs: millisSchema.positive(),
             limits: executorLimitsSchema,
             grant: leaseGrantSchema,
         }),
     },
-    "agent.report": { params: agentReportSchema, result: leaseGrantSchema },
+    "agent.report": { params: agentReportSchema, result: reportAnswerSchema },
 } as const;
 export type AgentToEntryMethods = typeof agentToEntryMethods;
 
@@ -94,17 +102,21 @@
             digest: digestSchema,
             timeLeftMs: millisSchema,
         }),
-        result: z.discriminatedUnion("kind", [
-            z.object({
-                kind: z.literal("answered"),
-                requestId: identifierSchema,
-                answer: z.string(),
-                length: z.number().int().nonnegative(),
-                digest: digestSchema,
-            }),
-            z.object({ kind: z.literal("refused"), reason: requestRefusalSchema }),
-            z.object({ kind: z.literal("failed"), ran: ranSchema, detail: z.string() }),
-        ]),
+        result: z.object({
+            /** Requests in progress on the executor, so that entries learn of its load with each answer. */
+            inFlight: z.number().int().nonnegative(),
+            outcome: z.discriminatedUnion("kind", [
+                z.object({
+                    kind: z.literal("answered"),
+                    requestId: identifierSchema,
+                    answer: z.string(),
+                    length: z.number().int().nonnegative(),
+                    digest: digestSchema,
+                }),
+                z.object({ kind: z.literal("refused"), reason: requestRefusalSchema }),
+                z.object({ kind: z.literal("failed"), ran: ranSchema, detail: z.string() }),
+            ]),
+        }),
     },
     /** Names requests whose records are durable, so that the agent drops its copies. */
     "request.recorded": {
