--- a/packages/capacity/src/holderState.ts
+++ b/packages/capacity/src/holderState.ts
@@ -1,5 +1,6 @@
 import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import { silentLogger } from "@persimmonpitch/logging/logger.js";
 import { RunTimeLearner } from "@persimmonpitch/placement/runTimeLearner.js";
 import { WorkerHealth } from "@persimmonpitch/placement/workerHealth.js";
@@ -157,6 +158,7 @@
         role: new HeldRole({ ...common, holderId: "entry-0" }, EPOCH, 1, 1, systemClock.now()),
         configuration: () => configuration,
         wake: new WakeSignal(),
+        monitor: new InvariantMonitor(silentLogger),
         heldSince: systemClock.now(),
         onJobChanged: () => undefined,
         runTimes: new RunTimeLearner(),
