--- /dev/null
+++ b/tap-snapshots/packages/verification/dist/tests/apiCalls.test.js.test.cjs
@@ -0,0 +1,1374 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > /v1/admin/teams/alpha/history 1`] = `
+Object {
+  "exportedAt": "TIME",
+  "jobs": 3,
+  "pages": 1,
+  "records": 10,
+  "requests": 1,
+  "sha256": "DIGEST",
+  "team": "alpha",
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > /v1/history 1`] = `
+Object {
+  "exportedAt": "TIME",
+  "jobs": 3,
+  "pages": 1,
+  "records": 10,
+  "requests": 1,
+  "sha256": "DIGEST",
+  "team": "alpha",
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > cancel after the end 1`] = `
+Object {
+  "body": Object {
+    "job": Object {
+      "attempt": Object {
+        "attemptId": "j-ID",
+        "claimedAt": "TIME",
+        "epoch": 1,
+        "members": Array [
+          Object {
+            "accelerators": 1,
+            "vmId": "worker-3",
+          },
+        ],
+      },
+      "attempts": 1,
+      "cancelRequested": false,
+      "failedOn": Array [],
+      "jobId": "j-ID",
+      "outcome": Object {
+        "at": "TIME",
+        "code": "finished",
+        "detail": "",
+        "ran": "yes",
+        "result": "",
+      },
+      "spec": Object {
+        "checkpointable": false,
+        "declaredRunMs": 5000,
+        "gang": Object {
+          "acceleratorsPerVm": 1,
+          "adjacency": "any",
+          "coresPerVm": 0,
+          "memoryMbPerVm": 0,
+          "vms": 1,
+        },
+        "idempotent": true,
+        "payload": "{\\"runMs\\":5000}",
+        "requestKey": "ends",
+        "team": "alpha",
+        "workClass": "batch",
+      },
+      "state": "finished",
+      "submittedAt": "TIME",
+    },
+    "result": "alreadyEnded",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > cancel by the operator 1`] = `
+Object {
+  "body": Object {
+    "job": Object {
+      "attempt": Object {
+        "attemptId": "j-ID",
+        "claimedAt": "TIME",
+        "epoch": 1,
+        "members": Array [
+          Object {
+            "accelerators": 1,
+            "vmId": "worker-3",
+          },
+        ],
+      },
+      "attempts": 1,
+      "cancelRequested": false,
+      "failedOn": Array [],
+      "jobId": "j-ID",
+      "outcome": Object {
+        "at": "TIME",
+        "code": "finished",
+        "detail": "",
+        "ran": "yes",
+        "result": "",
+      },
+      "spec": Object {
+        "checkpointable": false,
+        "declaredRunMs": 5000,
+        "gang": Object {
+          "acceleratorsPerVm": 1,
+          "adjacency": "any",
+          "coresPerVm": 0,
+          "memoryMbPerVm": 0,
+          "vms": 1,
+        },
+        "idempotent": true,
+        "payload": "{\\"runMs\\":5000}",
+        "requestKey": "ends",
+        "team": "alpha",
+        "workClass": "batch",
+      },
+      "state": "finished",
+      "submittedAt": "TIME",
+    },
+    "result": "alreadyEnded",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > cancel while it runs 1`] = `
+Object {
+  "body": Object {
+    "job": Object {
+      "attempt": Object {
+        "attemptId": "j-ID",
+        "claimedAt": "TIME",
+        "epoch": 1,
+        "members": Array [
+          Object {
+            "accelerators": 1,
+            "vmId": "worker-3",
+          },
+        ],
+      },
+      "attempts": 1,
+      "cancelRequested": true,
+      "failedOn": Array [],
+      "jobId": "j-ID",
+      "spec": Object {
+        "checkpointable": false,
+        "declaredRunMs": 5000,
+        "gang": Object {
+          "acceleratorsPerVm": 1,
+          "adjacency": "any",
+          "coresPerVm": 0,
+          "memoryMbPerVm": 0,
+          "vms": 1,
+        },
+        "idempotent": true,
+        "payload": "{\\"runMs\\":1000000}",
+        "requestKey": "stops",
+        "team": "alpha",
+        "workClass": "batch",
+      },
+      "state": "running",
+      "submittedAt": "TIME",
+    },
+    "result": "stopping",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > job that can never fit 1`] = `
+Object {
+  "body": Object {
+    "attempts": 0,
+    "cancelRequested": false,
+    "failedOn": Array [],
+    "jobId": "j-ID",
+    "outcome": Object {
+      "at": "TIME",
+      "code": "neverFits",
+      "detail": "The inventory has no VMs (count 7, adjacency any) with 8 accelerators, 0 cores and 0 MB each.",
+      "ran": "no",
+    },
+    "spec": Object {
+      "checkpointable": false,
+      "declaredRunMs": 5000,
+      "gang": Object {
+        "acceleratorsPerVm": 8,
+        "adjacency": "any",
+        "coresPerVm": 0,
+        "memoryMbPerVm": 0,
+        "vms": 7,
+      },
+      "idempotent": true,
+      "payload": "{\\"runMs\\":5000}",
+      "requestKey": "never",
+      "team": "alpha",
+      "workClass": "batch",
+    },
+    "state": "refused",
+    "submittedAt": "TIME",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > wait for the cancelled job 1`] = `
+Object {
+  "body": Object {
+    "attempt": Object {
+      "attemptId": "j-ID",
+      "claimedAt": "TIME",
+      "epoch": 1,
+      "members": Array [
+        Object {
+          "accelerators": 1,
+          "vmId": "worker-3",
+        },
+      ],
+    },
+    "attempts": 1,
+    "cancelRequested": true,
+    "failedOn": Array [],
+    "jobId": "j-ID",
+    "outcome": Object {
+      "at": "TIME",
+      "code": "cancelled",
+      "detail": "Cancelled while running.",
+      "ran": "yes",
+    },
+    "spec": Object {
+      "checkpointable": false,
+      "declaredRunMs": 5000,
+      "gang": Object {
+        "acceleratorsPerVm": 1,
+        "adjacency": "any",
+        "coresPerVm": 0,
+        "memoryMbPerVm": 0,
+        "vms": 1,
+      },
+      "idempotent": true,
+      "payload": "{\\"runMs\\":1000000}",
+      "requestKey": "stops",
+      "team": "alpha",
+      "workClass": "batch",
+    },
+    "state": "cancelled",
+    "submittedAt": "TIME",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > wait for the end 1`] = `
+Object {
+  "body": Object {
+    "attempt": Object {
+      "attemptId": "j-ID",
+      "claimedAt": "TIME",
+      "epoch": 1,
+      "members": Array [
+        Object {
+          "accelerators": 1,
+          "vmId": "worker-3",
+        },
+      ],
+    },
+    "attempts": 1,
+    "cancelRequested": false,
+    "failedOn": Array [],
+    "jobId": "j-ID",
+    "outcome": Object {
+      "at": "TIME",
+      "code": "finished",
+      "detail": "",
+      "ran": "yes",
+      "result": "",
+    },
+    "spec": Object {
+      "checkpointable": false,
+      "declaredRunMs": 5000,
+      "gang": Object {
+        "acceleratorsPerVm": 1,
+        "adjacency": "any",
+        "coresPerVm": 0,
+        "memoryMbPerVm": 0,
+        "vms": 1,
+      },
+      "idempotent": true,
+      "payload": "{\\"runMs\\":5000}",
+      "requestKey": "ends",
+      "team": "alpha",
+      "workClass": "batch",
+    },
+    "state": "finished",
+    "submittedAt": "TIME",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > wait that ends before the job 1`] = `
+Object {
+  "body": Object {
+    "attempt": Object {
+      "attemptId": "j-ID",
+      "claimedAt": "TIME",
+      "epoch": 1,
+      "members": Array [
+        Object {
+          "accelerators": 1,
+          "vmId": "worker-3",
+        },
+      ],
+    },
+    "attempts": 1,
+    "cancelRequested": false,
+    "failedOn": Array [],
+    "jobId": "j-ID",
+    "spec": Object {
+      "checkpointable": false,
+      "declaredRunMs": 5000,
+      "gang": Object {
+        "acceleratorsPerVm": 1,
+        "adjacency": "any",
+        "coresPerVm": 0,
+        "memoryMbPerVm": 0,
+        "vms": 1,
+      },
+      "idempotent": true,
+      "payload": "{\\"runMs\\":1000000}",
+      "requestKey": "stops",
+      "team": "alpha",
+      "workClass": "batch",
+    },
+    "state": "running",
+    "submittedAt": "TIME",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > configuration that promises more than there is 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidConfiguration",
+    "detail": "The configuration has 5 findings.",
+    "findings": Array [
+      Object {
+        "message": "The guarantee \\"gamma/none\\" is given to the team \\"gamma\\", which is not listed.",
+        "messageId": "unknownTeam",
+        "place": Object {
+          "path": "guarantees[1]",
+        },
+      },
+      Object {
+        "message": "The guarantee \\"gamma/none\\" needs 1 VMs (9 accelerators, 0 cores and 0 MB each) with the adjacency \\"any\\", but at most 0 fit.",
+        "messageId": "shapeNeverFits",
+        "place": Object {
+          "path": "guarantees[1]",
+        },
+      },
+      Object {
+        "message": "The guarantees promise 73 accelerators, but there are 48.",
+        "messageId": "guaranteesExceedTotal",
+        "place": Object {},
+      },
+      Object {
+        "message": "The instance 2 of the guarantee \\"alpha/gang\\" does not fit beside the other guarantees.",
+        "messageId": "guaranteeUnbound",
+        "place": Object {
+          "path": "guarantees[0]",
+        },
+      },
+      Object {
+        "message": "The instance 3 of the guarantee \\"alpha/gang\\" does not fit beside the other guarantees.",
+        "messageId": "guaranteeUnbound",
+        "place": Object {
+          "path": "guarantees[0]",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 422,
+    "title": "Invalid configuration",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 422,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > configuration with a weak version 1`] = `
+Object {
+  "body": Object {
+    "code": "versionRequired",
+    "detail": "Name the version that was read in an If-Match header.",
+    "ran": "no",
+    "status": 428,
+    "title": "Version required",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 428,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > configuration with every part wrong 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "The body does not match its schema.",
+    "findings": Array [
+      Object {
+        "message": "Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/",
+        "messageId": "invalid_format",
+        "place": Object {
+          "path": "vms.0.id",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected string, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "vms.0.rack",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected string, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "vms.0.dataCentre",
+        },
+      },
+      Object {
+        "message": "Invalid option: expected one of \\"worker\\"|\\"executor\\"",
+        "messageId": "invalid_value",
+        "place": Object {
+          "path": "vms.0.kind",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected number, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "vms.0.cores",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected number, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "vms.0.memoryMb",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected number, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "vms.0.accelerators",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected array, received object",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "teams",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected array, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "operators",
+        },
+      },
+      Object {
+        "message": "Too small: expected number to be >0",
+        "messageId": "too_small",
+        "place": Object {
+          "path": "guarantees.0.count",
+        },
+      },
+      Object {
+        "message": "Too big: expected number to be <=2500",
+        "messageId": "too_big",
+        "place": Object {
+          "path": "rules.preemptionGraceMs",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > configuration without a version 1`] = `
+Object {
+  "body": Object {
+    "code": "versionRequired",
+    "detail": "Name the version that was read in an If-Match header.",
+    "ran": "no",
+    "status": 428,
+    "title": "Version required",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 428,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > drain of a VM that is none 1`] = `
+Object {
+  "body": Object {
+    "code": "notFound",
+    "detail": "There is no VM worker-99.",
+    "ran": "no",
+    "status": 404,
+    "title": "Not found",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 404,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > head of a resource 1`] = `
+Object {
+  "body": "",
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job id that is none 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "The body does not match its schema.",
+    "findings": Array [
+      Object {
+        "message": "Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/",
+        "messageId": "invalid_format",
+        "place": Object {
+          "path": "jobId",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job larger than 1 MiB 1`] = `
+Object {
+  "body": Object {
+    "code": "bodyTooLarge",
+    "detail": "The body is larger than 1 MiB.",
+    "ran": "no",
+    "status": 413,
+    "title": "Body too large",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 413,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job of another content type 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "Unsupported Media Type",
+    "ran": "no",
+    "status": 415,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 415,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job that does not exist 1`] = `
+Object {
+  "body": Object {
+    "code": "notFound",
+    "detail": "There is no job j-none.",
+    "ran": "no",
+    "status": 404,
+    "title": "Not found",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 404,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job that is not JSON 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "Body is not valid JSON but content-type is set to 'application/json'",
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job with every field wrong 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "The body does not match its schema.",
+    "findings": Array [
+      Object {
+        "message": "Invalid option: expected one of \\"urgent\\"|\\"interactive\\"|\\"standard\\"|\\"batch\\"|\\"bestEffort\\"",
+        "messageId": "invalid_value",
+        "place": Object {
+          "path": "workClass",
+        },
+      },
+      Object {
+        "message": "Too small: expected number to be >=1",
+        "messageId": "too_small",
+        "place": Object {
+          "path": "gang.vms",
+        },
+      },
+      Object {
+        "message": "Too big: expected number to be <=64",
+        "messageId": "too_big",
+        "place": Object {
+          "path": "gang.acceleratorsPerVm",
+        },
+      },
+      Object {
+        "message": "Invalid option: expected one of \\"vm\\"|\\"rack\\"|\\"dataCentre\\"|\\"any\\"",
+        "messageId": "invalid_value",
+        "place": Object {
+          "path": "gang.adjacency",
+        },
+      },
+      Object {
+        "message": "Too small: expected number to be >0",
+        "messageId": "too_small",
+        "place": Object {
+          "path": "declaredRunMs",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected boolean, received string",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "idempotent",
+        },
+      },
+      Object {
+        "message": "Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/",
+        "messageId": "invalid_format",
+        "place": Object {
+          "path": "requestKey",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected string, received number",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "payload",
+        },
+      },
+      Object {
+        "message": "Unrecognized key: \\"team\\"",
+        "messageId": "unrecognized_keys",
+        "place": Object {
+          "path": "",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job without a body 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "The body does not match its schema.",
+    "findings": Array [
+      Object {
+        "message": "Invalid input: expected object, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > method that the path does not have 1`] = `
+Object {
+  "body": Object {
+    "code": "notFound",
+    "detail": "There is no resource /v1/jobs.",
+    "ran": "no",
+    "status": 404,
+    "title": "Not found",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 404,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > operator as a team 1`] = `
+Object {
+  "body": Object {
+    "code": "forbidden",
+    "detail": "The token does not allow this call.",
+    "ran": "no",
+    "status": 403,
+    "title": "Forbidden",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 403,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > payload larger than 256 KiB 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "The body does not match its schema.",
+    "findings": Array [
+      Object {
+        "message": "Too big: expected string to have <=262144 characters",
+        "messageId": "too_big",
+        "place": Object {
+          "path": "payload",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > request to a service that is none 1`] = `
+Object {
+  "body": Object {
+    "code": "notFound",
+    "detail": "There is no service none.",
+    "ran": "no",
+    "status": 404,
+    "title": "Not found",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 404,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > request with every field wrong 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "The body does not match its schema.",
+    "findings": Array [
+      Object {
+        "message": "Invalid option: expected one of \\"urgent\\"|\\"interactive\\"|\\"standard\\"|\\"batch\\"|\\"bestEffort\\"",
+        "messageId": "invalid_value",
+        "place": Object {
+          "path": "workClass",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected boolean, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "idempotent",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected string, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "requestKey",
+        },
+      },
+      Object {
+        "message": "Too big: expected number to be <=600000",
+        "messageId": "too_big",
+        "place": Object {
+          "path": "timeoutMs",
+        },
+      },
+      Object {
+        "message": "Invalid input: expected string, received undefined",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "body",
+        },
+      },
+      Object {
+        "message": "Unrecognized key: \\"extra\\"",
+        "messageId": "unrecognized_keys",
+        "place": Object {
+          "path": "",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > unknown path 1`] = `
+Object {
+  "body": Object {
+    "code": "notFound",
+    "detail": "There is no resource /v1/nothing.",
+    "ran": "no",
+    "status": 404,
+    "title": "Not found",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 404,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > wait for a word 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "The body does not match its schema.",
+    "findings": Array [
+      Object {
+        "message": "Invalid input: expected number, received NaN",
+        "messageId": "invalid_type",
+        "place": Object {
+          "path": "timeoutMs",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > wait longer than allowed 1`] = `
+Object {
+  "body": Object {
+    "code": "invalidBody",
+    "detail": "The body does not match its schema.",
+    "findings": Array [
+      Object {
+        "message": "Too big: expected number to be <=60000",
+        "messageId": "too_big",
+        "place": Object {
+          "path": "timeoutMs",
+        },
+      },
+    ],
+    "ran": "no",
+    "status": 400,
+    "title": "Invalid body",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 400,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > without a token 1`] = `
+Object {
+  "body": Object {
+    "code": "unauthenticated",
+    "detail": "The bearer token is missing or unknown.",
+    "ran": "no",
+    "status": 401,
+    "title": "Unauthenticated",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 401,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > burn 1`] = `
+Object {
+  "body": Object {
+    "classes": Array [
+      Object {
+        "alert": "none",
+        "bad": 0,
+        "budgetSpent": 0,
+        "good": 0,
+        "latencyMs": Object {
+          "count": 0,
+          "max": 0,
+          "p50": 0,
+          "p95": 0,
+          "p99": 0,
+        },
+        "objective": Object {
+          "budgetDays": 30,
+          "goodShare": 0.99,
+          "withinMs": 2000,
+          "workClass": "interactive",
+        },
+        "windows": Array [
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "5m",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "1h",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "6h",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "3d",
+          },
+        ],
+      },
+      Object {
+        "alert": "none",
+        "bad": 0,
+        "budgetSpent": 0,
+        "good": 0,
+        "latencyMs": Object {
+          "count": 0,
+          "max": 0,
+          "p50": 0,
+          "p95": 0,
+          "p99": 0,
+        },
+        "objective": Object {
+          "budgetDays": 30,
+          "goodShare": 0.99,
+          "withinMs": 10000,
+          "workClass": "standard",
+        },
+        "windows": Array [
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "5m",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "1h",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "6h",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "3d",
+          },
+        ],
+      },
+      Object {
+        "alert": "none",
+        "bad": 0,
+        "budgetSpent": 0,
+        "good": 0,
+        "latencyMs": Object {
+          "count": 0,
+          "max": 0,
+          "p50": 0,
+          "p95": 0,
+          "p99": 0,
+        },
+        "objective": Object {
+          "budgetDays": 30,
+          "goodShare": 0.9,
+          "withinMs": 30000,
+          "workClass": "bestEffort",
+        },
+        "windows": Array [
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "5m",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "1h",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "6h",
+          },
+          Object {
+            "bad": 0,
+            "burnRate": 0,
+            "good": 0,
+            "window": "3d",
+          },
+        ],
+      },
+    ],
+    "coveredMs": 11250,
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > drain 1`] = `
+Object {
+  "body": Object {
+    "configVersion": 3,
+    "vmId": "worker-6",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > drain again 1`] = `
+Object {
+  "body": Object {
+    "configVersion": 3,
+    "vmId": "worker-6",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > status 1`] = `
+Object {
+  "body": Object {
+    "configVersion": 3,
+    "jobs": Array [],
+    "region": "region-1",
+    "role": Object {
+      "epoch": 1,
+      "holder": "entry-1",
+    },
+    "teams": Array [
+      Object {
+        "acceleratorsInUse": 0,
+        "queued": 0,
+        "running": 0,
+        "team": "alpha",
+      },
+      Object {
+        "acceleratorsInUse": 0,
+        "queued": 0,
+        "running": 0,
+        "team": "beta",
+      },
+    ],
+    "unmetGuarantees": Array [],
+    "vms": Array [
+      Object {
+        "accelerators": 8,
+        "condition": "ready",
+        "freeAccelerators": 8,
+        "leaving": false,
+        "vmId": "worker-1",
+      },
+      Object {
+        "accelerators": 8,
+        "condition": "ready",
+        "freeAccelerators": 8,
+        "leaving": false,
+        "vmId": "worker-2",
+      },
+      Object {
+        "accelerators": 8,
+        "condition": "ready",
+        "freeAccelerators": 8,
+        "leaving": false,
+        "vmId": "worker-3",
+      },
+      Object {
+        "accelerators": 8,
+        "condition": "ready",
+        "freeAccelerators": 8,
+        "leaving": false,
+        "vmId": "worker-4",
+      },
+      Object {
+        "accelerators": 8,
+        "condition": "ready",
+        "freeAccelerators": 8,
+        "leaving": false,
+        "vmId": "worker-5",
+      },
+      Object {
+        "accelerators": 8,
+        "condition": "draining",
+        "freeAccelerators": 8,
+        "leaving": false,
+        "vmId": "worker-6",
+      },
+    ],
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > the operator who lost 1`] = `
+Object {
+  "body": Object {
+    "code": "versionConflict",
+    "currentVersion": 2,
+    "detail": "The configuration is at version 2; it was changed since it was read.",
+    "ran": "no",
+    "status": 412,
+    "title": "Version conflict",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 412,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > versions 1`] = `
+Object {
+  "body": Object {
+    "versions": Array [
+      Object {
+        "loadedAt": "TIME",
+        "loadedBy": "operator",
+        "version": 1,
+      },
+      Object {
+        "loadedAt": "TIME",
+        "loadedBy": "operator",
+        "version": 2,
+      },
+      Object {
+        "loadedAt": "TIME",
+        "loadedBy": "operator",
+        "version": 3,
+      },
+    ],
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > repeated request keys > a job's key for a non-idempotent request 1`] = `
+Object {
+  "body": Object {
+    "code": "keyTaken",
+    "detail": "The request key key names another request.",
+    "ran": "no",
+    "status": 409,
+    "title": "Request key in use",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 409,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > repeated request keys > a non-idempotent request again 1`] = `
+Object {
+  "body": Object {
+    "code": "duplicateRequest",
+    "detail": "A non-idempotent request with the key once was claimed before as r-ID.",
+    "ran": "unknown",
+    "status": 409,
+    "title": "Duplicate request",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 409,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > repeated request keys > a request's key for a job 1`] = `
+Object {
+  "body": Object {
+    "code": "keyTaken",
+    "detail": "The request key once names another request.",
+    "ran": "no",
+    "status": 409,
+    "title": "Request key in use",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+  },
+  "status": 409,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > who may call which route > must match snapshot 1`] = `
+POST /v1/jobs: none 401, unknown 401, basic 401, other 202, alpha 202, operator 403
+GET /v1/jobs: none 401, unknown 401, basic 401, other 200, alpha 200, operator 403
+GET /v1/jobs/JOB: none 401, unknown 401, basic 401, other 404, alpha 200, operator 403
+GET /v1/jobs/JOB/wait?timeoutMs=1: none 401, unknown 401, basic 401, other 404, alpha 200, operator 403
+POST /v1/jobs/JOB/cancel: none 401, unknown 401, basic 401, other 404, alpha 200, operator 403
+POST /v1/services/sorting/requests: none 401, unknown 401, basic 401, other 200, alpha 200, operator 403
+GET /v1/history: none 401, unknown 401, basic 401, other 200, alpha 200, operator 403
+GET /v1/admin/config: none 401, unknown 401, basic 401, other 403, alpha 403, operator 200
+PUT /v1/admin/config: none 401, unknown 401, basic 401, other 403, alpha 403, operator 428
+GET /v1/admin/config/history: none 401, unknown 401, basic 401, other 403, alpha 403, operator 200
+GET /v1/admin/status: none 401, unknown 401, basic 401, other 403, alpha 403, operator 200
+GET /v1/admin/burn: none 401, unknown 401, basic 401, other 403, alpha 403, operator 200
+POST /v1/admin/vms/worker-1/drain: none 401, unknown 401, basic 401, other 403, alpha 403, operator 200
+POST /v1/admin/jobs/JOB/cancel: none 401, unknown 401, basic 401, other 403, alpha 403, operator 200
+GET /v1/admin/teams/alpha/history: none 401, unknown 401, basic 401, other 403, alpha 403, operator 200
+GET /v1/schema: none 200, unknown 200, basic 200, other 200, alpha 200, operator 200
+GET /healthz: none 200, unknown 200, basic 200, other 200, alpha 200, operator 200
+GET /readyz: none 200, unknown 200, basic 200, other 200, alpha 200, operator 200
+`
