fix(entry): tell the truth about lost claims, refused duplicates and repeated keys

Cause: the new tests showed five faults. (1) A non-idempotent request whose claim took effect without an answer got 503 with ran: no, its key stayed taken and its history stayed open. (2) An agent's refusal 'duplicate' was told as ran: no, although the first copy may have run. (3) While the queue was full, a repeated request key got 429 with ran: no although its job was accepted. (4) A drain soon after a load that the entry had not seen got 412, although it names no version. (5) 412 named only the version in force; 401 had no WWW-Authenticate header. Change: the claim is read back; refusals carry what they prove; the key is looked up before 429; a drain reads the configuration first and repeats after a conflict; 412 carries readVersion and 401 the header. Conclusion: no caller is told ran: no of work that may have run in these cases.

--- a/packages/entry/src/adminRoutes.ts
+++ b/packages/entry/src/adminRoutes.ts
@@ -17,6 +17,9 @@
 const IF_MATCH = /^"?(\d+)"?$/;
 const VERSIONS_PAGE = 500;
 
+/** Loads of other operators that may come first before a drain gives up. */
+const MAX_DRAIN_CONFLICTS = 8;
+
 const load = async (
     context: ApiContext,
     body: ConfigurationBody,
@@ -30,7 +33,10 @@
     const loaded = await context.config.load(body, over, operator);
     if (loaded.isErr && loaded.error.kind === "versionConflict") {
         const { currentVersion } = loaded.error;
-        throw new ProblemError("versionConflict", { currentVersion }, { currentVersion });
+        throw new ProblemError("versionConflict", { currentVersion, readVersion: over }, {
+            currentVersion,
+            readVersion: over,
+        });
     }
     if (loaded.isErr) {
         throw tableProblem(
@@ -60,7 +66,28 @@
     return { versions };
 };
 
+const isVersionConflict = (err: unknown): boolean =>
+    err instanceof ProblemError && err.problem.code === "versionConflict";
+
+/** A drain names no version, so it is applied to whatever version is in force. */
 const drain = async (context: ApiContext, vmId: string, operator: string): Promise<DrainAnswer> => {
+    for (let conflicts = 0;; conflicts += 1) {
+        const refreshed = await context.config.refresh();
+        if (refreshed.isErr) {
+            throw tableProblem(refreshed.error, false);
+        }
+        try {
+            return await drainOnce(context, vmId, operator);
+        }
+        catch (err) {
+            if (!isVersionConflict(err) || conflicts >= MAX_DRAIN_CONFLICTS) {
+                throw err;
+            }
+        }
+    }
+};
+
+const drainOnce = async (context: ApiContext, vmId: string, operator: string): Promise<DrainAnswer> => {
     const { body, version } = requireConfiguration(context);
     if (!body.vms.some(({ id }) => id === vmId)) {
         throw new ProblemError("notFound", { what: `VM ${vmId}` });
--- a/packages/entry/src/directRequests.ts
+++ b/packages/entry/src/directRequests.ts
@@ -78,12 +78,13 @@
 /** The answer of an executor may take this much longer than its deadline to cross the network. */
 const ANSWER_MARGIN_MS: Millis = 500;
 
-const REFUSAL_OUTCOMES: Readonly<Record<RequestRefusal, AttemptOutcome>> = {
-    busy: "busy",
-    leaving: "leaving",
-    expired: "busy",
-    duplicate: "unknown",
-    tooManyRecords: "busy",
+/** A refused duplicate proves nothing: the first copy of the attempt may have run. */
+const REFUSALS: Readonly<Record<RequestRefusal, { readonly outcome: AttemptOutcome; readonly ran: Ran; }>> = {
+    busy: { outcome: "busy", ran: "no" },
+    leaving: { outcome: "leaving", ran: "no" },
+    expired: { outcome: "busy", ran: "no" },
+    duplicate: { outcome: "unknown", ran: "unknown" },
+    tooManyRecords: { outcome: "busy", ran: "no" },
 };
 
 /** Routes direct requests to executors; one task for each service dispatches, one for each attempt waits. */
@@ -311,11 +312,7 @@
     const result = answer.value.outcome;
     switch (result.kind) {
         case "refused":
-            return {
-                outcome: REFUSAL_OUTCOMES[result.reason],
-                ran: "no",
-                detail: `The agent refused: ${result.reason}.`,
-            };
+            return { ...REFUSALS[result.reason], detail: `The agent refused: ${result.reason}.` };
         case "failed":
             return result.ran === "no"
                 ? { outcome: "busy", ran: "no", detail: result.detail }
--- a/packages/entry/src/httpServer.ts
+++ b/packages/entry/src/httpServer.ts
@@ -42,6 +42,9 @@
         if (problem.retryAfterMs !== undefined) {
             res.header("retry-after", Math.ceil(problem.retryAfterMs / MS_PER_SECOND));
         }
+        if (problem.status === 401) {
+            res.header("www-authenticate", "Bearer");
+        }
         return res.code(problem.status).type("application/problem+json").send(problem);
     });
     server.setNotFoundHandler(req => {
--- a/packages/entry/src/jobRoutes.ts
+++ b/packages/entry/src/jobRoutes.ts
@@ -84,9 +84,17 @@
     return read.value;
 };
 
-const checkQueue = (context: ApiContext, team: string): void => {
+/** Refuses a new job of a team whose queue is full; a repeated request key still finds its job. */
+const checkQueue = async (context: ApiContext, team: string, requestKey: string): Promise<void> => {
     const configuration = requireConfiguration(context);
-    if (context.role.fullTeams(configuration).has(team) || context.granter.isQueueFull(team)) {
+    if (!context.role.fullTeams(configuration).has(team) && !context.granter.isQueueFull(team)) {
+        return;
+    }
+    const known = await context.table.read(rowKeys.requestKey(team, requestKey));
+    if (known.isErr) {
+        throw tableProblem(known.error, false);
+    }
+    if (known.value === undefined) {
         const limit = configuration.body.rules.queueLengthPerTeam;
         throw new ProblemError("queueFull", { limit }, { retryAfterMs: RETRY_AFTER_MS });
     }
@@ -117,7 +125,7 @@
     server.post("/v1/jobs", async (req, res) => {
         const team = requireTeam(context, req);
         const body = parseOrThrow(jobRequestSchema, req.body);
-        checkQueue(context, team);
+        await checkQueue(context, team, body.requestKey);
         const jobId = createSubjectId("j", context.clock.wallTime());
         const submitted = await context.store.accept({ ...body, team }, jobId);
         if (submitted.isErr) {
--- a/packages/entry/src/problems.ts
+++ b/packages/entry/src/problems.ts
@@ -37,7 +37,7 @@
     versionConflict: {
         status: 412,
         title: "Version conflict",
-        detail: "The configuration is at version {currentVersion}; it was changed since it was read.",
+        detail: "The configuration is at version {currentVersion}; the call was made for version {readVersion}.",
         ran: "no",
     },
     versionRequired: {
--- a/packages/entry/src/requestRoutes.ts
+++ b/packages/entry/src/requestRoutes.ts
@@ -13,7 +13,7 @@
 import { requireTeam } from "./apiContext.js";
 import type { DirectOutcome } from "./directRequests.js";
 import { recordSequence } from "./directRequests.js";
-import { createSubjectId, parseOrThrow, tableProblem } from "./jobRoutes.js";
+import { createSubjectId, parseOrThrow } from "./jobRoutes.js";
 import type { ProblemCode } from "./problems.js";
 import { ProblemError } from "./problems.js";
 
@@ -62,15 +62,16 @@
     if (written.isOk) {
         return { key, version: written.value[key] ?? 1 };
     }
-    if (written.error.kind !== "conflict") {
-        // Nothing was sent to an executor, so nothing ran whatever became of the claim.
+    // Nothing was sent to an executor, so nothing ran whatever became of the claim.
+    const row = written.error.kind === "unavailable" ? undefined : await context.table.read(key);
+    if (row?.isOk !== true || (written.error.kind === "unclear" && row.value === undefined)) {
         throw new ProblemError("storeUnavailable", {}, { retryAfterMs: RETRY_AFTER_MS });
     }
-    const row = await context.table.read(key);
-    if (row.isErr) {
-        throw tableProblem(row.error, false);
-    }
     const found = keyRowSchema.safeParse(row.value?.value);
+    if (found.success && found.data.subjectId === requestId) {
+        // The claim took effect although its answer was lost; giving up here would leave the key taken for ever.
+        return { key, version: row.value?.version ?? 1 };
+    }
     if (found.success && found.data.kind === "request") {
         throw new ProblemError("duplicateRequest", { key: requestKey, requestId: found.data.subjectId });
     }
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -75,7 +75,10 @@
 } as const;
 export type AgentToEntryMethods = typeof agentToEntryMethods;
 
-/** Why an executor's agent does not run a request; the request did not run and will not. */
+/**
+ * Why an executor's agent does not run a request. The request did not run and will not, except for a `duplicate`,
+ * whose first copy may have run.
+ */
 export const requestRefusalSchema = z.enum(["busy", "leaving", "expired", "duplicate", "tooManyRecords"]);
 export type RequestRefusal = z.infer<typeof requestRefusalSchema>;
 
--- a/packages/schema/src/problem.ts
+++ b/packages/schema/src/problem.ts
@@ -28,5 +28,7 @@
     findings: z.array(findingBodySchema).optional(),
     /** Version in force, with the code `versionConflict`. */
     currentVersion: z.number().int().nonnegative().optional(),
+    /** Version that the caller named, with the code `versionConflict`. */
+    readVersion: z.number().nonnegative().optional(),
 });
 export type Problem = z.infer<typeof problemSchema>;
--- a/packages/verification/tests/apiCalls.test.ts
+++ b/packages/verification/tests/apiCalls.test.ts
@@ -6,6 +6,7 @@
     alpha,
     callApi,
     ENTRY,
+    exportLines,
     jobBody,
     maskAnswer,
     operator,
@@ -148,6 +149,22 @@
     await deployment.stop();
 });
 
+// Guards against `ran: no` for a job that was accepted: a repeated key finds its job although the queue is full.
+void t.test("a full queue", async t => {
+    const body = createSmallBody();
+    const deployment = await startSmall({ ...body, rules: { ...body.rules, queueLengthPerTeam: 1 } });
+    const large = (key: string) => alpha("POST", "/v1/jobs", jobBody(key, { gang: { vms: 6, acceleratorsPerVm: 8 } }));
+    await callApi(deployment, large("runs"));
+    await deployment.clock.advance(1_000);
+    const waits = await callApi(deployment, large("waits"));
+    await deployment.clock.advance(3_000);
+    for (const entryId of [ENTRY, "entry-2"]) {
+        t.matchSnapshot(maskAnswer(await callApi(deployment, large("refused"), entryId)), entryId);
+        t.equal(idOf(await callApi(deployment, large("waits"), entryId)), idOf(waits));
+    }
+    await deployment.stop();
+});
+
 // Guards against a lost update: of two operators who read one version, one gets 412 with both versions.
 void t.test("operators race and drain", async t => {
     const deployment = await startSmall();
@@ -199,7 +216,7 @@
     await callApi(deployment, alpha("POST", REQUESTS_URL, requestBody("asked")));
     await deployment.clock.advance(2_000);
     for (const call of [alpha("GET", "/v1/history"), operator("GET", "/v1/admin/teams/alpha/history")]) {
-        const lines = String((await callApi(deployment, call)).body).trimEnd().split("\n");
+        const lines = await exportLines(deployment, call);
         t.same(await verifyHistory(lines, { file: "export", team: "alpha" }), []);
         t.not((await verifyHistory(lines.slice(0, -1), { file: "export" })).length, 0, "a cut stream is noticed");
         const { manifest } = JSON.parse(lines.at(-1) ?? "{}") as { readonly manifest: object; };
--- a/packages/verification/tests/apiFixture.ts
+++ b/packages/verification/tests/apiFixture.ts
@@ -62,6 +62,13 @@
     return deployment.runUntil(() => answer);
 };
 
+/** The lines of an exported history. */
+export const exportLines = async (deployment: InProcessDeployment, call: ApiCall): Promise<readonly string[]> => {
+    // An export of one line parses as JSON, so it is put back into a line.
+    const { body } = await callApi(deployment, call);
+    return (typeof body === "string" ? body : JSON.stringify(body)).trimEnd().split("\n");
+};
+
 const parseBody = (text: string): unknown => {
     try {
         return JSON.parse(text);
--- a/packages/verification/tests/apiRequests.test.ts
+++ b/packages/verification/tests/apiRequests.test.ts
@@ -13,6 +13,7 @@
     alpha,
     callApi,
     ENTRY,
+    exportLines,
     jobBody,
     maskAnswer,
     operator,
@@ -204,7 +205,7 @@
         t.matchSnapshot(maskAnswer(await callApi(deployment, call)), name);
         t.matchSnapshot(maskAnswer(await callApi(deployment, call)), `${name} again`);
         await deployment.clock.advance(20_000);
-        const lines = String((await callApi(deployment, alpha("GET", "/v1/history"))).body).trimEnd().split("\n");
+        const lines = await exportLines(deployment, alpha("GET", "/v1/history"));
         t.same(await verifyHistory(lines, { file: "export", team: "alpha" }), [], `history after ${name}`);
         await deployment.stop();
     }
--- a/tap-snapshots/packages/verification/dist/tests/apiCalls.test.js.test.cjs
+++ b/tap-snapshots/packages/verification/dist/tests/apiCalls.test.js.test.cjs
@@ -5,6 +5,44 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > a full queue > entry-1 1`] = `
+Object {
+  "body": Object {
+    "code": "queueFull",
+    "detail": "The team has 1 jobs waiting, which is its limit.",
+    "ran": "no",
+    "retryAfterMs": 5000,
+    "status": 429,
+    "title": "Queue full",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+    "retry-after": "5",
+  },
+  "status": 429,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > a full queue > entry-2 1`] = `
+Object {
+  "body": Object {
+    "code": "queueFull",
+    "detail": "The team has 1 jobs waiting, which is its limit.",
+    "ran": "no",
+    "retryAfterMs": 5000,
+    "status": 429,
+    "title": "Queue full",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+    "retry-after": "5",
+  },
+  "status": 429,
+}
+`
+
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > /v1/admin/teams/alpha/history 1`] = `
 Object {
   "exportedAt": "TIME",
@@ -998,6 +1036,7 @@
   },
   "headers": Object {
     "content-type": "application/problem+json; charset=utf-8",
+    "www-authenticate": "Bearer",
   },
   "status": 401,
 }
@@ -1260,8 +1299,9 @@
   "body": Object {
     "code": "versionConflict",
     "currentVersion": 2,
-    "detail": "The configuration is at version 2; it was changed since it was read.",
+    "detail": "The configuration is at version 2; the call was made for version 1.",
     "ran": "no",
+    "readVersion": 1,
     "status": 412,
     "title": "Version conflict",
     "type": "about:blank",
--- a/tap-snapshots/packages/verification/dist/tests/apiRequests.test.js.test.cjs
+++ b/tap-snapshots/packages/verification/dist/tests/apiRequests.test.js.test.cjs
@@ -210,18 +210,13 @@
 exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > calls whose answer from the table is lost > drain again 1`] = `
 Object {
   "body": Object {
-    "code": "versionConflict",
-    "currentVersion": 2,
-    "detail": "The configuration is at version 2; it was changed since it was read.",
-    "ran": "no",
-    "status": 412,
-    "title": "Version conflict",
-    "type": "about:blank",
+    "configVersion": 2,
+    "vmId": "worker-1",
   },
   "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    "content-type": "application/json; charset=utf-8",
   },
-  "status": 412,
+  "status": 200,
 }
 `
 
@@ -292,19 +287,16 @@
 exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > calls whose answer from the table is lost > request that runs once 1`] = `
 Object {
   "body": Object {
-    "code": "storeUnavailable",
-    "detail": "The platform's table cannot be reached, so the request could not be made durable.",
-    "ran": "no",
-    "retryAfterMs": 5000,
-    "status": 503,
-    "title": "Store unavailable",
-    "type": "about:blank",
+    "body": "sketch-17",
+    "length": 9,
+    "requestId": "r-ID",
+    "requestKey": "once",
+    "sha256": "4013417669a85a2a1be22e17c83d37789a5a55b85a04c9204bb1dd28431c7eed",
   },
   "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-    "retry-after": "5",
+    "content-type": "application/json; charset=utf-8",
   },
-  "status": 503,
+  "status": 200,
 }
 `
 
@@ -619,7 +611,7 @@
   "body": Object {
     "code": "executorFailed",
     "detail": "The agent refused: duplicate.",
-    "ran": "no",
+    "ran": "unknown",
     "status": 502,
     "title": "Executor failed",
     "type": "about:blank",
