test: cover the parts of the agent, the entry and the role lease

Cause: TaskTable, LeaseTracker, RequestHandler, orderEntries, LeaseGranter, AgentRegistry, ConfigWatch, JobWaiters and the role lease had no tests of their own.

--- /dev/null
+++ b/tap-snapshots/packages/entry/dist/tests/entryParts.test.js.test.cjs
@@ -0,0 +1,131 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`packages/entry/dist/tests/entryParts.test.js > TAP > callers that wait for a job > must match snapshot 1`] = `
+Array [
+  "none at 0: queued",
+  "short at 300: queued",
+  "long at 1100: cancelled",
+  "after the end at 1110: cancelled",
+  "during an outage at 3120: unreadable",
+  "without a notice at 5120: cancelled",
+]
+`
+
+exports[`packages/entry/dist/tests/entryParts.test.js > TAP > leases that an entry may grant > must match snapshot 1`] = `
+Object {
+  "11 s pass": Object {
+    "alphaIsFull": false,
+    "epoch": 2,
+    "grantMs": 0,
+    "holder": undefined,
+  },
+  "4 s pass": Object {
+    "alphaIsFull": true,
+    "epoch": 2,
+    "grantMs": 10600,
+    "holder": "entry-2",
+  },
+  "a newer holder answers": Object {
+    "alphaIsFull": false,
+    "epoch": 4,
+    "grantMs": 15000,
+    "holder": "entry-3",
+  },
+  "a peer that is no holder": Object {
+    "alphaIsFull": false,
+    "epoch": 0,
+    "grantMs": 0,
+    "holder": undefined,
+  },
+  "an older holder answers": Object {
+    "alphaIsFull": true,
+    "epoch": 2,
+    "grantMs": 14600,
+    "holder": "entry-2",
+  },
+  "before any holder is known": Object {
+    "alphaIsFull": false,
+    "epoch": 0,
+    "grantMs": 0,
+    "holder": undefined,
+  },
+  "the holder answers a call sent 400 ms ago": Object {
+    "alphaIsFull": true,
+    "epoch": 2,
+    "grantMs": 14600,
+    "holder": "entry-2",
+  },
+  "the holder gave the role back": Object {
+    "alphaIsFull": false,
+    "epoch": 2,
+    "grantMs": 10600,
+    "holder": undefined,
+  },
+  "this entry has lost the role": Object {
+    "alphaIsFull": false,
+    "epoch": 4,
+    "grantMs": 15000,
+    "holder": "entry-3",
+  },
+  "this entry takes the role": Object {
+    "alphaIsFull": false,
+    "epoch": 3,
+    "grantMs": 15000,
+    "holder": undefined,
+  },
+}
+`
+
+exports[`packages/entry/dist/tests/entryParts.test.js > TAP > the version in force never falls > must match snapshot 1`] = `
+Object {
+  "first load": Array [
+    1,
+    1,
+  ],
+  "load after a stale read": Array [
+    3,
+    2,
+  ],
+  "load at another entry": Array [
+    2,
+    1,
+  ],
+  "load over the wrong version": Array [
+    "versionConflict",
+    1,
+  ],
+  "load that lost a race": Array [
+    "versionConflict",
+    3,
+  ],
+  "load whose answer is lost": Array [
+    "storeUnavailable",
+    3,
+  ],
+  "read": Array [
+    true,
+    2,
+  ],
+  "read after the outage": Array [
+    true,
+    4,
+  ],
+  "read before the first load": Array [
+    true,
+    0,
+  ],
+  "read during an outage": Array [
+    false,
+    3,
+  ],
+  "stale read": Array [
+    true,
+    2,
+  ],
+}
+`
