fix(entry): answer 504 at the deadline and 503 for a service without executors

Cause: the code timeout was in the table of problems, but no route gave it: a request without an answer at its deadline got 502 or 503. A service of the inventory whose executors had not connected yet got 404. Change: ran other than no past the deadline is timeout; a service of the inventory is known. Conclusion: callers can tell a deadline from a failure, and do not give up a service that is starting.

--- a/packages/entry/src/requestRoutes.ts
+++ b/packages/entry/src/requestRoutes.ts
@@ -6,11 +6,12 @@
 import { directRequestBodySchema } from "@persimmonpitch/schema/directRequest.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
+import type { Ran } from "@persimmonpitch/schema/job.js";
 import type { FastifyInstance } from "fastify";
 import { randomUUID } from "node:crypto";
 import { z } from "zod";
 import type { ApiContext } from "./apiContext.js";
-import { requireTeam } from "./apiContext.js";
+import { requireConfiguration, requireTeam } from "./apiContext.js";
 import type { DirectOutcome } from "./directRequests.js";
 import { recordSequence } from "./directRequests.js";
 import { createSubjectId, parseOrThrow } from "./jobRoutes.js";
@@ -30,6 +31,10 @@
     executorFailed: "executorFailed",
 };
 
+/** A request that may have run and has no answer at its deadline timed out, whatever its last attempt met. */
+const problemCodeOf = (code: string, ran: Ran, isPastDeadline: boolean): ProblemCode =>
+    ran !== "no" && isPastDeadline ? "timeout" : SHED_CODES[code] ?? "internal";
+
 interface Claim {
     readonly key: string;
     readonly version: number;
@@ -130,13 +135,18 @@
     context.levels.record(body.workClass, level, now - startedAt, now - context.startedAt);
 };
 
+/** A service whose executors have not connected yet is known from the inventory, so it is not told as missing. */
+const isKnownService = (context: ApiContext, service: string): boolean =>
+    context.direct.hasService(service)
+    || requireConfiguration(context).body.vms.some(vm => vm.service === service);
+
 /** Adds the route for direct requests. */
 export const addRequestRoutes = (server: FastifyInstance, context: ApiContext): void => {
     server.post("/v1/services/:service/requests", async (req, res) => {
         const team = requireTeam(context, req);
         const { service } = parseOrThrow(serviceParamsSchema, req.params);
         const body = parseOrThrow(directRequestBodySchema, req.body);
-        if (!context.direct.hasService(service)) {
+        if (!isKnownService(context, service)) {
             throw new ProblemError("notFound", { what: `service ${service}` });
         }
         if (context.recorder.isFull) {
@@ -157,6 +167,7 @@
         }
         const { retryAfterMs, detail, ran } = outcome;
         const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
-        throw new ProblemError(SHED_CODES[outcome.code] ?? "internal", { detail }, { ran, ...retry });
+        const isPastDeadline = context.clock.now() - startedAt >= body.timeoutMs;
+        throw new ProblemError(problemCodeOf(outcome.code, ran, isPastDeadline), { detail }, { ran, ...retry });
     });
 };
--- a/packages/verification/tests/apiRequests.test.ts
+++ b/packages/verification/tests/apiRequests.test.ts
@@ -7,7 +7,7 @@
 import type { HandlerTable, ParamsOf, ResultOf } from "@persimmonpitch/protocol/method.js";
 import t from "tap";
 import type { InProcessDeployment } from "../src/inProcessDeployment.js";
-import { SERVICE } from "../src/smallBody.js";
+import { createSmallBody, SERVICE } from "../src/smallBody.js";
 import type { ApiCall } from "./apiFixture.js";
 import {
     alpha,
@@ -102,6 +102,22 @@
     });
 }
 
+// Guards against 404 for a service that the inventory has, told by an entry that its executors have not reached yet.
+void t.test("a service without a connected executor", async t => {
+    const deployment = await startSmall();
+    const body = createSmallBody();
+    const press = body.vms.filter(({ id }) => id === "executor-1").map(vm => ({
+        ...vm,
+        id: "press-1",
+        service: "press",
+    }));
+    const put = operator("PUT", "/v1/admin/config", { ...body, vms: [...body.vms, ...press] }, { "if-match": "1" });
+    t.equal((await callApi(deployment, put)).status, 200);
+    const call = alpha("POST", "/v1/services/press/requests", requestBody("press"));
+    t.matchSnapshot(maskAnswer(await callApi(deployment, call)));
+    await deployment.stop();
+});
+
 const answered = ({ requestId }: RunParams, text: string): RunOutcome => ({
     kind: "answered",
     requestId,
--- a/tap-snapshots/packages/verification/dist/tests/apiRequests.test.js.test.cjs
+++ b/tap-snapshots/packages/verification/dist/tests/apiRequests.test.js.test.cjs
@@ -5,6 +5,25 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > a service without a connected executor > must match snapshot 1`] = `
+Object {
+  "body": Object {
+    "code": "overloaded",
+    "detail": "The request was refused before it was sent to an executor.",
+    "ran": "no",
+    "retryAfterMs": 5000,
+    "status": 503,
+    "title": "Overloaded",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+    "retry-after": "5",
+  },
+  "status": 503,
+}
+`
+
 exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > calls while the table is down > cancellation 1`] = `
 Object {
   "body": Object {
@@ -320,36 +339,36 @@
 exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > direct requests while executors are slower than the deadline > idempotent 1`] = `
 Object {
   "body": Object {
-    "code": "overloaded",
+    "code": "timeout",
     "detail": "An attempt failed or stayed without an answer, and there was no time or budget for another.",
     "ran": "unknown",
     "retryAfterMs": 100,
-    "status": 503,
-    "title": "Overloaded",
+    "status": 504,
+    "title": "Timeout",
     "type": "about:blank",
   },
   "headers": Object {
     "content-type": "application/problem+json; charset=utf-8",
     "retry-after": "1",
   },
-  "status": 503,
+  "status": 504,
 }
 `
 
 exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > direct requests while executors are slower than the deadline > once 1`] = `
 Object {
   "body": Object {
-    "code": "executorFailed",
+    "code": "timeout",
     "detail": "the request was aborted",
     "ran": "unknown",
-    "status": 502,
-    "title": "Executor failed",
+    "status": 504,
+    "title": "Timeout",
     "type": "about:blank",
   },
   "headers": Object {
     "content-type": "application/problem+json; charset=utf-8",
   },
-  "status": 502,
+  "status": 504,
 }
 `
 
@@ -538,36 +557,36 @@
 exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > direct requests while the deadline is too short > idempotent 1`] = `
 Object {
   "body": Object {
-    "code": "overloaded",
+    "code": "timeout",
     "detail": "An attempt failed or stayed without an answer, and there was no time or budget for another.",
     "ran": "unknown",
     "retryAfterMs": 100,
-    "status": 503,
-    "title": "Overloaded",
+    "status": 504,
+    "title": "Timeout",
     "type": "about:blank",
   },
   "headers": Object {
     "content-type": "application/problem+json; charset=utf-8",
     "retry-after": "1",
   },
-  "status": 503,
+  "status": 504,
 }
 `
 
 exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > direct requests while the deadline is too short > once 1`] = `
 Object {
   "body": Object {
-    "code": "executorFailed",
+    "code": "timeout",
     "detail": "the request was aborted",
     "ran": "unknown",
-    "status": 502,
-    "title": "Executor failed",
+    "status": 504,
+    "title": "Timeout",
     "type": "about:blank",
   },
   "headers": Object {
     "content-type": "application/problem+json; charset=utf-8",
   },
-  "status": 502,
+  "status": 504,
 }
 `
 
@@ -677,17 +696,17 @@
 exports[`packages/verification/dist/tests/apiRequests.test.js > TAP > the executor's answer is late > must match snapshot 1`] = `
 Object {
   "body": Object {
-    "code": "executorFailed",
+    "code": "timeout",
     "detail": "No answer to request.run within 5500 ms.",
     "ran": "unknown",
-    "status": 502,
-    "title": "Executor failed",
+    "status": 504,
+    "title": "Timeout",
     "type": "about:blank",
   },
   "headers": Object {
     "content-type": "application/problem+json; charset=utf-8",
   },
-  "status": 502,
+  "status": 504,
 }
 `
 
