fix(entry): send Retry-After while a process starts or shuts down

Cause: 503 noConfiguration and shuttingDown carried no time to wait, unlike the other 503 answers. Change: both carry 1 s; tests cover an entry without a configuration and one that shuts down with a request in progress.

--- a/packages/entry/src/problems.ts
+++ b/packages/entry/src/problems.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { MessageData } from "@persimmonpitch/findings/messageTable.js";
 import { formatMessage } from "@persimmonpitch/findings/messageTable.js";
 import type { Ran } from "@persimmonpitch/schema/job.js";
@@ -9,8 +10,12 @@
     readonly title: string;
     readonly detail: string;
     readonly ran: Ran;
+    readonly retryAfterMs?: Millis;
 }
 
+/** A process reads the configuration every second, and a load balancer notices a leaving one about as soon. */
+const PROCESS_RETRY_MS: Millis = 1_000;
+
 /** All problems that the API answers with, keyed by their stable code. */
 const PROBLEMS = {
     invalidBody: { status: 400, title: "Invalid body", detail: "The body does not match its schema.", ran: "no" },
@@ -79,8 +84,15 @@
         title: "No configuration",
         detail: "This process has no configuration yet and cannot check the request.",
         ran: "no",
+        retryAfterMs: PROCESS_RETRY_MS,
+    },
+    shuttingDown: {
+        status: 503,
+        title: "Shutting down",
+        detail: "This process takes no new requests.",
+        ran: "no",
+        retryAfterMs: PROCESS_RETRY_MS,
     },
-    shuttingDown: { status: 503, title: "Shutting down", detail: "This process takes no new requests.", ran: "no" },
     internal: { status: 500, title: "Internal error", detail: "An unexpected error occurred.", ran: "unknown" },
 } as const satisfies Readonly<Record<string, ProblemKind>>;
 
@@ -92,10 +104,10 @@
     readonly problem: Problem;
 
     constructor(code: ProblemCode, data: MessageData = {}, extra: Partial<Problem> = {}) {
-        const { status, title, detail, ran } = PROBLEMS[code];
+        const { status, title, detail, ran, ...retry }: ProblemKind = PROBLEMS[code];
         const text = formatMessage(detail, data);
         super(text);
-        this.problem = { type: "about:blank", title, status, detail: text, code, ran, ...extra };
+        this.problem = { type: "about:blank", title, status, detail: text, code, ran, ...retry, ...extra };
     }
 }
 
--- a/packages/verification/tests/apiCalls.test.ts
+++ b/packages/verification/tests/apiCalls.test.ts
@@ -169,6 +169,40 @@
     await deployment.stop();
 });
 
+// Guards against a process that takes work it cannot check or finish, and against a shutdown that cuts off a request.
+void t.test("an entry without a configuration, and one that shuts down", async t => {
+    const deployment = await startSmall();
+    const calls = [
+        { method: "GET", url: "/healthz" },
+        { method: "GET", url: "/readyz" },
+        alpha("GET", "/v1/jobs"),
+        alpha("POST", "/v1/jobs", jobBody("late")),
+        operator("GET", "/v1/admin/config"),
+    ] as const;
+    const record = async (state: string) => {
+        for (const call of calls) {
+            t.matchSnapshot(maskAnswer(await callApi(deployment, call)), `${call.method} ${call.url} ${state}`);
+        }
+    };
+    deployment.executors.forEach(executor => {
+        executor.faults.slow = 3_000;
+    });
+    let answer: ApiAnswer | undefined;
+    void startCall(deployment, ENTRY, alpha("POST", REQUESTS_URL, requestBody("slow"))).then(received => {
+        answer = received;
+    });
+    await deployment.clock.advance(500);
+    void deployment.entry(ENTRY).shutdown();
+    await record("while it shuts down");
+    t.equal((await deployment.runUntil(() => answer)).status, 200, "the request in progress is finished");
+    await deployment.clock.advance(20_000);
+    deployment.table.faults.down = true;
+    deployment.startEntry(ENTRY);
+    await deployment.clock.advance(2_000);
+    await record("without a configuration");
+    await deployment.stop();
+});
+
 // Guards against a lost update: of two operators who read one version, one gets 412 with both versions.
 void t.test("operators race and drain", async t => {
     const deployment = await startSmall();
--- a/tap-snapshots/packages/verification/dist/tests/apiCalls.test.js.test.cjs
+++ b/tap-snapshots/packages/verification/dist/tests/apiCalls.test.js.test.cjs
@@ -43,6 +43,281 @@
 }
 `
 
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /healthz while it shuts down 1`] = `
+Object {
+  "body": Object {
+    "status": "alive",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /healthz without a configuration 1`] = `
+Object {
+  "body": Object {
+    "status": "alive",
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /readyz while it shuts down 1`] = `
+Object {
+  "body": Object {
+    "configVersion": 1,
+    "epoch": 1,
+    "holder": "entry-1",
+    "ready": false,
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 503,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /readyz without a configuration 1`] = `
+Object {
+  "body": Object {
+    "configVersion": 0,
+    "epoch": 2,
+    "holder": "entry-2",
+    "ready": false,
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 503,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /v1/admin/config while it shuts down 1`] = `
+Object {
+  "body": Object {
+    "body": Object {
+      "drained": Array [],
+      "guarantees": Array [
+        Object {
+          "count": 1,
+          "name": "gang",
+          "shape": Object {
+            "acceleratorsPerVm": 8,
+            "adjacency": "rack",
+            "coresPerVm": 0,
+            "memoryMbPerVm": 0,
+            "vms": 2,
+          },
+          "team": "alpha",
+        },
+      ],
+      "operators": Array [
+        Object {
+          "id": "operator",
+          "tokenSha256": "af5bfcc34d20234ae0bc05473d87a67a477d51ce8ecac77a4fb895b9be222ede",
+        },
+      ],
+      "rules": Object {
+        "completionWeight": 0.5,
+        "connectionsPerExecutor": 64,
+        "fragmentationWeight": 0.5,
+        "preemptionGraceMs": 2000,
+        "queueLengthPerTeam": 1000,
+        "slotsPerExecutor": 8,
+      },
+      "teams": Array [
+        Object {
+          "id": "alpha",
+          "tokenSha256": "e16a717c1e4269239bda47d51630758b8ab40867b6d3a2e5f1a23f8e5bb0a8e1",
+          "weight": 1,
+        },
+        Object {
+          "id": "beta",
+          "tokenSha256": "38461323b18af64e0faee0530ed620b4d21760fd624227b7456c2e38be2c1e51",
+          "weight": 1,
+        },
+      ],
+      "vms": Array [
+        Object {
+          "accelerators": 8,
+          "cores": 32,
+          "dataCentre": "east",
+          "id": "worker-1",
+          "kind": "worker",
+          "memoryMb": 65536,
+          "rack": "rack-1",
+        },
+        Object {
+          "accelerators": 8,
+          "cores": 32,
+          "dataCentre": "east",
+          "id": "worker-2",
+          "kind": "worker",
+          "memoryMb": 65536,
+          "rack": "rack-1",
+        },
+        Object {
+          "accelerators": 8,
+          "cores": 32,
+          "dataCentre": "east",
+          "id": "worker-3",
+          "kind": "worker",
+          "memoryMb": 65536,
+          "rack": "rack-1",
+        },
+        Object {
+          "accelerators": 8,
+          "cores": 32,
+          "dataCentre": "west",
+          "id": "worker-4",
+          "kind": "worker",
+          "memoryMb": 65536,
+          "rack": "rack-2",
+        },
+        Object {
+          "accelerators": 8,
+          "cores": 32,
+          "dataCentre": "west",
+          "id": "worker-5",
+          "kind": "worker",
+          "memoryMb": 65536,
+          "rack": "rack-2",
+        },
+        Object {
+          "accelerators": 8,
+          "cores": 32,
+          "dataCentre": "west",
+          "id": "worker-6",
+          "kind": "worker",
+          "memoryMb": 65536,
+          "rack": "rack-2",
+        },
+        Object {
+          "accelerators": 0,
+          "cores": 8,
+          "dataCentre": "east",
+          "id": "executor-1",
+          "kind": "executor",
+          "memoryMb": 16384,
+          "rack": "rack-1",
+          "service": "sorting",
+        },
+        Object {
+          "accelerators": 0,
+          "cores": 8,
+          "dataCentre": "west",
+          "id": "executor-2",
+          "kind": "executor",
+          "memoryMb": 16384,
+          "rack": "rack-2",
+          "service": "sorting",
+        },
+      ],
+    },
+    "loadedAt": "TIME",
+    "loadedBy": "operator",
+    "version": 1,
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+    "etag": "\\"1\\"",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /v1/admin/config without a configuration 1`] = `
+Object {
+  "body": Object {
+    "code": "unauthenticated",
+    "detail": "The bearer token is missing or unknown.",
+    "ran": "no",
+    "status": 401,
+    "title": "Unauthenticated",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+    "www-authenticate": "Bearer",
+  },
+  "status": 401,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /v1/jobs while it shuts down 1`] = `
+Object {
+  "body": Object {
+    "jobs": Array [],
+  },
+  "headers": Object {
+    "content-type": "application/json; charset=utf-8",
+  },
+  "status": 200,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /v1/jobs without a configuration 1`] = `
+Object {
+  "body": Object {
+    "code": "noConfiguration",
+    "detail": "This process has no configuration yet and cannot check the request.",
+    "ran": "no",
+    "retryAfterMs": 1000,
+    "status": 503,
+    "title": "No configuration",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+    "retry-after": "1",
+  },
+  "status": 503,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > POST /v1/jobs while it shuts down 1`] = `
+Object {
+  "body": Object {
+    "code": "shuttingDown",
+    "detail": "This process takes no new requests.",
+    "ran": "no",
+    "retryAfterMs": 1000,
+    "status": 503,
+    "title": "Shutting down",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+    "retry-after": "1",
+  },
+  "status": 503,
+}
+`
+
+exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > POST /v1/jobs without a configuration 1`] = `
+Object {
+  "body": Object {
+    "code": "noConfiguration",
+    "detail": "This process has no configuration yet and cannot check the request.",
+    "ran": "no",
+    "retryAfterMs": 1000,
+    "status": 503,
+    "title": "No configuration",
+    "type": "about:blank",
+  },
+  "headers": Object {
+    "content-type": "application/problem+json; charset=utf-8",
+    "retry-after": "1",
+  },
+  "status": 503,
+}
+`
+
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > /v1/admin/teams/alpha/history 1`] = `
 Object {
   "exportedAt": "TIME",
