fix(entry): refuse a report before the hello

Cause: an agent's report before its hello was answered, and the records in it were written into any team's history. Change: such a report gets an error and changes nothing. Conclusion: records come only from an agent whose identity was checked.

--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -80,6 +80,10 @@
             },
             "agent.report": report => {
                 heard();
+                if (agent === undefined) {
+                    // Records of a process that never said which agent it is must not reach a team's history.
+                    return Promise.reject(new Error("The agent has not said hello."));
+                }
                 registry.report(peerName, connection, report);
                 if (report.orphanedRecords.length > 0) {
                     void confirmOrphans(context, connection, report.orphanedRecords);
--- a/packages/verification/tests/apiInnerMessages.test.ts
+++ b/packages/verification/tests/apiInnerMessages.test.ts
@@ -216,6 +216,7 @@
     t.same(await sendAll(deployment, near, forbidden, stateOf), []);
     t.ok(near.isOpen, "a malformed message does not end its connection");
     const valid = TO_ENTRY.slice(0, 2).map(message => JSON.stringify(message));
+    t.same(await sendAll(deployment, near, valid.slice(1), stateOf), [], "a report before the hello changes nothing");
     t.same(await sendAll(deployment, near, valid, stateOf), valid, "a valid message changes the state");
     near.close();
     await sendAllowed(deployment, frames.filter(frame => isAllowed(frame, methods)));
