--- a/packages/entry/src/directRequests.ts
+++ b/packages/entry/src/directRequests.ts
@@ -90,12 +90,13 @@
 /** Requests remembered as not run, to notice an answer that says otherwise. */
 const MAX_TOLD_NOT_RUN = 10_000;
 
-const REFUSAL_OUTCOMES: Readonly<Record<RequestRefusal, AttemptOutcome>> = {
-    busy: "busy",
-    leaving: "leaving",
-    expired: "busy",
-    duplicate: "unknown",
-    tooManyRecords: "busy",
+/** A refused duplicate proves nothing: the first copy of the attempt may have run. */
+const REFUSALS: Readonly<Record<RequestRefusal, { readonly outcome: AttemptOutcome; readonly ran: Ran; }>> = {
+    busy: { outcome: "busy", ran: "no" },
+    leaving: { outcome: "leaving", ran: "no" },
+    expired: { outcome: "busy", ran: "no" },
+    duplicate: { outcome: "unknown", ran: "unknown" },
+    tooManyRecords: { outcome: "busy", ran: "no" },
 };
 
 /** Routes direct requests to executors; one task for each service dispatches, one for each attempt waits. */
@@ -355,9 +356,9 @@
     switch (result.kind) {
         case "refused":
             return {
-                outcome: REFUSAL_OUTCOMES[result.reason],
-                ran: "no",
+                ...REFUSALS[result.reason],
                 detail: `The agent refused: ${result.reason}.`,
+                isLeavingRefusal: result.reason === "leaving",
             };
         case "failed":
             return result.ran === "no"
--- a/packages/entry/src/requestRoutes.ts
+++ b/packages/entry/src/requestRoutes.ts
@@ -6,14 +6,15 @@
 import { directRequestBodySchema } from "@persimmonpitch/schema/directRequest.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
+import type { Ran } from "@persimmonpitch/schema/job.js";
 import type { FastifyInstance } from "fastify";
 import { randomUUID } from "node:crypto";
 import { z } from "zod";
 import type { ApiContext } from "./apiContext.js";
-import { requireTeam } from "./apiContext.js";
+import { requireConfiguration, requireTeam } from "./apiContext.js";
 import type { DirectOutcome } from "./directRequests.js";
 import { recordSequence } from "./directRequests.js";
-import { createSubjectId, parseOrThrow, tableProblem } from "./jobRoutes.js";
+import { createSubjectId, parseOrThrow } from "./jobRoutes.js";
 import type { ProblemCode } from "./problems.js";
 import { ProblemError } from "./problems.js";
 
@@ -30,6 +31,10 @@
     executorFailed: "executorFailed",
 };
 
+/** A request that may have run and has no answer at its deadline timed out, whatever its last attempt met. */
+const problemCodeOf = (code: string, ran: Ran, isPastDeadline: boolean): ProblemCode =>
+    ran !== "no" && isPastDeadline ? "timeout" : SHED_CODES[code] ?? "internal";
+
 interface Claim {
     readonly key: string;
     readonly version: number;
@@ -62,15 +67,16 @@
     if (written.isOk) {
         return { key, version: written.value[key] ?? 1 };
     }
-    if (written.error.kind !== "conflict") {
-        // Nothing was sent to an executor, so nothing ran whatever became of the claim.
+    // Nothing was sent to an executor, so nothing ran whatever became of the claim.
+    const row = written.error.kind === "unavailable" ? undefined : await context.table.read(key);
+    if (row?.isOk !== true || (written.error.kind === "unclear" && row.value === undefined)) {
         throw new ProblemError("storeUnavailable", {}, { retryAfterMs: RETRY_AFTER_MS });
     }
-    const row = await context.table.read(key);
-    if (row.isErr) {
-        throw tableProblem(row.error, false);
-    }
     const found = keyRowSchema.safeParse(row.value?.value);
+    if (found.success && found.data.subjectId === requestId) {
+        // The claim took effect although its answer was lost; giving up here would leave the key taken for ever.
+        return { key, version: row.value?.version ?? 1 };
+    }
     if (found.success && found.data.kind === "request") {
         throw new ProblemError("duplicateRequest", { key: requestKey, requestId: found.data.subjectId });
     }
@@ -129,13 +135,18 @@
     context.levels.record(body.workClass, level, now - startedAt, now - context.startedAt);
 };
 
+/** A service whose executors have not connected yet is known from the inventory, so it is not told as missing. */
+const isKnownService = (context: ApiContext, service: string): boolean =>
+    context.direct.hasService(service)
+    || requireConfiguration(context).body.vms.some(vm => vm.service === service);
+
 /** Adds the route for direct requests. */
 export const addRequestRoutes = (server: FastifyInstance, context: ApiContext): void => {
     server.post("/v1/services/:service/requests", async (req, res) => {
         const team = requireTeam(context, req);
         const { service } = parseOrThrow(serviceParamsSchema, req.params);
         const body = parseOrThrow(directRequestBodySchema, req.body);
-        if (!context.direct.hasService(service)) {
+        if (!isKnownService(context, service)) {
             throw new ProblemError("notFound", { what: `service ${service}` });
         }
         if (context.recorder.isFull) {
@@ -156,6 +167,7 @@
         }
         const { retryAfterMs, detail, ran } = outcome;
         const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
-        throw new ProblemError(SHED_CODES[outcome.code] ?? "internal", { detail }, { ran, ...retry });
+        const isPastDeadline = context.clock.now() - startedAt >= body.timeoutMs;
+        throw new ProblemError(problemCodeOf(outcome.code, ran, isPastDeadline), { detail }, { ran, ...retry });
     });
 };
