perf(placement): keep the fit index in linked buckets

Building the pass state was 42% of the profile of a pass; a good part of it was one Set entry per VM in the cluster and in its data centre, and a joined name per VM to find its rack, for each of up to three indexes of a pass.

Buckets are now doubly linked lists in integer arrays, which keep the order of insertion, and racks are found by name within their data centre.

--- a/packages/placement/src/buckets.ts
+++ b/packages/placement/src/buckets.ts
@@ -1,23 +1,80 @@
-/** Items ordered by a small whole number, which changes often. */
-export class Buckets<T> {
-    readonly #sets: Set<T>[] = [];
+/** An item with its place in the list that it comes from. */
+export interface Positioned {
+    readonly position: number;
+}
+
+/** Marks the end of a bucket. */
+const NONE = -1;
+
+/** Neighbours of items within their buckets, by position. Buckets that have no item in common may share them. */
+export class BucketLinks<T extends Positioned> {
+    readonly items: readonly T[];
+    readonly next: Int32Array;
+    readonly previous: Int32Array;
+
+    /** The items may be appended to the list later, up to this number. */
+    constructor(items: readonly T[], maxItems: number) {
+        this.items = items;
+        this.next = new Int32Array(maxItems);
+        this.previous = new Int32Array(maxItems);
+    }
+}
 
-    add(key: number, item: T): void {
-        while (this.#sets.length <= key) {
-            this.#sets.push(new Set());
+/** Items ordered by a small whole number, which changes often; equal ones in the order in which they were added. */
+export class Buckets<T extends Positioned> {
+    readonly #links: BucketLinks<T>;
+    readonly #first: number[] = [];
+    readonly #last: number[] = [];
+
+    constructor(links: BucketLinks<T>) {
+        this.#links = links;
+    }
+
+    /** Adds an item that is in none of the buckets. */
+    add(key: number, { position }: T): void {
+        while (this.#first.length <= key) {
+            this.#first.push(NONE);
+            this.#last.push(NONE);
+        }
+        const { next, previous } = this.#links;
+        const last = this.#last[key] ?? NONE;
+        previous[position] = last;
+        next[position] = NONE;
+        if (last === NONE) {
+            this.#first[key] = position;
         }
-        this.#sets[key]?.add(item);
+        else {
+            next[last] = position;
+        }
+        this.#last[key] = position;
     }
 
-    remove(key: number, item: T): void {
-        this.#sets[key]?.delete(item);
+    /** Removes an item from the bucket that it was added to. */
+    remove(key: number, { position }: T): void {
+        const { next, previous } = this.#links;
+        const after = next[position] ?? NONE;
+        const before = previous[position] ?? NONE;
+        if (before === NONE) {
+            this.#first[key] = after;
+        }
+        else {
+            next[before] = after;
+        }
+        if (after === NONE) {
+            this.#last[key] = before;
+        }
+        else {
+            previous[after] = before;
+        }
     }
 
     /** Visits the items from the given key upwards until a visit returns true. */
     scan(from: number, visit: (item: T) => boolean): void {
-        for (let key = from; key < this.#sets.length; key += 1) {
-            for (const item of this.#sets[key] ?? []) {
-                if (visit(item)) {
+        const { items, next } = this.#links;
+        for (let key = from; key < this.#first.length; key += 1) {
+            for (let at = this.#first[key] ?? NONE; at !== NONE; at = next[at] ?? NONE) {
+                const item = items[at];
+                if (item !== undefined && visit(item)) {
                     return;
                 }
             }
--- a/packages/placement/src/fitIndex.ts
+++ b/packages/placement/src/fitIndex.ts
@@ -1,31 +1,28 @@
 import type { Amount, MutableAmount } from "./amount.js";
 import { addTo } from "./amount.js";
-import { Buckets } from "./buckets.js";
+import type { Positioned } from "./buckets.js";
+import { BucketLinks, Buckets } from "./buckets.js";
 import type { VmView } from "./clusterView.js";
 
 /** VMs of a domain that can be searched by available accelerators. */
 export interface NodeSource {
-    add(accelerators: number, node: FitNode): void;
-    remove(accelerators: number, node: FitNode): void;
     /** Visits VMs with at least the given accelerators until a visit returns true. */
     scan(from: number, visit: (node: FitNode) => boolean): void;
 }
 
 /** A rack, a data centre or the whole cluster, with its VMs ordered by available accelerators. */
-export interface FitDomain {
+export interface FitDomain extends Positioned {
     readonly nodes: NodeSource;
     availableAccelerators: number;
     accelerators: number;
 }
 
-/** A VM with what is available on it. */
-export interface FitNode {
-    /** Position of the VM in the list that the index was made from. */
-    readonly position: number;
+/** A VM with what is available on it. Its position is that in the list that the index was made from. */
+export interface FitNode extends Positioned {
     readonly vm: VmView;
     readonly available: MutableAmount;
     readonly rack: FitDomain;
-    readonly dataCentre: FitDomain;
+    readonly dataCentre: BucketedDomain;
     /** False for a VM that takes nothing new; it is then in no bucket. */
     readonly indexed: boolean;
 }
@@ -34,14 +31,8 @@
 class NodeList implements NodeSource {
     readonly #nodes: FitNode[] = [];
 
-    add(_accelerators: number, node: FitNode): void {
-        if (!this.#nodes.includes(node)) {
-            this.#nodes.push(node);
-        }
-    }
-
-    remove(): void {
-        // The list does not depend on what is available.
+    insert(node: FitNode): void {
+        this.#nodes.push(node);
     }
 
     scan(from: number, visit: (node: FitNode) => boolean): void {
@@ -53,76 +44,133 @@
     }
 }
 
-const newDomain = (nodes: NodeSource): FitDomain => ({ nodes, availableAccelerators: 0, accelerators: 0 });
+interface Rack extends FitDomain {
+    readonly nodes: NodeList;
+}
 
-const domainOf = (domains: Map<string, FitDomain>, name: string, newNodes: () => NodeSource): FitDomain => {
-    const known = domains.get(name);
-    if (known !== undefined) {
-        return known;
-    }
-    const domain = newDomain(newNodes());
-    domains.set(name, domain);
-    return domain;
-};
+interface BucketedDomain extends FitDomain {
+    readonly nodes: Buckets<FitNode>;
+}
+
+interface DataCentre extends BucketedDomain {
+    readonly racks: Map<string, Rack>;
+}
 
 const bucketKey = (accelerators: number): number => Math.max(0, accelerators);
 
+/** Finds the rack and the data centre of each VM, and makes them when they are first met. */
+class Places {
+    readonly racks: Rack[] = [];
+    readonly dataCentres: DataCentre[] = [];
+    readonly #byName = new Map<string, DataCentre>();
+    readonly #newNodes: () => Buckets<FitNode>;
+
+    constructor(newNodes: () => Buckets<FitNode>) {
+        this.#newNodes = newNodes;
+    }
+
+    dataCentreOf({ dataCentre: name }: VmView): DataCentre {
+        const known = this.#byName.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const dataCentre: DataCentre = {
+            position: this.dataCentres.length,
+            nodes: this.#newNodes(),
+            racks: new Map(),
+            availableAccelerators: 0,
+            accelerators: 0,
+        };
+        this.#byName.set(name, dataCentre);
+        this.dataCentres.push(dataCentre);
+        return dataCentre;
+    }
+
+    rackOf({ rack: name }: VmView, { racks }: DataCentre): Rack {
+        const known = racks.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const rack: Rack = {
+            position: this.racks.length,
+            nodes: new NodeList(),
+            availableAccelerators: 0,
+            accelerators: 0,
+        };
+        racks.set(name, rack);
+        this.racks.push(rack);
+        return rack;
+    }
+}
+
 /** VMs ordered by available accelerators in the cluster and in each data centre and rack. */
 export class FitIndex {
     readonly nodes: readonly FitNode[];
-    readonly cluster = newDomain(new Buckets());
-    readonly dataCentres = new Map<string, FitDomain>();
-    readonly racks = new Map<string, FitDomain>();
-    readonly racksByAvailable = new Buckets<FitDomain>();
+    readonly cluster: BucketedDomain;
+    readonly dataCentres: readonly FitDomain[];
+    readonly racksByAvailable: Buckets<FitDomain>;
 
     constructor(
         vms: readonly VmView[],
         availableOn: (vm: VmView, position: number) => MutableAmount,
         takesNewWork: (vm: VmView) => boolean,
     ) {
-        this.nodes = vms.map((vm, position): FitNode => ({
-            position,
-            vm,
-            available: availableOn(vm, position),
-            rack: domainOf(this.racks, `${vm.dataCentre}/${vm.rack}`, () => new NodeList()),
-            dataCentre: domainOf(this.dataCentres, vm.dataCentre, () => new Buckets()),
-            indexed: takesNewWork(vm),
-        }));
-        for (const node of this.nodes) {
-            this.#insert(node);
+        const nodes: FitNode[] = [];
+        const links = new BucketLinks(nodes, vms.length);
+        this.nodes = nodes;
+        this.cluster = { position: 0, nodes: new Buckets(links), availableAccelerators: 0, accelerators: 0 };
+        // A VM is in one data centre, so the buckets of all data centres share their links.
+        const dataCentreLinks = new BucketLinks(nodes, vms.length);
+        const places = new Places(() => new Buckets(dataCentreLinks));
+        for (const [position, vm] of vms.entries()) {
+            const dataCentre = places.dataCentreOf(vm);
+            const rack = places.rackOf(vm, dataCentre);
+            const available = availableOn(vm, position);
+            const node: FitNode = { position, vm, available, rack, dataCentre, indexed: takesNewWork(vm) };
+            nodes.push(node);
+            if (node.indexed) {
+                rack.nodes.insert(node);
+                this.#insert(node);
+            }
         }
-        for (const rack of this.racks.values()) {
+        this.dataCentres = places.dataCentres;
+        this.racksByAvailable = new Buckets(new BucketLinks<FitDomain>(places.racks, places.racks.length));
+        for (const rack of places.racks) {
             this.racksByAvailable.add(bucketKey(rack.availableAccelerators), rack);
         }
     }
 
     /** Takes an amount from a VM. */
     take(node: FitNode, amount: Amount): void {
-        const before = node.available.accelerators;
-        addTo(node.available, amount, -1);
-        const after = node.available.accelerators;
-        if (!node.indexed || before === after) {
+        const { available, rack, dataCentre, indexed } = node;
+        const before = available.accelerators;
+        addTo(available, amount, -1);
+        const after = available.accelerators;
+        if (!indexed || before === after) {
             return;
         }
-        for (const domain of [this.cluster, node.dataCentre, node.rack]) {
-            domain.nodes.remove(bucketKey(before), node);
-            domain.nodes.add(bucketKey(after), node);
-        }
-        this.racksByAvailable.remove(bucketKey(node.rack.availableAccelerators), node.rack);
-        for (const domain of [this.cluster, node.dataCentre, node.rack]) {
-            domain.availableAccelerators += after - before;
-        }
-        this.racksByAvailable.add(bucketKey(node.rack.availableAccelerators), node.rack);
+        this.#move(this.cluster, node, before);
+        this.#move(dataCentre, node, before);
+        this.racksByAvailable.remove(bucketKey(rack.availableAccelerators), rack);
+        rack.availableAccelerators += after - before;
+        this.racksByAvailable.add(bucketKey(rack.availableAccelerators), rack);
+    }
+
+    #move(domain: BucketedDomain, node: FitNode, before: number): void {
+        const after = node.available.accelerators;
+        domain.nodes.remove(bucketKey(before), node);
+        domain.nodes.add(bucketKey(after), node);
+        domain.availableAccelerators += after - before;
     }
 
     #insert(node: FitNode): void {
-        if (!node.indexed) {
-            return;
-        }
-        for (const domain of [this.cluster, node.dataCentre, node.rack]) {
-            domain.nodes.add(bucketKey(node.available.accelerators), node);
-            domain.availableAccelerators += node.available.accelerators;
-            domain.accelerators += node.vm.accelerators;
+        const { available: { accelerators: available }, vm: { accelerators }, rack, dataCentre } = node;
+        const key = bucketKey(available);
+        this.cluster.nodes.add(key, node);
+        dataCentre.nodes.add(key, node);
+        for (const domain of [this.cluster, dataCentre, rack]) {
+            domain.availableAccelerators += available;
+            domain.accelerators += accelerators;
         }
     }
 }
--- a/packages/placement/src/gangFit.ts
+++ b/packages/placement/src/gangFit.ts
@@ -59,7 +59,7 @@
     left === undefined || (right !== undefined && right.cost < left.cost) ? right : left;
 
 const chooseDataCentre = (index: FitIndex, request: FitRequest): Choice | undefined =>
-    [...index.dataCentres.values()]
+    index.dataCentres
         .map(domain => chooseIn(domain, request))
         .reduce(cheaper, undefined);
 
