perf(placement): plan reservations and fits with less allocation

A plan made two amounts, a list and a sorted copy of it for each VM, and estimated the remaining run time of a placed job again for each VM and plan. A plan now reuses one room and one list, and each placed job keeps its expected end for the pass. A fit computes costs only once enough VMs are accepted, and takes the cheapest single VM without sorting. Members of a placed job share one amount, and use that no job accounts for is kept in arrays. Racks are linked lists like the buckets.

--- a/packages/placement/src/amount.ts
+++ b/packages/placement/src/amount.ts
@@ -15,7 +15,7 @@
 }
 
 /** Absorbs rounding errors of fractional cores and memory. */
-const TOLERANCE = 1e-6;
+export const TOLERANCE = 1e-6;
 
 /** What one member of a gang needs on its VM. */
 export const needOf = (gang: GangShape): Amount => ({
@@ -33,6 +33,13 @@
     && available.cores >= need.cores - TOLERANCE
     && available.memoryMb >= need.memoryMb - TOLERANCE;
 
+/** Makes the target equal to the amount. */
+export const setTo = (target: MutableAmount, { accelerators, cores, memoryMb }: Amount): void => {
+    target.accelerators = accelerators;
+    target.cores = cores;
+    target.memoryMb = memoryMb;
+};
+
 /** Adds `factor` times the amount to the target. */
 export const addTo = (target: MutableAmount, amount: Amount, factor = 1): void => {
     target.accelerators += factor * amount.accelerators;
--- a/packages/placement/src/clusterState.ts
+++ b/packages/placement/src/clusterState.ts
@@ -1,6 +1,6 @@
 import type { JobSpec } from "@persimmonpitch/schema/job.js";
 import type { Amount, MutableAmount } from "./amount.js";
-import { addTo, commonPart, difference, isPositive, noAmount } from "./amount.js";
+import { addTo, commonPart, difference, isPositive, needOf, noAmount, TOLERANCE } from "./amount.js";
 import type { ClusterView, PlacedJob, VmView } from "./clusterView.js";
 import type { FitNode } from "./fitIndex.js";
 import { FitIndex } from "./fitIndex.js";
@@ -14,6 +14,8 @@
     /** Uses a guaranteed instance of its team; it is then no borrower. */
     claimed: boolean;
     stopping: boolean;
+    /** Wall time at which it is expected to end; undefined until a plan needs it. */
+    endsAt: number | undefined;
 }
 
 /** The share of a placed job on one VM. */
@@ -65,9 +67,51 @@
     return room;
 };
 
+/** Whether the room that is left for guarantees and work that cannot be stopped covers the need. */
+export const coversUnbound = ({ vm, bound, unstoppable }: VmState, need: Amount): boolean =>
+    vm.accelerators - bound.accelerators - unstoppable.accelerators >= need.accelerators
+    && vm.cores - bound.cores - unstoppable.cores >= need.cores - TOLERANCE
+    && vm.memoryMb - bound.memoryMb - unstoppable.memoryMb >= need.memoryMb - TOLERANCE;
+
 /** What is free beyond idle bound cells; negative where borrowers are in them. */
 export const unboundFree = ({ node, idleBound }: VmState): MutableAmount => difference(node.available, idleBound);
 
+/** Resources in use less those of placed jobs, for each VM; kept in arrays because it is needed for a moment only. */
+class UnaccountedUse {
+    readonly #accelerators: Float64Array;
+    readonly #cores: Float64Array;
+    readonly #memoryMb: Float64Array;
+
+    constructor(vms: readonly VmState[]) {
+        this.#accelerators = new Float64Array(vms.length);
+        this.#cores = new Float64Array(vms.length);
+        this.#memoryMb = new Float64Array(vms.length);
+        for (const { vm, node: { position, available } } of vms) {
+            this.#accelerators[position] = vm.accelerators - available.accelerators;
+            this.#cores[position] = vm.cores - available.cores;
+            this.#memoryMb[position] = vm.memoryMb - available.memoryMb;
+        }
+    }
+
+    subtract({ node: { position } }: VmState, { accelerators, cores, memoryMb }: Amount): void {
+        this.#accelerators[position] = (this.#accelerators[position] ?? 0) - accelerators;
+        this.#cores[position] = (this.#cores[position] ?? 0) - cores;
+        this.#memoryMb[position] = (this.#memoryMb[position] ?? 0) - memoryMb;
+    }
+
+    on({ node: { position } }: VmState): Amount {
+        return {
+            accelerators: this.#accelerators[position] ?? 0,
+            cores: this.#cores[position] ?? 0,
+            memoryMb: this.#memoryMb[position] ?? 0,
+        };
+    }
+
+    isPositiveOn(vm: VmState): boolean {
+        return isPositive(this.on(vm));
+    }
+}
+
 /** VMs and placed jobs of one pass; decisions change them as they are made. */
 export class ClusterState {
     readonly free: FitIndex;
@@ -90,12 +134,12 @@
         for (const vm of this.vms) {
             this.#byId.set(vm.vm.vmId, vm);
         }
-        const unaccounted = this.vms.map(({ vm, node }) => difference(vm, node.available));
+        const unaccounted = new UnaccountedUse(this.vms);
         for (const job of view.placed) {
             this.#addPlaced(job, unaccounted);
         }
         for (const vm of this.vms) {
-            this.#addUnaccounted(vm, unaccounted[vm.node.position] ?? noAmount());
+            this.#addUnaccounted(vm, unaccounted);
         }
     }
 
@@ -150,8 +194,8 @@
         placed.claimed = claimed;
     }
 
-    #addPlaced(job: PlacedJob, unaccounted: readonly MutableAmount[]): void {
-        const { coresPerVm, memoryMbPerVm } = job.spec.gang;
+    #addPlaced(job: PlacedJob, unaccounted: UnaccountedUse): void {
+        const need = needOf(job.spec.gang);
         const parts: PlacedPart[] = [];
         const placed: PlacedState = {
             job,
@@ -159,14 +203,16 @@
             parts,
             claimed: false,
             stopping: job.stopping,
+            endsAt: undefined,
         };
         for (const { vmId, accelerators } of job.members) {
             const vm = this.#byId.get(vmId);
             if (vm !== undefined) {
-                const amount: Amount = { accelerators, cores: coresPerVm, memoryMb: memoryMbPerVm };
+                // Members hold what the gang needs, so they share one amount.
+                const amount = accelerators === need.accelerators ? need : { ...need, accelerators };
                 parts.push({ vm, amount });
                 vm.placed.push(placed);
-                addTo(unaccounted[vm.node.position] ?? noAmount(), amount, -1);
+                unaccounted.subtract(vm, amount);
                 if (placed.stopping) {
                     addTo(vm.coming, amount);
                 }
@@ -179,9 +225,9 @@
     }
 
     /** Resources in use that no placed job accounts for cannot be reclaimed, so nothing may rely on them. */
-    #addUnaccounted({ vm, unstoppable }: VmState, unaccounted: Amount): void {
-        if (isPositive(unaccounted)) {
-            addTo(unstoppable, commonPart(unaccounted, vm));
+    #addUnaccounted(vm: VmState, unaccounted: UnaccountedUse): void {
+        if (unaccounted.isPositiveOn(vm)) {
+            addTo(vm.unstoppable, commonPart(unaccounted.on(vm), vm.vm));
         }
     }
 }
--- a/packages/placement/src/fitIndex.ts
+++ b/packages/placement/src/fitIndex.ts
@@ -27,17 +27,33 @@
     readonly indexed: boolean;
 }
 
-/** VMs of a rack. There are few, so a list is cheaper to make than buckets. */
+/** VMs of a rack in the order of their positions. There are few, so they are not kept by what is available. */
 class NodeList implements NodeSource {
-    readonly #nodes: FitNode[] = [];
+    readonly #links: BucketLinks<FitNode>;
+    #first = -1;
+    #last = -1;
 
-    insert(node: FitNode): void {
-        this.#nodes.push(node);
+    constructor(links: BucketLinks<FitNode>) {
+        this.#links = links;
+    }
+
+    insert({ position }: FitNode): void {
+        const { next } = this.#links;
+        next[position] = -1;
+        if (this.#last === -1) {
+            this.#first = position;
+        }
+        else {
+            next[this.#last] = position;
+        }
+        this.#last = position;
     }
 
     scan(from: number, visit: (node: FitNode) => boolean): void {
-        for (const node of this.#nodes) {
-            if (node.available.accelerators >= from && visit(node)) {
+        const { items, next } = this.#links;
+        for (let at = this.#first; at !== -1; at = next[at] ?? -1) {
+            const node = items[at];
+            if (node !== undefined && node.available.accelerators >= from && visit(node)) {
                 return;
             }
         }
@@ -63,10 +79,13 @@
     readonly racks: Rack[] = [];
     readonly dataCentres: DataCentre[] = [];
     readonly #byName = new Map<string, DataCentre>();
-    readonly #newNodes: () => Buckets<FitNode>;
+    // A VM is in one data centre and one rack, so all data centres share their links, and so do all racks.
+    readonly #dataCentreLinks: BucketLinks<FitNode>;
+    readonly #rackLinks: BucketLinks<FitNode>;
 
-    constructor(newNodes: () => Buckets<FitNode>) {
-        this.#newNodes = newNodes;
+    constructor(nodes: readonly FitNode[], maxNodes: number) {
+        this.#dataCentreLinks = new BucketLinks(nodes, maxNodes);
+        this.#rackLinks = new BucketLinks(nodes, maxNodes);
     }
 
     dataCentreOf({ dataCentre: name }: VmView): DataCentre {
@@ -76,7 +95,7 @@
         }
         const dataCentre: DataCentre = {
             position: this.dataCentres.length,
-            nodes: this.#newNodes(),
+            nodes: new Buckets(this.#dataCentreLinks),
             racks: new Map(),
             availableAccelerators: 0,
             accelerators: 0,
@@ -93,7 +112,7 @@
         }
         const rack: Rack = {
             position: this.racks.length,
-            nodes: new NodeList(),
+            nodes: new NodeList(this.#rackLinks),
             availableAccelerators: 0,
             accelerators: 0,
         };
@@ -103,6 +122,11 @@
     }
 }
 
+const addSize = (domain: FitDomain, available: number, accelerators: number): void => {
+    domain.availableAccelerators += available;
+    domain.accelerators += accelerators;
+};
+
 /** VMs ordered by available accelerators in the cluster and in each data centre and rack. */
 export class FitIndex {
     readonly nodes: readonly FitNode[];
@@ -116,23 +140,25 @@
         takesNewWork: (vm: VmView) => boolean,
     ) {
         const nodes: FitNode[] = [];
-        const links = new BucketLinks(nodes, vms.length);
         this.nodes = nodes;
-        this.cluster = { position: 0, nodes: new Buckets(links), availableAccelerators: 0, accelerators: 0 };
-        // A VM is in one data centre, so the buckets of all data centres share their links.
-        const dataCentreLinks = new BucketLinks(nodes, vms.length);
-        const places = new Places(() => new Buckets(dataCentreLinks));
-        for (const [position, vm] of vms.entries()) {
+        this.cluster = {
+            position: 0,
+            nodes: new Buckets(new BucketLinks(nodes, vms.length)),
+            availableAccelerators: 0,
+            accelerators: 0,
+        };
+        const places = new Places(nodes, vms.length);
+        vms.forEach((vm, position) => {
             const dataCentre = places.dataCentreOf(vm);
             const rack = places.rackOf(vm, dataCentre);
             const available = availableOn(vm, position);
             const node: FitNode = { position, vm, available, rack, dataCentre, indexed: takesNewWork(vm) };
             nodes.push(node);
             if (node.indexed) {
-                rack.nodes.insert(node);
                 this.#insert(node);
+                rack.nodes.insert(node);
             }
-        }
+        });
         this.dataCentres = places.dataCentres;
         this.racksByAvailable = new Buckets(new BucketLinks<FitDomain>(places.racks, places.racks.length));
         for (const rack of places.racks) {
@@ -168,9 +194,8 @@
         const key = bucketKey(available);
         this.cluster.nodes.add(key, node);
         dataCentre.nodes.add(key, node);
-        for (const domain of [this.cluster, dataCentre, rack]) {
-            domain.availableAccelerators += available;
-            domain.accelerators += accelerators;
-        }
+        addSize(this.cluster, available, accelerators);
+        addSize(dataCentre, available, accelerators);
+        addSize(rack, available, accelerators);
     }
 }
--- a/packages/placement/src/gangFit.ts
+++ b/packages/placement/src/gangFit.ts
@@ -1,7 +1,4 @@
 import type { Adjacency } from "@persimmonpitch/schema/gang.js";
-import { pipe } from "fp-ts/lib/function.js";
-import * as N from "fp-ts/lib/number.js";
-import * as Ord from "fp-ts/lib/Ord.js";
 import type { Amount } from "./amount.js";
 import { covers } from "./amount.js";
 import type { FitDomain, FitIndex, FitNode } from "./fitIndex.js";
@@ -33,25 +30,48 @@
 /** Racks compared before the best is taken. */
 const RACK_CANDIDATES = 8;
 
-const byCost: Ord.Ord<Candidate> = pipe(N.Ord, Ord.contramap(({ cost }: Candidate) => cost));
+const byCost = (left: Candidate, right: Candidate): number => left.cost - right.cost;
 
-const chooseIn = (domain: FitDomain, request: FitRequest): Choice | undefined => {
-    const { vms, need, accepts, cost, exhaustive } = request;
-    if (domain.availableAccelerators < vms * need.accelerators) {
-        return undefined;
-    }
+/** Accepted VMs of a domain in the order of the index, up to the number that is compared. */
+const acceptedIn = (domain: FitDomain, { vms, need, accepts, exhaustive }: FitRequest): readonly FitNode[] => {
     const wanted = exhaustive === true ? Infinity : vms + SPARE_CANDIDATES;
-    const candidates: Candidate[] = [];
+    const accepted: FitNode[] = [];
     domain.nodes.scan(need.accelerators, node => {
         if (covers(node.available, need) && accepts(node)) {
-            candidates.push({ node, cost: cost(node) });
+            accepted.push(node);
         }
-        return candidates.length >= wanted;
+        return accepted.length >= wanted;
     });
-    if (candidates.length < vms) {
+    return accepted;
+};
+
+/** The first of the cheapest VMs. */
+const cheapestOf = (nodes: readonly FitNode[], costOf: (node: FitNode) => number): Choice | undefined => {
+    let cheapest: FitNode | undefined;
+    let lowest = 0;
+    for (const node of nodes) {
+        const cost = costOf(node);
+        if (cheapest === undefined || cost < lowest) {
+            cheapest = node;
+            lowest = cost;
+        }
+    }
+    return cheapest === undefined ? undefined : { nodes: [cheapest], cost: lowest };
+};
+
+const chooseIn = (domain: FitDomain, request: FitRequest): Choice | undefined => {
+    const { vms, need, cost } = request;
+    if (domain.availableAccelerators < vms * need.accelerators) {
         return undefined;
     }
-    const chosen = candidates.sort(byCost.compare).slice(0, vms);
+    const accepted = acceptedIn(domain, request);
+    if (accepted.length < vms) {
+        return undefined;
+    }
+    if (vms === 1) {
+        return cheapestOf(accepted, cost);
+    }
+    const chosen = accepted.map((node): Candidate => ({ node, cost: cost(node) })).sort(byCost).slice(0, vms);
     return { nodes: chosen.map(({ node }) => node), cost: chosen.reduce((sum, candidate) => sum + candidate.cost, 0) };
 };
 
--- a/packages/placement/src/reservationPlan.ts
+++ b/packages/placement/src/reservationPlan.ts
@@ -1,8 +1,8 @@
 import type { Adjacency } from "@persimmonpitch/schema/gang.js";
-import type { Amount, MutableAmount } from "./amount.js";
-import { addTo, covers, needOf } from "./amount.js";
+import type { Amount } from "./amount.js";
+import { addTo, covers, needOf, noAmount, setTo } from "./amount.js";
 import type { PlacedState, VmState } from "./clusterState.js";
-import { isReady, unboundRoom } from "./clusterState.js";
+import { coversUnbound, isReady } from "./clusterState.js";
 import type { QueuedJob } from "./clusterView.js";
 import { isStoppable } from "./jobTraits.js";
 import type { PassContext } from "./passContext.js";
@@ -36,26 +36,32 @@
     readonly isWaitBounded: boolean;
     /** Leaves out VMs on which work that cannot be stopped has to end first. */
     readonly onlyByStopping: boolean;
+    readonly room: FutureRoom;
+    /** Work of the VM that is looked at; kept to be used again. */
+    readonly ending: PlacedState[];
 }
 
-/** Room on a VM while the work on it ends. */
+/** Room on one VM at a time while the work on it ends; one object serves all VMs of a plan. */
 class FutureRoom {
-    readonly #available: MutableAmount;
-    readonly #unbound: MutableAmount;
+    readonly #available = noAmount();
+    readonly #unbound = noAmount();
     readonly #need: Amount;
     readonly #stoppable: boolean;
 
-    constructor({ node: { available }, coming }: VmState, unbound: MutableAmount, { need, stoppable }: Forecaster) {
-        this.#available = {
-            accelerators: available.accelerators + coming.accelerators,
-            cores: available.cores + coming.cores,
-            memoryMb: available.memoryMb + coming.memoryMb,
-        };
-        this.#unbound = unbound;
+    constructor(need: Amount, stoppable: boolean) {
         this.#need = need;
         this.#stoppable = stoppable;
     }
 
+    /** Starts with what is available on the VM and what comes free there. */
+    reset({ vm, node: { available }, coming, bound, unstoppable }: VmState): void {
+        setTo(this.#available, available);
+        addTo(this.#available, coming);
+        setTo(this.#unbound, vm);
+        addTo(this.#unbound, bound, -1);
+        addTo(this.#unbound, unstoppable, -1);
+    }
+
     addEndOf({ parts, stoppable, claimed }: PlacedState, vm: VmState): void {
         for (const part of parts) {
             if (part.vm === vm) {
@@ -75,19 +81,36 @@
 const mayBeStopped = (placed: PlacedState, mayStop: MayStop | undefined): boolean =>
     mayStop !== undefined && isBorrower(placed) && mayStop(placed.job.spec);
 
-const forecastEnd = (
-    vm: VmState,
-    room: FutureRoom,
-    { context: { view: { now }, estimates }, mayStop }: Forecaster,
-): number | undefined => {
-    const ending = vm.placed
-        .filter(placed => !placed.stopping && !mayBeStopped(placed, mayStop))
-        .map(placed => ({ placed, endsAt: now + estimates.remaining(placed.job) }))
-        .sort((left, right) => left.endsAt - right.endsAt);
-    for (const { placed, endsAt } of ending) {
+const endOf = (placed: PlacedState, { view: { now }, estimates }: PassContext): number => {
+    placed.endsAt ??= now + estimates.remaining(placed.job);
+    return placed.endsAt;
+};
+
+/** Inserts by the expected end, behind equal ones; a VM has few placed jobs. */
+const insertByEnd = (ending: PlacedState[], placed: PlacedState, context: PassContext): void => {
+    const endsAt = endOf(placed, context);
+    let at = ending.length;
+    ending.push(placed);
+    for (
+        let before = ending[at - 1]; before !== undefined && endOf(before, context) > endsAt; before = ending[at - 1]
+    ) {
+        ending[at] = before;
+        at -= 1;
+    }
+    ending[at] = placed;
+};
+
+const forecastEnd = (vm: VmState, { context, mayStop, room, ending }: Forecaster): number | undefined => {
+    ending.length = 0;
+    for (const placed of vm.placed) {
+        if (!placed.stopping && !mayBeStopped(placed, mayStop)) {
+            insertByEnd(ending, placed, context);
+        }
+    }
+    for (const placed of ending) {
         room.addEndOf(placed, vm);
         if (room.isEnough()) {
-            return endsAt;
+            return endOf(placed, context);
         }
     }
     return undefined;
@@ -97,17 +120,16 @@
     placed.reduce((newest, { job, stoppable }) => stoppable ? newest : Math.max(newest, job.startedAt), 0);
 
 const forecast = (vm: VmState, forecaster: Forecaster): VmForecast | undefined => {
-    const { context: { view }, need, stoppable, mayStop, onlyByStopping } = forecaster;
-    const unbound = unboundRoom(vm);
-    if (!covers(vm.vm, need) || (onlyByStopping && !stoppable && !covers(unbound, need))) {
+    const { context: { view }, need, stoppable, mayStop, onlyByStopping, room } = forecaster;
+    const isUnbound = stoppable || coversUnbound(vm, need);
+    if (!covers(vm.vm, need) || (onlyByStopping && !isUnbound)) {
         return undefined;
     }
-    const isFree = covers(vm.node.available, need) && (stoppable || covers(unbound, need));
-    if (isFree) {
+    if (isUnbound && covers(vm.node.available, need)) {
         return { vm, blockedSince: 0, readyAt: view.now, lost: 0 };
     }
     const afterGrace = view.now + view.rules.preemptionGraceMs;
-    const room = new FutureRoom(vm, unbound, forecaster);
+    room.reset(vm);
     if (room.isEnough()) {
         return { vm, blockedSince: 0, readyAt: afterGrace, lost: 0 };
     }
@@ -121,7 +143,7 @@
     if (room.isEnough()) {
         return { vm, blockedSince: 0, readyAt: afterGrace, lost };
     }
-    const endsAt = onlyByStopping ? undefined : forecastEnd(vm, room, forecaster);
+    const endsAt = onlyByStopping ? undefined : forecastEnd(vm, forecaster);
     return endsAt === undefined ? undefined : {
         vm,
         blockedSince: forecaster.isWaitBounded ? newestUnstoppable(vm) : 0,
@@ -186,7 +208,17 @@
 ): ReservationPlan | undefined => {
     const { gang } = job.spec;
     const stoppable = isStoppable(job.spec);
-    const forecaster = { context, need: needOf(gang), stoppable, mayStop, isWaitBounded, onlyByStopping };
+    const need = needOf(gang);
+    const forecaster: Forecaster = {
+        context,
+        need,
+        stoppable,
+        mayStop,
+        isWaitBounded,
+        onlyByStopping,
+        room: new FutureRoom(need, stoppable),
+        ending: [],
+    };
     const groupOf = GROUPS[gang.vms === 1 ? "any" : gang.adjacency];
     const groups = new Map<unknown, ForecastGroup>();
     for (const vm of context.cluster.vms) {
