test(placement): bound the growth of a pass by the VMs that it looks at

The fit index now counts the VMs and racks that fits and plans look at, and a test compares the counts at 1x, 2x and 4x of 232 VMs and 250 jobs, with a factor of 1.5 over n log n for steps such as one more plan.

The indexes that guarantees and refusals make for themselves are not counted.

--- a/packages/placement/src/buckets.ts
+++ b/packages/placement/src/buckets.ts
@@ -3,6 +3,11 @@
     readonly position: number;
 }
 
+/** Counts the items that were looked at; a time would not tell reliably how the work grows. */
+export interface VisitCounter {
+    visits: number;
+}
+
 /** Marks the end of a bucket. */
 const NONE = -1;
 
@@ -11,9 +16,11 @@
     readonly items: readonly T[];
     readonly next: Int32Array;
     readonly previous: Int32Array;
+    readonly counter: VisitCounter;
 
     /** The items may be appended to the list later, up to this number. */
-    constructor(items: readonly T[], maxItems: number) {
+    constructor(items: readonly T[], maxItems: number, counter: VisitCounter) {
+        this.counter = counter;
         this.items = items;
         this.next = new Int32Array(maxItems);
         this.previous = new Int32Array(maxItems);
@@ -70,9 +77,10 @@
 
     /** Visits the items from the given key upwards until a visit returns true. */
     scan(from: number, visit: (item: T) => boolean): void {
-        const { items, next } = this.#links;
+        const { items, next, counter } = this.#links;
         for (let key = from; key < this.#first.length; key += 1) {
             for (let at = this.#first[key] ?? NONE; at !== NONE; at = next[at] ?? NONE) {
+                counter.visits += 1;
                 const item = items[at];
                 if (item !== undefined && visit(item)) {
                     return;
--- a/packages/placement/src/fitIndex.ts
+++ b/packages/placement/src/fitIndex.ts
@@ -1,6 +1,6 @@
 import type { Amount, MutableAmount } from "./amount.js";
 import { addTo } from "./amount.js";
-import type { Positioned } from "./buckets.js";
+import type { Positioned, VisitCounter } from "./buckets.js";
 import { BucketLinks, Buckets } from "./buckets.js";
 import type { VmView } from "./clusterView.js";
 
@@ -50,8 +50,9 @@
     }
 
     scan(from: number, visit: (node: FitNode) => boolean): void {
-        const { items, next } = this.#links;
+        const { items, next, counter } = this.#links;
         for (let at = this.#first; at !== -1; at = next[at] ?? -1) {
+            counter.visits += 1;
             const node = items[at];
             if (node !== undefined && node.available.accelerators >= from && visit(node)) {
                 return;
@@ -83,9 +84,9 @@
     readonly #dataCentreLinks: BucketLinks<FitNode>;
     readonly #rackLinks: BucketLinks<FitNode>;
 
-    constructor(nodes: readonly FitNode[], maxNodes: number) {
-        this.#dataCentreLinks = new BucketLinks(nodes, maxNodes);
-        this.#rackLinks = new BucketLinks(nodes, maxNodes);
+    constructor(nodes: readonly FitNode[], maxNodes: number, counter: VisitCounter) {
+        this.#dataCentreLinks = new BucketLinks(nodes, maxNodes, counter);
+        this.#rackLinks = new BucketLinks(nodes, maxNodes, counter);
     }
 
     dataCentreOf({ dataCentre: name }: VmView): DataCentre {
@@ -128,7 +129,9 @@
 };
 
 /** VMs ordered by available accelerators in the cluster and in each data centre and rack. */
-export class FitIndex {
+export class FitIndex implements VisitCounter {
+    /** VMs and racks that fits and plans looked at. */
+    visits = 0;
     readonly nodes: readonly FitNode[];
     readonly cluster: BucketedDomain;
     readonly dataCentres: readonly FitDomain[];
@@ -143,11 +146,11 @@
         this.nodes = nodes;
         this.cluster = {
             position: 0,
-            nodes: new Buckets(new BucketLinks(nodes, vms.length)),
+            nodes: new Buckets(new BucketLinks(nodes, vms.length, this)),
             availableAccelerators: 0,
             accelerators: 0,
         };
-        const places = new Places(nodes, vms.length);
+        const places = new Places(nodes, vms.length, this);
         vms.forEach((vm, position) => {
             const dataCentre = places.dataCentreOf(vm);
             const rack = places.rackOf(vm, dataCentre);
@@ -160,7 +163,7 @@
             }
         });
         this.dataCentres = places.dataCentres;
-        this.racksByAvailable = new Buckets(new BucketLinks<FitDomain>(places.racks, places.racks.length));
+        this.racksByAvailable = new Buckets(new BucketLinks<FitDomain>(places.racks, places.racks.length, this));
         for (const rack of places.racks) {
             this.racksByAvailable.add(bucketKey(rack.availableAccelerators), rack);
         }
--- a/packages/placement/src/reservationPlan.ts
+++ b/packages/placement/src/reservationPlan.ts
@@ -92,7 +92,9 @@
     let at = ending.length;
     ending.push(placed);
     for (
-        let before = ending[at - 1]; before !== undefined && endOf(before, context) > endsAt; before = ending[at - 1]
+        let before = ending[at - 1];
+        before !== undefined && endOf(before, context) > endsAt;
+        before = ending[at - 1]
     ) {
         ending[at] = before;
         at -= 1;
@@ -222,6 +224,7 @@
     const groupOf = GROUPS[gang.vms === 1 ? "any" : gang.adjacency];
     const groups = new Map<unknown, ForecastGroup>();
     for (const vm of context.cluster.vms) {
+        context.cluster.free.visits += 1;
         const found = isReady(vm.vm) && vm.reservation === undefined ? forecast(vm, forecaster) : undefined;
         if (found !== undefined) {
             const group = groups.get(groupOf(vm)) ?? { all: [], soonWithoutLoss: [] };
--- /dev/null
+++ b/packages/placement/tests/passGrowth.test.ts
@@ -0,0 +1,120 @@
+import t from "tap";
+import { ClusterState } from "../src/clusterState.js";
+import type { ClusterView, GuaranteeBinding, PlacedJob, QueuedJob } from "../src/clusterView.js";
+import { DecisionLog } from "../src/decisionLog.js";
+import { GuaranteeBook } from "../src/guaranteeBook.js";
+import { placeGuaranteed } from "../src/guaranteedWork.js";
+import { OrdinaryWork } from "../src/ordinaryWork.js";
+import type { PassContext } from "../src/passContext.js";
+import { DEFAULT_PLACEMENT_OPTIONS } from "../src/placementOptions.js";
+import { placementPass } from "../src/placementPass.js";
+import { QueueOrder, teamQueues } from "../src/queueOrder.js";
+import { RunTimeEstimates } from "../src/runTimeEstimates.js";
+import { TeamUse } from "../src/teamUse.js";
+import { guaranteeOf, MINUTE, placedJob, queuedJob, viewOf, vmsOf } from "./clusterFixture.js";
+
+/** At the smallest size; a quarter of the size to design for keeps the test quick. */
+const VMS = 232;
+const JOBS = 250;
+const TEAMS = 88;
+const VMS_PER_RACK = 3;
+const DATA_CENTRES = 5;
+const SCALES = [1, 2, 4] as const;
+
+/** Sizes whose work differs by steps, such as one more plan, stay within this factor of n log n. */
+const SMALL_FACTOR = 1.5;
+
+const NEEDS = [1, 2, 4, 8, 1, 2, 1, 3] as const;
+const GANGS = [1, 1, 1, 2, 1, 1, 3, 1, 4, 1] as const;
+const CLASSES = ["batch", "standard", "bestEffort", "interactive", "batch", "urgent"] as const;
+const ADJACENCIES = ["any", "dataCentre", "rack"] as const;
+const at = <T>(items: readonly [T, ...T[]], index: number): T => items[index % items.length] ?? items[0];
+
+const vmsAt = (scale: number) =>
+    vmsOf(VMS * scale).map((vm, index) => {
+        const rack = Math.floor(index / VMS_PER_RACK);
+        return { ...vm, rack: `rack${rack}`, dataCentre: `dc${rack % DATA_CENTRES}` };
+    });
+
+const teamAt = (index: number, scale: number): string => `team${index % (TEAMS * scale)}`;
+
+const queuedAt = (scale: number): QueuedJob[] =>
+    Array.from({ length: JOBS * scale }, (_, index) =>
+        queuedJob(`waiting${index}`, {
+            team: teamAt(index * 7, scale),
+            workClass: at(CLASSES, index),
+            vms: at(GANGS, index * 3),
+            accelerators: at(NEEDS, index * 5),
+            adjacency: at(ADJACENCIES, index),
+            runMs: MINUTE * (1 + index % 50),
+            idempotent: index % 4 !== 0,
+        }));
+
+/** Tasks of one accelerator on the given number of accelerators of each VM; one in five cannot be stopped. */
+const placedAt = (scale: number, taken: number): PlacedJob[] =>
+    vmsAt(scale).flatMap(({ vmId }, vm) =>
+        Array.from({ length: taken }, (_, index) =>
+            placedJob(`placed${vm}-${index}`, [vmId], {
+                team: teamAt(vm + index, scale),
+                accelerators: 1,
+                runMs: MINUTE * (1 + (vm * 3 + index) % 40),
+                idempotent: (vm + index) % 5 !== 0,
+            }))
+    );
+
+/** Views by what is free on each VM. */
+const VIEWS: Readonly<Record<string, (scale: number) => ClusterView>> = {
+    "nothing free": scale => viewAt(scale, 8),
+    "one accelerator free on each VM": scale => viewAt(scale, 7),
+    "most of each VM free": scale => viewAt(scale, 2),
+    "everything free": scale => viewAt(scale, 0),
+};
+
+const viewAt = (scale: number, taken: number): ClusterView => {
+    const guarantees = Array.from(
+        { length: TEAMS * scale },
+        (_, index) => guaranteeOf(`team${index}`, { accelerators: at(NEEDS, index) }),
+    );
+    const view = viewOf({ vms: vmsAt(scale), guarantees });
+    const bindings: readonly GuaranteeBinding[] = placementPass(view).bindings;
+    return viewOf({ ...view, bindings, vms: vmsAt(scale), placed: placedAt(scale, taken), queued: queuedAt(scale) });
+};
+
+/** VMs and racks that one pass looks at, with the steps of `placementPass` on a state that the test can read. */
+const visitsOf = (view: ClusterView): number => {
+    const cluster = new ClusterState(view);
+    const context: PassContext = {
+        view,
+        options: DEFAULT_PLACEMENT_OPTIONS,
+        cluster,
+        book: new GuaranteeBook(cluster, view),
+        teamUse: new TeamUse(view),
+        estimates: new RunTimeEstimates(view.runTimes, true, view.now),
+        log: new DecisionLog(),
+    };
+    const queues = teamQueues(context, view.queued);
+    const settled = new Set([...context.book.byTeam].flatMap(([team, instances]) => {
+        const jobs = (queues.get(team) ?? []).map(({ job }) => job);
+        return [...placeGuaranteed(context, jobs, instances)];
+    }));
+    new OrdinaryWork(context).placeAll(new QueueOrder(context, queues), jobId => settled.has(jobId));
+    return cluster.free.visits;
+};
+
+const sizeLogSize = (scale: number): number => {
+    const size = (VMS + JOBS) * scale;
+    return size * Math.log(size);
+};
+
+for (const [name, makeView] of Object.entries(VIEWS)) {
+    // Guards against a fit or plan for each job that looks at every VM, which makes a pass quadratic.
+    void t.test(`with ${name}, the VMs looked at grow no faster than n log n`, t => {
+        const [base, ...larger] = SCALES.map(scale => ({ scale, visits: visitsOf(makeView(scale)) }));
+        for (const { scale, visits } of larger) {
+            const ratio = visits / (base?.visits ?? 0);
+            const bound = SMALL_FACTOR * sizeLogSize(scale) / sizeLogSize(1);
+            t.ok(ratio <= bound, `${scale}x: ${base?.visits} to ${visits} visits, ratio ${ratio.toFixed(2)}`);
+        }
+        t.end();
+    });
+}
