--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -34,6 +34,7 @@
   --without IDEA     switches an idea of the real policy off; may be repeated
   --ablation         compares the real policy with and without each idea given by --without
   --seeds N          number of seeds of an ablation (default: 5)
+  --pass-cost        only times one placement pass of the policy, at 1x, 2x and 4x the plan
   --json             prints JSON
   --svg FILE         writes completion-time distributions and fragmentation over time
   --help             prints this text
@@ -78,6 +79,7 @@
             without: { type: "string", isMultiple: true },
             ablation: { type: "boolean", default: false },
             seeds: { type: "number", default: 5 },
+            passCost: { type: "boolean", default: false },
             json: { type: "boolean", default: false },
             svg: { type: "string" },
         },
@@ -107,6 +109,11 @@
     }
     const policies = parsePolicies(flags.policy);
     const options = Object.fromEntries(ideas.map(idea => [idea, false]));
+    if (flags.passCost) {
+        const passCosts = measurePassCosts(policies.slice(0, 1), options, flags.seed);
+        print(Object.fromEntries(passCosts), formatPassCosts(passCosts).join("\n"));
+        return;
+    }
     const bench = runBench({ ...common, policies, options });
     const costs = deployment.data === "plan"
         ? measurePassCosts(policies.slice(0, 1), options, flags.seed)
