feat(placement): let urgent work take its team's cells over

An urgent job within its guarantee never started while stoppable work of its own team used the instance: only borrowers were stopped, and work in its own cells is no borrower. Urgent jobs now come before pending claims of other work and may release an instance from stoppable, non-urgent work of the team, which then counts as a borrower. Work that cannot be stopped no longer uses its team's cells while it could run outside bound cells, because nothing could clear them for urgent work.

--- a/packages/placement/src/guaranteeBook.ts
+++ b/packages/placement/src/guaranteeBook.ts
@@ -64,6 +64,22 @@
         }
     }
 
+    /** Takes an instance from the work that uses it; that work keeps running in its cells as a borrower. */
+    release(instance: GuaranteedInstance, { parts }: PlacedState): void {
+        instance.jobId = undefined;
+        for (const { vm, amount } of parts) {
+            addTo(vm.idleBound, amount);
+        }
+    }
+
+    /** Gives an instance back to the work that it was taken from. */
+    restore(instance: GuaranteedInstance, { job, parts }: PlacedState): void {
+        instance.jobId = job.jobId;
+        for (const { vm, amount } of parts) {
+            addTo(vm.idleBound, amount, -1);
+        }
+    }
+
     /** Binds all instances; work whose instance can no longer hold its cells loses its claim to them. */
     #bindAround(requests: readonly BindRequest[]): readonly BindResult[] {
         for (const { previous, inUse } of requests) {
--- a/packages/placement/src/guaranteedWork.ts
+++ b/packages/placement/src/guaranteedWork.ts
@@ -1,16 +1,16 @@
-import * as B from "fp-ts/lib/boolean.js";
+import type { JobSpec } from "@persimmonpitch/schema/job.js";
 import { pipe } from "fp-ts/lib/function.js";
 import * as N from "fp-ts/lib/number.js";
 import * as Ord from "fp-ts/lib/Ord.js";
 import type { Amount, MutableAmount } from "./amount.js";
-import { addTo, covers, needOf } from "./amount.js";
+import { addTo, covers, difference, needOf } from "./amount.js";
 import { cellCost } from "./cellCost.js";
 import type { PlacedState, VmState } from "./clusterState.js";
 import { isReady, unboundFree, unboundRoom } from "./clusterState.js";
 import type { QueuedJob } from "./clusterView.js";
 import { fitGang } from "./gangFit.js";
 import type { GuaranteedInstance } from "./guaranteedInstance.js";
-import { cellsFor, entitlementOn, nearer } from "./guaranteedInstance.js";
+import { adjacentItems, cellsFor, entitlementOn, nearer } from "./guaranteedInstance.js";
 import { gangAccelerators, isStoppable } from "./jobTraits.js";
 import type { PassContext } from "./passContext.js";
 import { startUnclaimed, stopAndHold } from "./passContext.js";
@@ -30,23 +30,29 @@
     readonly lost: number;
 }
 
+/** An instance with the work of its owner that gives way. */
+interface Takeover {
+    readonly instance: GuaranteedInstance;
+    readonly user: PlacedState;
+}
+
+/** A job that waits for the cells of its instance. */
+interface PendingClaim {
+    readonly job: QueuedJob;
+    readonly instance: GuaranteedInstance;
+}
+
 /** A job that uses at most this part of an instance claims it only when it can start nowhere else. */
 const LOOSE_USE = 0.5;
 
 /** Instances compared for the least work lost. */
 const MAX_RECLAIM_PLANS = 8;
 
-const urgentFirst: Ord.Ord<Claimant> = pipe(
-    B.Ord,
-    Ord.reverse,
-    Ord.contramap(({ job }: Claimant) => job.spec.workClass === "urgent"),
-);
+const isUrgent = ({ workClass }: JobSpec): boolean => workClass === "urgent";
 
+// Sorting is stable, so claimants that are equal stay in the order of the queue.
 const tightestFirst: Ord.Ord<Claimant> = pipe(N.Ord, Ord.reverse, Ord.contramap(({ use }: Claimant) => use));
 
-// Sorting is stable, so claimants that are equal in both stay in the order of the queue.
-const inClaimOrder = Ord.getMonoid<Claimant>().concat(urgentFirst, tightestFirst);
-
 const anyCell = (): boolean => true;
 
 const useOf = (job: QueuedJob, { guarantee: { shape } }: GuaranteedInstance): number =>
@@ -190,6 +196,57 @@
     return true;
 };
 
+const startOrReclaim = (
+    context: PassContext,
+    job: QueuedJob,
+    fitting: readonly GuaranteedInstance[],
+    need: Amount,
+): boolean =>
+    fitting.some(instance => startInCells(context, job, instance, need))
+    || fitting.slice(0, 1).some(instance => startElsewhere(context, job, instance, need))
+    || reclaim(context, job, fitting, need);
+
+/** Work of the owner that uses the instance and gives way to urgent work of the same team. */
+const yieldingUser = ({ cluster }: PassContext, { jobId }: GuaranteedInstance): PlacedState | undefined => {
+    const user = jobId === undefined ? undefined : cluster.placed.get(jobId);
+    return user !== undefined && user.stoppable && user.claimed && !user.stopping && !isUrgent(user.job.spec)
+        ? user
+        : undefined;
+};
+
+const byWorkLost = (now: number): Ord.Ord<Takeover> =>
+    pipe(N.Ord, Ord.contramap(({ user }: Takeover) => workLost(user, now)));
+
+/** Gives urgent work an instance that other work of the same team uses; that work becomes a borrower. */
+const takeOver = (
+    context: PassContext,
+    job: QueuedJob,
+    instances: readonly GuaranteedInstance[],
+    need: Amount,
+): boolean => {
+    const { book, cluster, options, view } = context;
+    if (!options.urgentTakesOver || !isUrgent(job.spec)) {
+        return false;
+    }
+    const takeovers = instances
+        .filter(instance => cellsFor(job.spec, instance, anyCell) !== undefined)
+        .flatMap((instance): readonly Takeover[] => {
+            const user = yieldingUser(context, instance);
+            return user === undefined ? [] : [{ instance, user }];
+        })
+        .sort(byWorkLost(view.now).compare);
+    return takeovers.some(({ instance, user }) => {
+        cluster.unclaim(user);
+        book.release(instance, user);
+        if (startOrReclaim(context, job, [instance], need)) {
+            return true;
+        }
+        cluster.claim(user);
+        book.restore(instance, user);
+        return false;
+    });
+};
+
 const placeClaimant = (
     context: PassContext,
     { job, use }: Claimant,
@@ -197,54 +254,102 @@
 ): boolean => {
     const need = needOf(job.spec.gang);
     const fitting = fittingInstances(job, instances);
-    if (fitting.length === 0) {
-        return false;
-    }
-    const isLoose = use <= LOOSE_USE && job.spec.workClass !== "urgent";
-    return (isLoose && startUnbound(context, job, need))
-        || fitting.some(instance => startInCells(context, job, instance, need))
-        || fitting.slice(0, 1).some(instance => startElsewhere(context, job, instance, need))
-        || reclaim(context, job, fitting, need);
+    const isLoose = use <= LOOSE_USE && !isUrgent(job.spec);
+    return (fitting.length > 0 && isLoose && startUnbound(context, job, need))
+        || startOrReclaim(context, job, fitting, need)
+        || takeOver(context, job, instances, need);
+};
+
+/** Claims of earlier passes, whose cells are still coming free. Other work may use the instances until they continue. */
+const suspendClaims = (
+    jobs: readonly QueuedJob[],
+    instances: readonly GuaranteedInstance[],
+): readonly PendingClaim[] => {
+    const byId = new Map(jobs.map(job => [job.jobId, job]));
+    return instances.flatMap((instance): readonly PendingClaim[] => {
+        const job = instance.jobId === undefined ? undefined : byId.get(instance.jobId);
+        if (job === undefined) {
+            return [];
+        }
+        instance.jobId = undefined;
+        return [{ job, instance }];
+    });
 };
 
-/** Continues claims of earlier passes, whose cells are still coming free. */
 const continueClaims = (
     context: PassContext,
-    jobs: readonly QueuedJob[],
+    claims: readonly PendingClaim[],
+    placedJobs: Set<string>,
+): void => {
+    for (const { job, instance } of claims) {
+        const need = needOf(job.spec.gang);
+        const isFree = instance.jobId === undefined;
+        if (isFree && (startInCells(context, job, instance, need) || reclaim(context, job, [instance], need))) {
+            placedJobs.add(job.jobId);
+        }
+    }
+};
+
+const placeClaimants = (
+    context: PassContext,
+    claimants: readonly Claimant[],
     instances: readonly GuaranteedInstance[],
     placedJobs: Set<string>,
 ): void => {
-    for (const instance of instances) {
-        const job = instance.jobId === undefined ? undefined : jobs.find(({ jobId }) => jobId === instance.jobId);
-        if (job !== undefined) {
-            instance.jobId = undefined;
-            const need = needOf(job.spec.gang);
-            if (startInCells(context, job, instance, need) || reclaim(context, job, [instance], need)) {
-                placedJobs.add(job.jobId);
-            }
+    for (const claimant of claimants) {
+        if (!placedJobs.has(claimant.job.jobId) && placeClaimant(context, claimant, instances)) {
+            placedJobs.add(claimant.job.jobId);
         }
     }
 };
 
-/** Places the jobs of one team that fit its unused instances; gives the ids of those it started or holds cells for. */
+/**
+ * Whether the job may use cells of its team. Work that cannot be stopped would keep urgent work of the team out of them,
+ * so it uses them only if bound cells leave no other VMs for it even when all other work has ended.
+ */
+const mayClaim = ({ cluster, options }: PassContext, { spec }: QueuedJob): boolean => {
+    if (!options.urgentTakesOver || isUrgent(spec) || isStoppable(spec)) {
+        return true;
+    }
+    const { vms, adjacency } = spec.gang;
+    const need = needOf(spec.gang);
+    const outside = cluster.vms.filter(vm => isReady(vm.vm) && covers(difference(vm.vm, vm.bound), need));
+    return adjacentItems(outside, ({ vm }) => vm, vms, adjacency) === undefined;
+};
+
+/** The instance of the team, in use or not, that the job fits most tightly. */
+const tightestInstance = (
+    job: QueuedJob,
+    instances: readonly GuaranteedInstance[],
+): GuaranteedInstance | undefined =>
+    instances
+        .filter(instance => cellsFor(job.spec, instance, anyCell) !== undefined)
+        .reduce<GuaranteedInstance | undefined>(
+            (best, instance) => best === undefined || useOf(job, instance) > useOf(job, best) ? instance : best,
+            undefined,
+        );
+
+/**
+ * Places the jobs of one team that fit its instances; gives the ids of those it started or holds cells for. Urgent jobs
+ * come before claims of other work that still wait for cells.
+ */
 export const placeGuaranteed = (
     context: PassContext,
     jobs: readonly QueuedJob[],
     instances: readonly GuaranteedInstance[],
 ): ReadonlySet<string> => {
     const placedJobs = new Set<string>();
-    continueClaims(context, jobs, instances, placedJobs);
+    const claims = suspendClaims(jobs, instances);
     const claimants = jobs
-        .filter(({ jobId }) => !placedJobs.has(jobId))
         .flatMap((job): readonly Claimant[] => {
-            const [tightest] = fittingInstances(job, instances);
-            return tightest === undefined ? [] : [{ job, use: useOf(job, tightest) }];
+            const tightest = tightestInstance(job, instances);
+            return tightest === undefined || !mayClaim(context, job) ? [] : [{ job, use: useOf(job, tightest) }];
         })
-        .sort(inClaimOrder.compare);
-    for (const claimant of claimants) {
-        if (placeClaimant(context, claimant, instances)) {
-            placedJobs.add(claimant.job.jobId);
-        }
+        .sort(tightestFirst.compare);
+    for (const urgent of [true, false]) {
+        continueClaims(context, claims.filter(({ job }) => isUrgent(job.spec) === urgent), placedJobs);
+        const ofKind = claimants.filter(({ job }) => isUrgent(job.spec) === urgent);
+        placeClaimants(context, ofKind, instances, placedJobs);
     }
     return placedJobs;
 };
--- a/packages/placement/src/placementOptions.ts
+++ b/packages/placement/src/placementOptions.ts
@@ -4,6 +4,8 @@
     readonly guarantees: boolean;
     /** Guaranteed work may stop borrowers. */
     readonly reclaim: boolean;
+    /** Urgent work may stop other work of its own team in the team's cells. */
+    readonly urgentTakesOver: boolean;
     /** The tightest VM that fits is preferred to the first one. */
     readonly bestFit: boolean;
     /** Cells bound to no guarantee are preferred. */
@@ -33,6 +35,7 @@
 export const DEFAULT_PLACEMENT_OPTIONS: PlacementOptions = {
     guarantees: true,
     reclaim: true,
+    urgentTakesOver: true,
     bestFit: true,
     avoidBoundCells: true,
     reservation: true,
--- a/packages/placement/tests/placementPass.test.ts
+++ b/packages/placement/tests/placementPass.test.ts
@@ -75,6 +75,46 @@
             queued: [queuedJob("other", { team: "dyers" })],
         },
     },
+    {
+        guardsAgainst: "urgent work of a team that never starts behind stoppable work of the team in its own cells",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0", { jobId: "batch" })],
+            placed: [placedJob("batch", ["vm0"], CHECKPOINTABLE)],
+            queued: [queuedJob("urgent", { workClass: "urgent" })],
+        },
+    },
+    {
+        guardsAgainst: "work that is stopped for urgent work of its team although the instance can move to free VMs",
+        view: {
+            vms: vmsOf(2),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0", { jobId: "batch" })],
+            placed: [placedJob("batch", ["vm0"], CHECKPOINTABLE)],
+            queued: [queuedJob("urgent", { workClass: "urgent" })],
+        },
+    },
+    {
+        guardsAgainst: "urgent work that takes the cells of urgent work of its team",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0", { jobId: "first" })],
+            placed: [placedJob("first", ["vm0"], { workClass: "urgent" })],
+            queued: [queuedJob("second", { workClass: "urgent" })],
+        },
+    },
+    {
+        guardsAgainst: "urgent work that waits behind a claim of its team whose cells are still coming free",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0", { jobId: "batch" })],
+            placed: [placedJob("borrower", ["vm0"], { team: "dyers" }, { stopping: true })],
+            queued: [queuedJob("batch"), queuedJob("urgent", { workClass: "urgent" })],
+        },
+    },
     {
         guardsAgainst: "work that cannot be stopped in the cells of another team",
         view: {
--- a/tap-snapshots/packages/placement/dist/tests/placementPass.test.js.test.cjs
+++ b/tap-snapshots/packages/placement/dist/tests/placementPass.test.js.test.cjs
@@ -108,7 +108,29 @@
 start small on vm2:2
 `
 
+exports[`packages/placement/dist/tests/placementPass.test.js > TAP > guards against urgent work of a team that never starts behind stoppable work of the team in its own cells > must match snapshot 1`] = `
+preempt batch for urgent
+wait urgent: waitingForPreemption. The job has its VMs; other jobs on them are being stopped.
+bind weavers/0 to vm0:8 used by urgent
+`
+
+exports[`packages/placement/dist/tests/placementPass.test.js > TAP > guards against urgent work that takes the cells of urgent work of its team > must match snapshot 1`] = `
+wait second: noCapacity. VMs are reserved for the job and are expected to come free in 300 s.
+bind weavers/0 to vm0:8 used by first
+`
+
+exports[`packages/placement/dist/tests/placementPass.test.js > TAP > guards against urgent work that waits behind a claim of its team whose cells are still coming free > must match snapshot 1`] = `
+wait urgent: waitingForPreemption. The job has its VMs; other jobs on them are being stopped.
+wait batch: fairShare. The team holds 8 accelerators; its fair share is 4.
+bind weavers/0 to vm0:8 used by urgent
+`
+
 exports[`packages/placement/dist/tests/placementPass.test.js > TAP > guards against work that cannot be stopped in the cells of another team > must match snapshot 1`] = `
 wait labels: noCapacity. The work cannot be stopped, so it needs VMs (count 1, adjacency any) with 8 free accelerators each outside the cells bound to guarantees; none are free.
 bind weavers/0 to vm0:8
 `
+
+exports[`packages/placement/dist/tests/placementPass.test.js > TAP > guards against work that is stopped for urgent work of its team although the instance can move to free VMs > must match snapshot 1`] = `
+start urgent on vm1:8
+bind weavers/0 to vm1:8 used by urgent
+`
