feat(placement): stop work only where little is lost

Work without a guarantee now stops a job only if that loses at most a twentieth of its own accelerator time, and stops checkpointable work only after it has run for a minute. A large gang has the right only at the head of the queue, and stops more only when no work that cannot be stopped is left from before its submission, because its wait may last as long as that work. Work without checkpoints that runs for more than two minutes borrows no bound cells until it has waited as long as it runs.

--- a/packages/placement/src/clusterState.ts
+++ b/packages/placement/src/clusterState.ts
@@ -28,7 +28,7 @@
     /** Wall time at which the VMs are expected to be free. */
     readonly readyAt: number;
     /** Whether work of this spec can be stopped when the VMs are needed. */
-    readonly mayStop: (spec: JobSpec) => boolean;
+    readonly mayStop: (spec: JobSpec, startedAt: number) => boolean;
     /** The wait is bounded by the work in the way now, so no further work that cannot be stopped may join it. */
     readonly isWaitBounded: boolean;
 }
--- a/packages/placement/src/ordinaryWork.ts
+++ b/packages/placement/src/ordinaryWork.ts
@@ -1,7 +1,7 @@
 import { covers, needOf } from "./amount.js";
 import { cellCost } from "./cellCost.js";
 import type { Reservation, VmState } from "./clusterState.js";
-import { unboundRoom } from "./clusterState.js";
+import { unboundFree, unboundRoom } from "./clusterState.js";
 import type { QueuedJob } from "./clusterView.js";
 import type { FitNode } from "./fitIndex.js";
 import { fitGang } from "./gangFit.js";
@@ -18,6 +18,9 @@
 /** Each plan looks at every VM, so one pass makes few; the next pass continues. */
 const MAX_PLANS = 4;
 
+/** Expected run time up to which work that writes no checkpoints may borrow cells; it starts again if it is stopped. */
+const MAX_BORROW_MS = 120_000;
+
 const MS_PER_SECOND = 1_000;
 
 const mayStopNothing: MayStop = () => false;
@@ -71,15 +74,19 @@
         }
         const endsInTime = view.now + estimates.upper(job) <= readyAt;
         return isStoppable(job.spec)
-            ? endsInTime || (job.spec.checkpointable && mayStop(job.spec))
+            ? endsInTime || (job.spec.checkpointable && mayStop(job.spec, view.now))
             : endsInTime && !isWaitBounded;
     }
 
-    #fit(job: QueuedJob, allowed: readonly Reservation[]): readonly VmState[] | undefined {
+    #fit(
+        job: QueuedJob,
+        allowed: readonly Reservation[],
+        mayBorrow = this.#mayBorrow(job),
+    ): readonly VmState[] | undefined {
         const { cluster, options } = this.#context;
         const { gang } = job.spec;
         const stoppable = isStoppable(job.spec);
-        const key = `${shapeKey(gang)} ${stoppable}`;
+        const key = `${shapeKey(gang)} ${stoppable} ${mayBorrow}`;
         const restrictedKey = `${key} ${allowed.map(({ jobId }) => jobId).join(" ")}`;
         const isRestricted = allowed.length < this.#reservations.length;
         if (this.#failed.has(key) || (isRestricted && this.#failed.has(restrictedKey))) {
@@ -89,7 +96,8 @@
         const accepts = (node: FitNode): boolean => {
             const vm = cluster.vmOf(node);
             return (vm.reservation === undefined || allowed.includes(vm.reservation))
-                && (stoppable || covers(unboundRoom(vm), need));
+                && (stoppable || covers(unboundRoom(vm), need))
+                && (!stoppable || mayBorrow || covers(unboundFree(vm), need));
         };
         const nodes = fitGang(cluster.free, {
             vms: gang.vms,
@@ -105,12 +113,22 @@
         return nodes?.map(node => cluster.vmOf(node));
     }
 
+    /** Little is lost when the owner takes the cells back, or the job has waited as long as it runs or is hard to place. */
+    #mayBorrow(job: QueuedJob): boolean {
+        const { options, estimates, view } = this.#context;
+        const expectedMs = estimates.expected(job);
+        return !options.shortBorrowers || view.guarantees.length === 0 || job.spec.checkpointable
+            || isLargeGang(job.spec)
+            || expectedMs <= Math.max(MAX_BORROW_MS, view.now - job.submittedAt);
+    }
+
     /** Stops work for the job, or reserves VMs for it; false when it only waits. */
     #makeRoom(job: QueuedJob): boolean {
         const { options } = this.#context;
         const isFirstLargeGang = !this.#largeGangSeen && this.#largeGangPlansLeft > 0 && isLargeGang(job.spec);
         const mayStop = preemptionRight(this.#context, job, isFirstLargeGang);
-        const reserves = options.reservation && (this.#reservations.length === 0 || isFirstLargeGang);
+        const reserves = options.reservation && this.#mayBorrow(job)
+            && (this.#reservations.length === 0 || isFirstLargeGang);
         if ((mayStop === undefined && !reserves) || (this.#plansLeft === 0 && !isFirstLargeGang)) {
             return false;
         }
@@ -138,7 +156,7 @@
         const victims = selectVictims({
             vms,
             need: needOf(job.spec.gang),
-            canStop: placed => isBorrower(placed) && mayStop(placed.job.spec),
+            canStop: placed => isBorrower(placed) && mayStop(placed.job.spec, placed.job.startedAt),
             leastWorkLost: options.leastWorkLost,
         });
         if (victims === undefined) {
@@ -171,7 +189,11 @@
             log.wait(job, "fairShare", "fairShare", data);
         }
         else {
-            const messageId = isStoppable(job.spec) ? "noCapacity" : "noUnboundCells";
+            const messageId = !isStoppable(job.spec)
+                ? "noUnboundCells"
+                : !this.#mayBorrow(job) && this.#fit(job, this.#reservations, true) !== undefined
+                ? "tooLongToBorrow"
+                : "noCapacity";
             const data = { accelerators: gang.acceleratorsPerVm, vms: gang.vms, adjacency: gang.adjacency };
             log.wait(job, "noCapacity", messageId, data);
         }
--- a/packages/placement/src/placementMessages.ts
+++ b/packages/placement/src/placementMessages.ts
@@ -3,6 +3,7 @@
 type MessageId =
     | "noCapacity"
     | "noUnboundCells"
+    | "tooLongToBorrow"
     | "reservationHolder"
     | "reservedForLargerJob"
     | "quotaReached"
@@ -19,6 +20,8 @@
         "The gang needs VMs (count {vms}, adjacency {adjacency}) with {accelerators} free accelerators each; none are free.",
     noUnboundCells:
         "The work cannot be stopped, so it needs VMs (count {vms}, adjacency {adjacency}) with {accelerators} free accelerators each outside the cells bound to guarantees; none are free.",
+    tooLongToBorrow:
+        "The work writes no checkpoints and takes too long to be stopped and started again, so it needs VMs (count {vms}, adjacency {adjacency}) with {accelerators} free accelerators each outside the cells bound to guarantees until it has waited as long as it runs; none are free.",
     reservationHolder: "VMs are reserved for the job and are expected to come free in {seconds} s.",
     reservedForLargerJob: "The free VMs are reserved for job {jobId}, which this job would delay.",
     quotaReached: "The team holds {held} accelerators of its quota of {quota}.",
--- a/packages/placement/src/placementOptions.ts
+++ b/packages/placement/src/placementOptions.ts
@@ -26,6 +26,10 @@
     readonly preemptForNeededBy: boolean;
     /** Urgent and interactive jobs may stop batch and best-effort work. */
     readonly preemptForInteractive: boolean;
+    /** Long work that writes no checkpoints borrows no cells. */
+    readonly shortBorrowers: boolean;
+    /** Work is stopped for work without a guarantee only where little is lost, and a gang waits before it stops more. */
+    readonly boundedPreemption: boolean;
     /** Victims are those that lose the least work; otherwise the oldest are stopped first. */
     readonly leastWorkLost: boolean;
     /** A quarantined worker gets one task as a probe. */
@@ -48,6 +52,8 @@
     preemptForLargeGang: true,
     preemptForNeededBy: true,
     preemptForInteractive: true,
+    shortBorrowers: true,
+    boundedPreemption: true,
     leastWorkLost: true,
     probes: true,
 };
--- a/packages/placement/src/preemptionRight.ts
+++ b/packages/placement/src/preemptionRight.ts
@@ -1,5 +1,5 @@
 import type { JobSpec } from "@persimmonpitch/schema/job.js";
-import type { QueuedJob } from "./clusterView.js";
+import type { ClusterView, QueuedJob } from "./clusterView.js";
 import { CLASS_RANK, gangAccelerators } from "./jobTraits.js";
 import type { PassContext } from "./passContext.js";
 
@@ -9,8 +9,14 @@
 /** Classes between a waiting interactive job and the work that it may stop. */
 const INTERACTIVE_CLASS_GAP = 2;
 
-/** Whether work of this spec may be stopped. */
-export type MayStop = (victim: JobSpec) => boolean;
+/** Part of the waiting job's own accelerator time that stopping one job for it may lose. */
+const MAX_LOSS_PART = 0.05;
+
+/** Work that ran for less than this is not stopped again; the grace of each stop is then a small part of its time. */
+const MIN_RUN_MS = 60_000;
+
+/** Whether work of this spec, which started at this wall time, may be stopped. */
+export type MayStop = (victim: JobSpec, startedAt: number) => boolean;
 
 /** Whether the wait of the gang is bounded. */
 export const isLargeGang = ({ gang }: JobSpec): boolean => gangAccelerators(gang) >= LARGE_GANG_ACCELERATORS;
@@ -38,6 +44,35 @@
     return neededBy !== undefined && neededBy > view.now && view.now + estimates.cautious(job) >= neededBy;
 };
 
+/** Accelerator time that is lost when the victim stops, with the grace. */
+const lossOf = (victim: JobSpec, startedAt: number, { now, rules }: ClusterView): number =>
+    (rules.preemptionGraceMs + (victim.checkpointable ? 0 : now - startedAt)) * gangAccelerators(victim.gang);
+
+/** Stopping the work costs little against the work of the job that needs its accelerators. */
+const paysFor = ({ view, estimates }: PassContext, job: QueuedJob): MayStop => {
+    const allowed = MAX_LOSS_PART * estimates.expected(job) * gangAccelerators(job.spec.gang);
+    return (victim, startedAt) =>
+        lossOf(victim, startedAt, view) <= allowed && (!victim.checkpointable || view.now - startedAt >= MIN_RUN_MS);
+};
+
+const both = (first: MayStop, second: MayStop): MayStop => (victim, startedAt) =>
+    first(victim, startedAt) && second(victim, startedAt);
+
+/**
+ * Whether no job that ranks as high was submitted earlier and waits; work that the gang may stop does not count, or a
+ * victim that waits again would take the right from the gang that stopped it.
+ */
+const headsQueue = ({ view }: PassContext, { spec, submittedAt }: QueuedJob): boolean => {
+    const isBelow = rankedBelow(spec);
+    return view.queued.every(other => other.submittedAt >= submittedAt || isBelow(other.spec, 0));
+};
+
+/** Whether work that cannot be stopped and was there before the gang still runs: its wait may last as long. */
+const mayStillWait = ({ cluster }: PassContext, { submittedAt }: QueuedJob): boolean =>
+    [...cluster.placed.values()].some(({ job, stoppable, claimed, stopping }) =>
+        (!stoppable || claimed) && !stopping && job.startedAt <= submittedAt
+    );
+
 /** What a job without a guarantee may stop; nothing when it has to wait for others to end. */
 export const preemptionRight = (
     context: PassContext,
@@ -46,14 +81,23 @@
 ): MayStop | undefined => {
     const { options } = context;
     const { spec } = job;
-    if (
-        (options.preemptForLargeGang && isFirstLargeGang && isLargeGang(spec))
-        || (options.preemptForNeededBy && wouldBeLate(context, job))
-    ) {
+    const limit = options.boundedPreemption ? paysFor(context, job) : () => true;
+    if (options.preemptForLargeGang && isFirstLargeGang && isLargeGang(spec)) {
+        if (!options.boundedPreemption) {
+            return rankedBelow(spec);
+        }
+        if (headsQueue(context, job)) {
+            return mayStillWait(context, job) ? both(rankedBelow(spec), limit) : rankedBelow(spec);
+        }
+    }
+    if (options.preemptForNeededBy && wouldBeLate(context, job)) {
         return rankedBelow(spec);
     }
     if (options.preemptForInteractive && CLASS_RANK[spec.workClass] <= CLASS_RANK.interactive) {
-        return victim => CLASS_RANK[victim.workClass] - CLASS_RANK[spec.workClass] >= INTERACTIVE_CLASS_GAP;
+        return both(
+            victim => CLASS_RANK[victim.workClass] - CLASS_RANK[spec.workClass] >= INTERACTIVE_CLASS_GAP,
+            limit,
+        );
     }
     return undefined;
 };
--- a/packages/placement/src/reservationPlan.ts
+++ b/packages/placement/src/reservationPlan.ts
@@ -73,7 +73,7 @@
 }
 
 const mayBeStopped = (placed: PlacedState, mayStop: MayStop | undefined): boolean =>
-    mayStop !== undefined && isBorrower(placed) && mayStop(placed.job.spec);
+    mayStop !== undefined && isBorrower(placed) && mayStop(placed.job.spec, placed.job.startedAt);
 
 const forecastEnd = (
     vm: VmState,
--- a/packages/placement/tests/placementPass.test.ts
+++ b/packages/placement/tests/placementPass.test.ts
@@ -115,6 +115,45 @@
             queued: [queuedJob("batch"), queuedJob("urgent", { workClass: "urgent" })],
         },
     },
+    {
+        guardsAgainst: "long work without checkpoints that borrows cells and loses all of it to a reclaim",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0")],
+            queued: [queuedJob("long", { team: "dyers" }), queuedJob("short", { team: "potters", runMs: MINUTE })],
+        },
+    },
+    {
+        guardsAgainst: "long work without checkpoints that waits for ever for cells that are bound to no guarantee",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0")],
+            queued: [queuedJob("long", { team: "dyers" }, { submittedAt: NOW - 60 * MINUTE })],
+        },
+    },
+    {
+        guardsAgainst: "a render that stops work on which far more accelerator time was spent than the render needs",
+        view: {
+            vms: vmsOf(1),
+            placed: [placedJob("preview", ["vm0"], { workClass: "bestEffort" })],
+            queued: [queuedJob("render", { workClass: "interactive", accelerators: 1, runMs: MINUTE })],
+        },
+    },
+    {
+        guardsAgainst: "work that is stopped again and again for short jobs",
+        view: {
+            vms: vmsOf(1),
+            placed: [
+                placedJob("young", ["vm0"], { accelerators: 4, workClass: "bestEffort", checkpointable: true }, {
+                    startedAt: NOW - MINUTE / 2,
+                }),
+                placedJob("old", ["vm0"], { accelerators: 4, workClass: "bestEffort", checkpointable: true }),
+            ],
+            queued: [queuedJob("render", { workClass: "interactive", accelerators: 1, runMs: 5 * MINUTE })],
+        },
+    },
     {
         guardsAgainst: "work that cannot be stopped in the cells of another team",
         view: {
