--- a/packages/placement/src/placementOptions.ts
+++ b/packages/placement/src/placementOptions.ts
@@ -22,7 +22,10 @@
     readonly shortFirst: boolean;
     /** The first large gang that waits may stop work that ranks below it. */
     readonly preemptForLargeGang: boolean;
-    /** A job that would miss its needed-by time may stop work that ranks below it. */
+    /**
+     * A job that would miss its needed-by time may stop work that ranks below it. Off: over 8 h it made more jobs late than
+     * it saved, because the work that it stops starts again.
+     */
     readonly preemptForNeededBy: boolean;
     /** Urgent and interactive jobs may stop batch and best-effort work. */
     readonly preemptForInteractive: boolean;
@@ -50,7 +53,7 @@
     neededBySlack: true,
     shortFirst: true,
     preemptForLargeGang: true,
-    preemptForNeededBy: true,
+    preemptForNeededBy: false,
     preemptForInteractive: true,
     shortBorrowers: true,
     boundedPreemption: true,
