--- a/packages/placement/src/placementOptions.ts
+++ b/packages/placement/src/placementOptions.ts
@@ -4,6 +4,8 @@
     readonly guarantees: boolean;
     /** Guaranteed work may stop borrowers. */
     readonly reclaim: boolean;
+    /** Urgent work may stop other work of its own team in the team's cells. */
+    readonly urgentTakesOver: boolean;
     /** The tightest VM that fits is preferred to the first one. */
     readonly bestFit: boolean;
     /** Cells bound to no guarantee are preferred. */
@@ -20,10 +22,17 @@
     readonly shortFirst: boolean;
     /** The first large gang that waits may stop work that ranks below it. */
     readonly preemptForLargeGang: boolean;
-    /** A job that would miss its needed-by time may stop work that ranks below it. */
+    /**
+     * A job that would miss its needed-by time may stop work that ranks below it. Off: over 8 h it made more jobs late than
+     * it saved, because the work that it stops starts again.
+     */
     readonly preemptForNeededBy: boolean;
     /** Urgent and interactive jobs may stop batch and best-effort work. */
     readonly preemptForInteractive: boolean;
+    /** Long work that writes no checkpoints borrows no cells. */
+    readonly shortBorrowers: boolean;
+    /** Work is stopped for work without a guarantee only where little is lost, and a gang waits before it stops more. */
+    readonly boundedPreemption: boolean;
     /** Victims are those that lose the least work; otherwise the oldest are stopped first. */
     readonly leastWorkLost: boolean;
     /** A quarantined worker gets one task as a probe. */
@@ -33,6 +42,7 @@
 export const DEFAULT_PLACEMENT_OPTIONS: PlacementOptions = {
     guarantees: true,
     reclaim: true,
+    urgentTakesOver: true,
     bestFit: true,
     avoidBoundCells: true,
     reservation: true,
@@ -43,8 +53,10 @@
     neededBySlack: true,
     shortFirst: true,
     preemptForLargeGang: true,
-    preemptForNeededBy: true,
+    preemptForNeededBy: false,
     preemptForInteractive: true,
+    shortBorrowers: true,
+    boundedPreemption: true,
     leastWorkLost: true,
     probes: true,
 };
--- a/packages/placement/src/reservationPlan.ts
+++ b/packages/placement/src/reservationPlan.ts
@@ -79,7 +79,7 @@
 }
 
 const mayBeStopped = (placed: PlacedState, mayStop: MayStop | undefined): boolean =>
-    mayStop !== undefined && isBorrower(placed) && mayStop(placed.job.spec);
+    mayStop !== undefined && isBorrower(placed) && mayStop(placed.job.spec, placed.job.startedAt);
 
 const endOf = (placed: PlacedState, { view: { now }, estimates }: PassContext): number => {
     placed.endsAt ??= now + estimates.remaining(placed.job);
--- a/packages/placement/tests/placementPass.test.ts
+++ b/packages/placement/tests/placementPass.test.ts
@@ -75,6 +75,85 @@
             queued: [queuedJob("other", { team: "dyers" })],
         },
     },
+    {
+        guardsAgainst: "urgent work of a team that never starts behind stoppable work of the team in its own cells",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0", { jobId: "batch" })],
+            placed: [placedJob("batch", ["vm0"], CHECKPOINTABLE)],
+            queued: [queuedJob("urgent", { workClass: "urgent" })],
+        },
+    },
+    {
+        guardsAgainst: "work that is stopped for urgent work of its team although the instance can move to free VMs",
+        view: {
+            vms: vmsOf(2),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0", { jobId: "batch" })],
+            placed: [placedJob("batch", ["vm0"], CHECKPOINTABLE)],
+            queued: [queuedJob("urgent", { workClass: "urgent" })],
+        },
+    },
+    {
+        guardsAgainst: "urgent work that takes the cells of urgent work of its team",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0", { jobId: "first" })],
+            placed: [placedJob("first", ["vm0"], { workClass: "urgent" })],
+            queued: [queuedJob("second", { workClass: "urgent" })],
+        },
+    },
+    {
+        guardsAgainst: "urgent work that waits behind a claim of its team whose cells are still coming free",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0", { jobId: "batch" })],
+            placed: [placedJob("borrower", ["vm0"], { team: "dyers" }, { stopping: true })],
+            queued: [queuedJob("batch"), queuedJob("urgent", { workClass: "urgent" })],
+        },
+    },
+    {
+        guardsAgainst: "long work without checkpoints that borrows cells and loses all of it to a reclaim",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0")],
+            queued: [queuedJob("long", { team: "dyers" }), queuedJob("short", { team: "potters", runMs: MINUTE })],
+        },
+    },
+    {
+        guardsAgainst: "long work without checkpoints that waits for ever for cells that are bound to no guarantee",
+        view: {
+            vms: vmsOf(1),
+            guarantees: [guaranteeOf("weavers")],
+            bindings: [boundTo("vm0")],
+            queued: [queuedJob("long", { team: "dyers" }, { submittedAt: NOW - 60 * MINUTE })],
+        },
+    },
+    {
+        guardsAgainst: "a render that stops work on which far more accelerator time was spent than the render needs",
+        view: {
+            vms: vmsOf(1),
+            placed: [placedJob("preview", ["vm0"], { workClass: "bestEffort" })],
+            queued: [queuedJob("render", { workClass: "interactive", accelerators: 1, runMs: MINUTE })],
+        },
+    },
+    {
+        guardsAgainst: "work that is stopped again and again for short jobs",
+        view: {
+            vms: vmsOf(1),
+            placed: [
+                placedJob("young", ["vm0"], { accelerators: 4, workClass: "bestEffort", checkpointable: true }, {
+                    startedAt: NOW - MINUTE / 2,
+                }),
+                placedJob("old", ["vm0"], { accelerators: 4, workClass: "bestEffort", checkpointable: true }),
+            ],
+            queued: [queuedJob("render", { workClass: "interactive", accelerators: 1, runMs: 5 * MINUTE })],
+        },
+    },
     {
         guardsAgainst: "work that cannot be stopped in the cells of another team",
         view: {
