--- a/tap-snapshots/packages/cli/dist/tests/runCli.test.js.test.cjs
+++ b/tap-snapshots/packages/cli/dist/tests/runCli.test.js.test.cjs
@@ -762,7 +762,8 @@
       "name": "pair",
       "instance": 0
     }
-  ]
+  ],
+  "breaches": {}
 }
 --- error
 --- requests
