feat(entry): let a new role holder announce itself to its peers at once

Cause: peers learned of a new holder with their next heartbeat, up to 2 s late, while the leases of their agents ran on. Change: a peer report says whether its sender holds the role, a new holder reports at once, and the receiver answers with all its agents.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -86,6 +86,9 @@
             onJobChanged: jobId => {
                 this.waiters.notify(jobId);
             },
+            onAcquired: () => {
+                this.peers.notify();
+            },
         });
         const granter = new LeaseGranter(clock, () => this.role.epoch);
         this.peers = new Peers(
@@ -111,6 +114,9 @@
             role: this.role,
             table,
             peerIds: new Set(settings.peers.map(({ id }) => id)),
+            onNewHolder: () => {
+                this.peers.notify();
+            },
         };
         const api: ApiContext = {
             ...common,
--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -29,6 +29,8 @@
     readonly table: Table;
     /** Names of the other entries; no other process may call the methods of peers. */
     readonly peerIds: ReadonlySet<string>;
+    /** Called when a peer says that it has taken the scheduling role. */
+    readonly onNewHolder: () => void;
 }
 
 /** A worker reports what changed at once; the heartbeat only renews its lease. */
--- a/packages/entry/src/leaseGranter.ts
+++ b/packages/entry/src/leaseGranter.ts
@@ -19,6 +19,11 @@
         return Math.max(this.epoch, this.ownEpoch() ?? 0);
     }
 
+    /** Whether this entry holds the role. */
+    get isHolder(): boolean {
+        return this.ownEpoch() !== undefined;
+    }
+
     /** The peer that holds the role, as far as this entry knows. */
     get holderId(): string | undefined {
         return this.holder;
--- a/packages/entry/src/peerConnection.ts
+++ b/packages/entry/src/peerConnection.ts
@@ -131,7 +131,7 @@
             const sentAt = clock.now();
             const answer: Result<ResultOf<PeerMethods["peer.report"]>, CallError> = await connection.call(
                 "peer.report",
-                { full, agents, configVersion: config.version, jobIds },
+                { isHolder: granter.isHolder, full, agents, configVersion: config.version, jobIds },
                 CALL_TIMEOUT_MS,
             );
             if (answer.isErr) {
--- a/packages/entry/src/peerHandlers.ts
+++ b/packages/entry/src/peerHandlers.ts
@@ -25,8 +25,11 @@
             admit();
             return Promise.resolve({ entryId: context.entryId, region: context.region });
         },
-        "peer.report": async ({ agents, configVersion, jobIds }) => {
+        "peer.report": async ({ isHolder, agents, configVersion, jobIds }) => {
             admit();
+            if (isHolder && context.granter.holderId !== peerName) {
+                context.onNewHolder();
+            }
             context.registry.heardFrom(peerName);
             agents.forEach(news => {
                 context.registry.learn(peerName, news);
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -24,6 +24,8 @@
      */
     "peer.report": {
         params: z.object({
+            /** Whether the sender holds the scheduling role, so that the receiver reports to it at once. */
+            isHolder: z.boolean(),
             /** All agents of the sender rather than the changed ones. */
             full: z.boolean(),
             agents: z.array(agentNewsSchema),
--- a/packages/scheduler/src/schedulingRole.ts
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -33,6 +33,8 @@
     readonly gateway: AgentGateway;
     readonly configuration: () => Configuration | undefined;
     readonly onJobChanged: (jobId: string) => void;
+    /** Called when this process has taken the role, so that its peers hear of it at once. */
+    readonly onAcquired?: () => void;
 }
 
 /** Shortest time between two placement passes; events within it share a pass. */
@@ -132,6 +134,7 @@
             workerHealth: new WorkerHealth(),
         };
         this.context = context;
+        this.options.onAcquired?.();
         const end = new AbortController();
         const either = AbortSignal.any([signal, end.signal]);
         const kept = role.keep(either).then(() => {
--- a/packages/verification/tests/apiInnerMessages.test.ts
+++ b/packages/verification/tests/apiInnerMessages.test.ts
@@ -61,6 +61,7 @@
     call("agent.report", report),
     call("peer.hello", { entryId: "entry-2", region: "region-1" }),
     call("peer.report", {
+        isHolder: false,
         full: true,
         agents: [{ identity, connected: true, silentMs: 0, report }],
         configVersion: 1,
