perf(placement): measure with the real run-time learner, and let one job in twenty exceed it

Cause: the benchmark had a learner of its own, so its figures were not those of the code that runs; the real one planned with a wider margin. Change: the benchmark uses the learner of packages/placement, whose upper run time is one that one job in twenty exceeds (one in forty before).

--- a/packages/bench/src/passCost.ts
+++ b/packages/bench/src/passCost.ts
@@ -1,11 +1,11 @@
 import type { ClusterView, GuaranteeBinding, PlacedJob, QueuedJob } from "@persimmonpitch/placement/clusterView.js";
 import { placementPass } from "@persimmonpitch/placement/placementPass.js";
+import { RunTimeLearner } from "@persimmonpitch/placement/runTimeLearner.js";
 import { summarize } from "./measures.js";
 import type { PolicyName, PolicyOptions } from "./policies.js";
 import { POLICIES } from "./policies.js";
 import { ReplayCluster } from "./replayCluster.js";
 import { alignTable } from "./report.js";
-import { RunTimeLearner } from "./runTimeLearner.js";
 import { HOUR_MS, makeTrace } from "./trace.js";
 import { makeDeployment } from "./traceDeployments.js";
 
--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -10,6 +10,7 @@
     RefuseDecision,
     StartDecision,
 } from "@persimmonpitch/placement/placementDecisions.js";
+import { RunTimeLearner } from "@persimmonpitch/placement/runTimeLearner.js";
 import type { WorkClass } from "@persimmonpitch/schema/job.js";
 import { workClassSchema } from "@persimmonpitch/schema/job.js";
 import { EventQueue } from "./eventQueue.js";
@@ -20,8 +21,8 @@
 import type { ReplayJob, StopReason } from "./replayJob.js";
 import { acceptJob, covers, isPreemptible, LARGE_GANG, progressAt, queuedView, trueEnd } from "./replayJob.js";
 import type { HeadWait, ReplayResult, TimedSample } from "./replayResult.js";
-import { RunTimeLearner, trueRunTimes } from "./runTimeLearner.js";
 import type { Trace, TraceFault, TraceJob } from "./traceSchema.js";
+import { trueRunTimes } from "./trueRunTimes.js";
 
 /** Section 9: passes run on events, at most one in this time. */
 export const PASS_INTERVAL_MS = 50;
@@ -297,7 +298,7 @@
         this.countMessages(job, END_MESSAGES);
         if (failedOn === undefined) {
             this.cluster.recordSuccess(job.members);
-            this.learner.learn(job.trace.spec, job.trace.trueRunMs);
+            this.learner.observe(job.trace.spec, job.trace.trueRunMs);
             this.finish(job, "finished");
             return;
         }
--- a/packages/placement/src/runTimeLearner.ts
+++ b/packages/placement/src/runTimeLearner.ts
@@ -28,8 +28,8 @@
 /** A single observation beyond this ratio counts as this ratio. */
 const MAX_LOG_RATIO = Math.log(64);
 
-/** Standard deviations above the mean that about one job in forty exceeds. */
-const UPPER_DEVIATIONS = 2;
+/** Standard deviations above the mean that about one job in twenty exceeds. */
+const UPPER_DEVIATIONS = 1.645;
 
 const UNKNOWN: Readonly<RatioEstimate> = { mean: 0, variance: UNKNOWN_VARIANCE, observations: 0 };
 
