--- /dev/null
+++ b/packages/control/src/replica.ts
@@ -0,0 +1,142 @@
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { JobProgress } from "@persimmonpitch/workload/progress.js";
+import { jobProgressSchema } from "@persimmonpitch/workload/progress.js";
+import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
+import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
+import type { z } from "zod";
+import { parseRow } from "./parseRow.js";
+import type { CancelRow, ProcessRow, RoleRow, TermRow } from "./rows.js";
+import { cancelRowSchema, processRowSchema, roleRowSchema, termRowSchema } from "./rows.js";
+import type { ChangedRow, StoredRow } from "./rowStore.js";
+import type { RowSink } from "./tableFollower.js";
+
+/** A parsed row with the version that a write to it has to name. */
+export interface Versioned<T> {
+    readonly value: T;
+    readonly version: number;
+}
+
+/** A row kind: how its value is parsed and which rows of it are known. */
+interface Shelf<T> {
+    readonly schema: z.ZodType<T>;
+    readonly rows: Map<string, Versioned<T>>;
+}
+
+const createShelf = <T>(schema: z.ZodType<T>): Shelf<T> => ({ schema, rows: new Map() });
+
+/** Kinds of rows, by the part of the key before the slash. */
+interface Shelves {
+    readonly job: Shelf<StepJob>;
+    readonly cancel: Shelf<CancelRow>;
+    readonly run: Shelf<JobProgress>;
+    readonly agent: Shelf<ProcessRow>;
+    readonly entry: Shelf<ProcessRow>;
+    readonly role: Shelf<RoleRow>;
+    readonly term: Shelf<TermRow>;
+}
+
+const createShelves = (): Shelves => ({
+    job: createShelf<StepJob>(stepJobSchema),
+    cancel: createShelf<CancelRow>(cancelRowSchema),
+    run: createShelf<JobProgress>(jobProgressSchema),
+    agent: createShelf<ProcessRow>(processRowSchema),
+    entry: createShelf<ProcessRow>(processRowSchema),
+    role: createShelf<RoleRow>(roleRowSchema),
+    term: createShelf<TermRow>(termRowSchema),
+});
+
+const isKind = (kind: string, shelves: Shelves): kind is keyof Shelves => Object.hasOwn(shelves, kind);
+
+/** Called after each change with the keys that changed. */
+export type ReplicaListener = (keys: readonly string[]) => void;
+
+/** All rows of the system's table as one process knows them. */
+export class Replica implements RowSink {
+    private shelves = createShelves();
+    private readonly listeners = new Set<ReplicaListener>();
+
+    constructor(private readonly logger: Logger) {}
+
+    get jobs(): ReadonlyMap<string, Versioned<StepJob>> {
+        return this.shelves.job.rows;
+    }
+
+    get cancels(): ReadonlyMap<string, Versioned<CancelRow>> {
+        return this.shelves.cancel.rows;
+    }
+
+    get progress(): ReadonlyMap<string, Versioned<JobProgress>> {
+        return this.shelves.run.rows;
+    }
+
+    get agents(): ReadonlyMap<string, Versioned<ProcessRow>> {
+        return this.shelves.agent.rows;
+    }
+
+    get entries(): ReadonlyMap<string, Versioned<ProcessRow>> {
+        return this.shelves.entry.rows;
+    }
+
+    get role(): Versioned<RoleRow> | undefined {
+        return this.shelves.role.rows.get("");
+    }
+
+    get term(): Versioned<TermRow> | undefined {
+        return this.shelves.term.rows.get("");
+    }
+
+    /** Calls `listener` after each change until the returned function is called. */
+    listen(listener: ReplicaListener): () => void {
+        this.listeners.add(listener);
+        return () => {
+            this.listeners.delete(listener);
+        };
+    }
+
+    reset(rows: readonly StoredRow[]): void {
+        this.shelves = createShelves();
+        this.apply(rows);
+    }
+
+    apply(rows: readonly ChangedRow[]): void {
+        for (const row of rows) {
+            this.applyRow(row);
+        }
+        if (rows.length > 0) {
+            const keys = rows.map(({ key }) => key);
+            for (const listener of this.listeners) {
+                listener(keys);
+            }
+        }
+    }
+
+    private applyRow({ key, value, version }: ChangedRow): void {
+        const slash = key.indexOf("/");
+        const kind = slash < 0 ? key : key.slice(0, slash);
+        const name = slash < 0 ? "" : key.slice(slash + 1);
+        if (!isKind(kind, this.shelves)) {
+            this.logger.log("warn", "replica.unknownRow", { key });
+            return;
+        }
+        this.applyToShelf<unknown>(this.shelves[kind], { key, name, value, version });
+    }
+
+    private applyToShelf<T>(
+        shelf: Shelf<T>,
+        { key, name, value, version }: ChangedRow & { readonly name: string; },
+    ): void {
+        if ((shelf.rows.get(name)?.version ?? 0) > version) {
+            return;
+        }
+        if (value === undefined) {
+            shelf.rows.delete(name);
+            return;
+        }
+        const parsed = parseRow(shelf.schema, value);
+        if (parsed === undefined) {
+            this.logger.log("warn", "replica.malformedRow", { key });
+            return;
+        }
+        shelf.rows.set(name, { value: parsed, version });
+    }
+}
--- /dev/null
+++ b/packages/control/src/rows.ts
@@ -0,0 +1,40 @@
+import { z } from "zod";
+
+/** Which process decides, and under which epoch. */
+export const roleRowSchema = z.object({
+    vm: z.string(),
+    instanceId: z.string(),
+    epoch: z.number().int().positive(),
+    /** Written by a controller that leaves, so that the next one need not wait. */
+    isReleased: z.boolean().default(false),
+});
+export type RoleRow = z.infer<typeof roleRowSchema>;
+
+/** Raised by the controller while it lives. */
+export const termRowSchema = z.object({ epoch: z.number().int().positive(), beat: z.number().int().nonnegative() });
+export type TermRow = z.infer<typeof termRowSchema>;
+
+/** Where a process listens for the inner protocol. */
+export const processRowSchema = z.object({
+    vm: z.string(),
+    host: z.string(),
+    port: z.number().int().positive(),
+    dataCentre: z.string(),
+    instanceId: z.string(),
+});
+export type ProcessRow = z.infer<typeof processRowSchema>;
+
+/** Present once a job is cancelled. */
+export const cancelRowSchema = z.object({ at: z.number() });
+export type CancelRow = z.infer<typeof cancelRowSchema>;
+
+/** Keys of the rows. */
+export const rowKeys = {
+    role: "role",
+    term: "term",
+    job: (jobId: string) => `job/${jobId}`,
+    cancel: (jobId: string) => `cancel/${jobId}`,
+    run: (jobId: string) => `run/${jobId}`,
+    agent: (vm: string) => `agent/${vm}`,
+    entry: (vm: string) => `entry/${vm}`,
+} as const;
--- /dev/null
+++ b/packages/control/src/tableFollower.ts
@@ -0,0 +1,110 @@
+import type { BackoffOptions } from "@persimmonpitch/clock/backoff.js";
+import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Result } from "true-myth";
+import { err, ok } from "true-myth/result";
+import type { ChangedRow, ReadError, RowStore, StoredRow } from "./rowStore.js";
+
+/** What receives the rows of a table. */
+export interface RowSink {
+    /** All rows of the table; others no longer exist. */
+    reset(rows: readonly StoredRow[]): void;
+    apply(rows: readonly ChangedRow[]): void;
+}
+
+/** What a follower works on. */
+export interface TableFollowerOptions {
+    readonly name: string;
+    readonly store: RowStore;
+    readonly sink: RowSink;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly random: () => number;
+    /** Longest time that one poll waits for changes. */
+    readonly waitMs?: Millis;
+    /** Pause after each answer with changes, so that several changes share one call. */
+    readonly pauseMs?: () => Millis;
+}
+
+const DEFAULT_WAIT_MS: Millis = 1_000;
+const SCAN_LIMIT = 500;
+const RETRY: BackoffOptions = { baseMs: 50, maxMs: 400 };
+
+/** Keeps a sink up to date with one table by one long poll. */
+export class TableFollower {
+    /** Version up to which the sink has all rows; undefined before the first scan. */
+    version: number | undefined;
+    /** When the store last answered. */
+    answeredAt: Millis | undefined;
+    /** The store's steady clock less our own. */
+    storeOffsetMs: Millis = 0;
+
+    constructor(private readonly options: TableFollowerOptions) {}
+
+    /** Follows until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock, logger, name, random } = this.options;
+        let failures = 0;
+        while (!signal.aborted) {
+            const outcome = this.version === undefined ? await this.scanAll() : await this.poll(this.version, signal);
+            if (outcome.isOk) {
+                failures = 0;
+            }
+            else if (outcome.error.kind === "compacted") {
+                logger.log("info", "follower.historyGone", { table: name });
+                this.version = undefined;
+            }
+            else if (!signal.aborted) {
+                failures += 1;
+                logger.log("debug", "follower.unavailable", { table: name, detail: outcome.error.detail });
+                await clock.sleep(backoffDelay(RETRY, failures, random), signal);
+            }
+        }
+    }
+
+    private async scanAll(): Promise<Result<void, ReadError>> {
+        const rows: StoredRow[] = [];
+        let from = "";
+        let version: number | undefined;
+        for (;;) {
+            const page = await this.options.store.scan({ from, limit: SCAN_LIMIT });
+            if (page.isErr) {
+                return err(page.error);
+            }
+            this.noteAnswer(page.value.nowMs);
+            // Changes between two pages come again with the first poll, which starts at the first page's version.
+            version ??= page.value.version;
+            rows.push(...page.value.rows);
+            const last = page.value.rows.at(-1);
+            if (!page.value.hasMore || last === undefined) {
+                break;
+            }
+            from = `${last.key}\u0000`;
+        }
+        this.options.sink.reset(rows);
+        this.version = version;
+        return ok(undefined);
+    }
+
+    private async poll(after: number, signal: AbortSignal): Promise<Result<void, ReadError>> {
+        const { clock, store, sink, waitMs = DEFAULT_WAIT_MS, pauseMs } = this.options;
+        const changes = await store.follow(after, waitMs, signal);
+        if (changes.isErr) {
+            return err(changes.error);
+        }
+        this.noteAnswer(changes.value.nowMs);
+        sink.apply(changes.value.rows);
+        this.version = changes.value.version;
+        const pause = pauseMs?.() ?? 0;
+        if (pause > 0 && changes.value.rows.length > 0) {
+            await clock.sleep(pause, signal);
+        }
+        return ok(undefined);
+    }
+
+    private noteAnswer(nowMs: number): void {
+        this.answeredAt = this.options.clock.now();
+        this.storeOffsetMs = nowMs - this.answeredAt;
+    }
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,7 +4,7 @@
 import { HistoryBatcher } from "@persimmonpitch/history/historyBatcher.js";
 import { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Table } from "@persimmonpitch/platform/table.js";
+import type { Table } from "@persimmonpitch/backing/table.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import { JobStore } from "@persimmonpitch/scheduler/jobStore.js";
 import { SchedulingRole } from "@persimmonpitch/scheduler/schedulingRole.js";
--- a/packages/entry/src/jobRoutes.ts
+++ b/packages/entry/src/jobRoutes.ts
@@ -1,4 +1,4 @@
-import type { TableError } from "@persimmonpitch/platform/table.js";
+import type { TableError } from "@persimmonpitch/backing/table.js";
 import type { Cancellation, StoredJob } from "@persimmonpitch/scheduler/jobStore.js";
 import { scanKeys } from "@persimmonpitch/scheduler/jobStore.js";
 import { rowKeys } from "@persimmonpitch/scheduler/rowKeys.js";
--- a/packages/history/src/deviceIntervals.ts
+++ b/packages/history/src/deviceIntervals.ts
@@ -1,4 +1,4 @@
-import type { TaskRun } from "@persimmonpitch/platform/runRecord.js";
+import type { TaskRun } from "@persimmonpitch/backing/runRecord.js";
 
 /** Two runs that held the same accelerator at the same time. */
 export interface DeviceOverlap {
--- a/packages/history/src/partialGang.ts
+++ b/packages/history/src/partialGang.ts
@@ -1,4 +1,4 @@
-import type { TaskRun } from "@persimmonpitch/platform/runRecord.js";
+import type { TaskRun } from "@persimmonpitch/backing/runRecord.js";
 
 /** The longest time for which an attempt ran with some but not all of its members. */
 export interface PartialSpan {
--- a/packages/history/src/runEvidence.ts
+++ b/packages/history/src/runEvidence.ts
@@ -1,4 +1,4 @@
-import type { RequestRun, TaskRun } from "@persimmonpitch/platform/runRecord.js";
+import type { RequestRun, TaskRun } from "@persimmonpitch/backing/runRecord.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
 import type { JobRecord } from "@persimmonpitch/schema/job.js";
--- a/packages/standins/src/executorServer.ts
+++ b/packages/standins/src/executorServer.ts
@@ -1,4 +1,4 @@
-import { executorRequestSchema } from "@persimmonpitch/platform/workerProtocol.js";
+import { executorRequestSchema } from "@persimmonpitch/backing/workerProtocol.js";
 import type { MemoryExecutor } from "./memoryExecutor.js";
 import { executorFaultsSchema } from "./memoryExecutor.js";
 import type { ListenOptions, RunningServer } from "./server.js";
--- a/packages/standins/src/objectStoreServer.ts
+++ b/packages/standins/src/objectStoreServer.ts
@@ -1,4 +1,4 @@
-import type { ObjectStoreError } from "@persimmonpitch/platform/objectStore.js";
+import type { ObjectStoreError } from "@persimmonpitch/backing/objectStore.js";
 import type { FastifyReply } from "fastify";
 import { z } from "zod";
 import type { MemoryObjectStore } from "./memoryObjectStore.js";
--- a/packages/standins/src/tableServer.ts
+++ b/packages/standins/src/tableServer.ts
@@ -1,6 +1,6 @@
-import type { TableError } from "@persimmonpitch/platform/table.js";
-import { transactionSchema } from "@persimmonpitch/platform/table.js";
-import { scanQuerySchema } from "@persimmonpitch/platform/tableProtocol.js";
+import type { TableError } from "@persimmonpitch/backing/table.js";
+import { transactionSchema } from "@persimmonpitch/backing/table.js";
+import { scanQuerySchema } from "@persimmonpitch/backing/tableProtocol.js";
 import type { FastifyReply } from "fastify";
 import { z } from "zod";
 import type { MemoryTable } from "./memoryTable.js";
--- a/packages/standins/src/workerServer.ts
+++ b/packages/standins/src/workerServer.ts
@@ -1,6 +1,6 @@
-import type { WorkerError } from "@persimmonpitch/platform/worker.js";
-import { taskStartSchema } from "@persimmonpitch/platform/worker.js";
-import { renewalSchema, stopSchema, throttleSchema } from "@persimmonpitch/platform/workerProtocol.js";
+import type { WorkerError } from "@persimmonpitch/backing/worker.js";
+import { taskStartSchema } from "@persimmonpitch/backing/worker.js";
+import { renewalSchema, stopSchema, throttleSchema } from "@persimmonpitch/backing/workerProtocol.js";
 import type { FastifyReply } from "fastify";
 import type { Result } from "true-myth";
 import { z } from "zod";
