--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,7 +1,7 @@
+import type { Executor, Worker } from "@persimmonpitch/backing/worker.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Executor, Worker } from "@persimmonpitch/backing/worker.js";
 import type {
     AgentIdentity,
     AgentReport,
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,7 +1,7 @@
-import { systemClock } from "@persimmonpitch/clock/systemClock.js";
-import { createLogger } from "@persimmonpitch/logging/logger.js";
 import { HttpExecutor } from "@persimmonpitch/backing/httpExecutor.js";
 import { HttpWorker } from "@persimmonpitch/backing/httpWorker.js";
+import { systemClock } from "@persimmonpitch/clock/systemClock.js";
+import { createLogger } from "@persimmonpitch/logging/logger.js";
 import { connect } from "@persimmonpitch/protocol/transport.js";
 import { readSettings } from "@persimmonpitch/settings/readSettings.js";
 import type { RunningProcess } from "@persimmonpitch/settings/runBinary.js";
--- a/packages/agent/src/orderHandlers.ts
+++ b/packages/agent/src/orderHandlers.ts
@@ -1,6 +1,6 @@
+import type { Worker } from "@persimmonpitch/backing/worker.js";
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Worker } from "@persimmonpitch/backing/worker.js";
 import type { HandlerTable } from "@persimmonpitch/protocol/method.js";
 import type { OrderMethods, Refusal } from "@persimmonpitch/protocol/taskMessages.js";
 import type { LeaseTracker } from "./leaseTracker.js";
--- a/packages/agent/src/requestHandler.ts
+++ b/packages/agent/src/requestHandler.ts
@@ -1,6 +1,6 @@
+import type { Executor } from "@persimmonpitch/backing/worker.js";
 import type { Clock } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Executor } from "@persimmonpitch/backing/worker.js";
 import type { EntryToAgentMethods, ExecutorLimits, RequestRefusal } from "@persimmonpitch/protocol/agentMessages.js";
 import { digestOf } from "@persimmonpitch/protocol/digest.js";
 import type { ParamsOf, ResultOf } from "@persimmonpitch/protocol/method.js";
--- a/packages/agent/src/taskTable.ts
+++ b/packages/agent/src/taskTable.ts
@@ -1,5 +1,5 @@
-import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { WorkerTask } from "@persimmonpitch/backing/worker.js";
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { ParamsOf } from "@persimmonpitch/protocol/method.js";
 import type { AgentTaskState, OrderMethods, Refusal, TaskReport } from "@persimmonpitch/protocol/taskMessages.js";
 
--- a/packages/agent/src/workerWatch.ts
+++ b/packages/agent/src/workerWatch.ts
@@ -1,6 +1,6 @@
+import type { TaskState, Worker, WorkerTask } from "@persimmonpitch/backing/worker.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { TaskState, Worker, WorkerTask } from "@persimmonpitch/backing/worker.js";
 import type { AgentTaskState, TaskReport } from "@persimmonpitch/protocol/taskMessages.js";
 import type { LeaseTracker } from "./leaseTracker.js";
 import type { AgentTask, TaskTable } from "./taskTable.js";
--- a/packages/capacity/src/generatedHistory.ts
+++ b/packages/capacity/src/generatedHistory.ts
@@ -1,5 +1,5 @@
-import { historyPrefix, historyPut } from "@persimmonpitch/history/historyRow.js";
 import type { Page, Row, Table, TableError } from "@persimmonpitch/backing/table.js";
+import { historyPrefix, historyPut } from "@persimmonpitch/history/historyRow.js";
 import type { HistoryEvent } from "@persimmonpitch/schema/historyRecord.js";
 import { Result } from "true-myth";
 
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -1,10 +1,10 @@
 import { Agent } from "@persimmonpitch/agent/agent.js";
-import { systemClock } from "@persimmonpitch/clock/systemClock.js";
-import { Entry } from "@persimmonpitch/entry/entry.js";
-import type { Logger } from "@persimmonpitch/logging/logger.js";
 import { HttpExecutor } from "@persimmonpitch/backing/httpExecutor.js";
 import { HttpTable } from "@persimmonpitch/backing/httpTable.js";
 import { HttpWorker } from "@persimmonpitch/backing/httpWorker.js";
+import { systemClock } from "@persimmonpitch/clock/systemClock.js";
+import { Entry } from "@persimmonpitch/entry/entry.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
 import { deriveProcessKey } from "@persimmonpitch/protocol/processKey.js";
 import { connect, listen } from "@persimmonpitch/protocol/transport.js";
 import type { ConfigurationBody, InventoryVm, Operator } from "@persimmonpitch/schema/configuration.js";
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -1,8 +1,8 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Queue, Team } from "@persimmonpitch/workload/clusterConfig.js";
 import type { JobProgress } from "@persimmonpitch/workload/progress.js";
-import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import type { Demand } from "@persimmonpitch/workload/step.js";
+import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 
 /** A run that takes up room on an executor, from its order to its end. */
--- a/packages/entry/src/apiContext.ts
+++ b/packages/entry/src/apiContext.ts
@@ -1,9 +1,9 @@
+import type { Table } from "@persimmonpitch/backing/table.js";
 import type { BurnRecorder } from "@persimmonpitch/burn/burnRecorder.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { HistoryBatcher } from "@persimmonpitch/history/historyBatcher.js";
 import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Table } from "@persimmonpitch/backing/table.js";
 import type { JobStore } from "@persimmonpitch/scheduler/jobStore.js";
 import type { SchedulingRole } from "@persimmonpitch/scheduler/schedulingRole.js";
 import type { Configuration, Operator } from "@persimmonpitch/schema/configuration.js";
--- a/packages/entry/src/configWatch.ts
+++ b/packages/entry/src/configWatch.ts
@@ -1,7 +1,7 @@
+import type { Table, TableError } from "@persimmonpitch/backing/table.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Table, TableError } from "@persimmonpitch/backing/table.js";
 import { rowKeys } from "@persimmonpitch/scheduler/rowKeys.js";
 import type { Configuration, ConfigurationBody } from "@persimmonpitch/schema/configuration.js";
 import { configurationSchema } from "@persimmonpitch/schema/configuration.js";
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,10 +1,10 @@
+import type { Table } from "@persimmonpitch/backing/table.js";
 import { BurnRecorder } from "@persimmonpitch/burn/burnRecorder.js";
 import { DEFAULT_OBJECTIVES } from "@persimmonpitch/burn/objective.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { HistoryBatcher } from "@persimmonpitch/history/historyBatcher.js";
 import { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Table } from "@persimmonpitch/backing/table.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import { JobStore } from "@persimmonpitch/scheduler/jobStore.js";
 import { SchedulingRole } from "@persimmonpitch/scheduler/schedulingRole.js";
--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -1,6 +1,6 @@
+import type { Table } from "@persimmonpitch/backing/table.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Table } from "@persimmonpitch/backing/table.js";
 import type { AgentIdentity, ExecutorLimits } from "@persimmonpitch/protocol/agentMessages.js";
 import { agentToEntryMethods, entryToAgentMethods, PROTOCOL_VERSION } from "@persimmonpitch/protocol/agentMessages.js";
 import { Connection } from "@persimmonpitch/protocol/connection.js";
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
+import { HttpTable } from "@persimmonpitch/backing/httpTable.js";
 import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { createLogger } from "@persimmonpitch/logging/logger.js";
-import { HttpTable } from "@persimmonpitch/backing/httpTable.js";
 import { deriveProcessKey } from "@persimmonpitch/protocol/processKey.js";
 import { connect, listen } from "@persimmonpitch/protocol/transport.js";
 import { readSettings } from "@persimmonpitch/settings/readSettings.js";
--- a/packages/entry/src/orphanRecords.ts
+++ b/packages/entry/src/orphanRecords.ts
@@ -1,6 +1,6 @@
+import type { Table } from "@persimmonpitch/backing/table.js";
 import { orphanPut } from "@persimmonpitch/history/historyRow.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Table } from "@persimmonpitch/backing/table.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 
 /** Writes records of an entry that went away, and returns the requests whose records are durable. */
--- a/packages/history/src/exportHistory.ts
+++ b/packages/history/src/exportHistory.ts
@@ -1,6 +1,6 @@
+import type { Page, Table, TableError } from "@persimmonpitch/backing/table.js";
 import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
-import type { Page, Table, TableError } from "@persimmonpitch/backing/table.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import { createHash } from "node:crypto";
 import type { Manifest } from "./exportFormat.js";
--- a/packages/history/src/historyBatcher.ts
+++ b/packages/history/src/historyBatcher.ts
@@ -1,8 +1,8 @@
+import type { Table, TableError, Transaction } from "@persimmonpitch/backing/table.js";
 import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Table, TableError, Transaction } from "@persimmonpitch/backing/table.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
--- a/packages/history/tests/invariants.test.ts
+++ b/packages/history/tests/invariants.test.ts
@@ -1,5 +1,5 @@
-import { formatFindings } from "@persimmonpitch/findings/finding.js";
 import type { RequestRun, TaskRun } from "@persimmonpitch/backing/runRecord.js";
+import { formatFindings } from "@persimmonpitch/findings/finding.js";
 import type { HistoryEvent, HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import type { JobRecord } from "@persimmonpitch/schema/job.js";
 import t from "tap";
--- a/packages/scheduler/src/jobStore.ts
+++ b/packages/scheduler/src/jobStore.ts
@@ -1,6 +1,6 @@
+import type { Check, Table, TableError, Transaction } from "@persimmonpitch/backing/table.js";
 import type { Clock } from "@persimmonpitch/clock/clock.js";
 import { historyPut } from "@persimmonpitch/history/historyRow.js";
-import type { Check, Table, TableError, Transaction } from "@persimmonpitch/backing/table.js";
 import type { HistoryEvent, HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import type { Attempt, JobOutcome, JobRecord, JobSpec } from "@persimmonpitch/schema/job.js";
 import { isTerminal, jobRecordSchema } from "@persimmonpitch/schema/job.js";
--- a/packages/scheduler/src/roleLease.ts
+++ b/packages/scheduler/src/roleLease.ts
@@ -1,6 +1,6 @@
+import type { Row, Table } from "@persimmonpitch/backing/table.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Row, Table } from "@persimmonpitch/backing/table.js";
 import { randomUUID } from "node:crypto";
 import { z } from "zod";
 import { DRIFT_FACTOR } from "./leaseTimes.js";
--- a/packages/scheduler/src/schedulingRole.ts
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -1,3 +1,4 @@
+import type { Table } from "@persimmonpitch/backing/table.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
@@ -7,7 +8,6 @@
 import { placementPass } from "@persimmonpitch/placement/placementPass.js";
 import { RunTimeLearner } from "@persimmonpitch/placement/runTimeLearner.js";
 import { WorkerHealth } from "@persimmonpitch/placement/workerHealth.js";
-import type { Table } from "@persimmonpitch/backing/table.js";
 import type { Configuration } from "@persimmonpitch/schema/configuration.js";
 import { isTerminal } from "@persimmonpitch/schema/job.js";
 import type { AgentGateway } from "./agentGateway.js";
--- a/packages/scheduler/src/settledCommit.ts
+++ b/packages/scheduler/src/settledCommit.ts
@@ -1,5 +1,5 @@
-import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { TableError } from "@persimmonpitch/backing/table.js";
+import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import { isTerminal } from "@persimmonpitch/schema/job.js";
 import type { Result } from "true-myth";
 import type { BookedJob } from "./jobBook.js";
--- a/packages/standins/src/memoryObjectStore.ts
+++ b/packages/standins/src/memoryObjectStore.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "@persimmonpitch/clock/clock.js";
 import type { ObjectStore, ObjectStoreError } from "@persimmonpitch/backing/objectStore.js";
+import type { Clock } from "@persimmonpitch/clock/clock.js";
 import { Result } from "true-myth";
 import { z } from "zod";
 
--- a/packages/standins/src/memoryTable.ts
+++ b/packages/standins/src/memoryTable.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "@persimmonpitch/clock/clock.js";
 import type { Page, Row, Table, TableError, Transaction } from "@persimmonpitch/backing/table.js";
+import type { Clock } from "@persimmonpitch/clock/clock.js";
 import { Result } from "true-myth";
 import { z } from "zod";
 
--- a/packages/standins/src/memoryWorker.ts
+++ b/packages/standins/src/memoryWorker.ts
@@ -1,7 +1,7 @@
-import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
-import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { TaskRun } from "@persimmonpitch/backing/runRecord.js";
 import type { TaskStart, Worker, WorkerError, WorkerTask } from "@persimmonpitch/backing/worker.js";
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import { Result } from "true-myth";
 import { z } from "zod";
 import { parseJson } from "./parseJson.js";
--- a/packages/standins/tests/httpTable.test.ts
+++ b/packages/standins/tests/httpTable.test.ts
@@ -1,7 +1,7 @@
-import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
-import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { HttpTable } from "@persimmonpitch/backing/httpTable.js";
 import type { Transaction } from "@persimmonpitch/backing/table.js";
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
+import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import fc from "fast-check";
 import { inspect } from "node:util";
 import type { Test } from "tap";
--- a/packages/standins/tests/memoryWorker.test.ts
+++ b/packages/standins/tests/memoryWorker.test.ts
@@ -1,5 +1,5 @@
-import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
 import type { TaskStart } from "@persimmonpitch/backing/worker.js";
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
 import { inspect } from "node:util";
 import t from "tap";
 import { MemoryWorker } from "../src/memoryWorker.js";
--- a/packages/standins/tests/servers.test.ts
+++ b/packages/standins/tests/servers.test.ts
@@ -1,8 +1,8 @@
-import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
-import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { HttpExecutor } from "@persimmonpitch/backing/httpExecutor.js";
 import { HttpObjectStore } from "@persimmonpitch/backing/httpObjectStore.js";
 import { HttpWorker } from "@persimmonpitch/backing/httpWorker.js";
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
+import { systemClock } from "@persimmonpitch/clock/systemClock.js";
 import { inspect } from "node:util";
 import type { Test } from "tap";
 import t from "tap";
--- a/packages/verification/tests/modelFaults.test.ts
+++ b/packages/verification/tests/modelFaults.test.ts
@@ -1,9 +1,9 @@
+import type { Table } from "@persimmonpitch/backing/table.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import { silentLogger } from "@persimmonpitch/logging/logger.js";
 import { RunTimeLearner } from "@persimmonpitch/placement/runTimeLearner.js";
 import { WorkerHealth } from "@persimmonpitch/placement/workerHealth.js";
-import type { Table } from "@persimmonpitch/backing/table.js";
 import type { TaskReport } from "@persimmonpitch/protocol/taskMessages.js";
 import type { AgentGateway, KnownAgent } from "@persimmonpitch/scheduler/agentGateway.js";
 import { runAttempt } from "@persimmonpitch/scheduler/attempt.js";
--- a/packages/workload/src/executorReport.ts
+++ b/packages/workload/src/executorReport.ts
@@ -53,5 +53,14 @@
 export type RunList = z.infer<typeof runListSchema>;
 
 /** Why an executor refuses a start. */
-export const startRefusalSchema = z.enum(["fence", "old", "late", "room", "ticket", "unhealthy", "invalid", "incarnation"]);
+export const startRefusalSchema = z.enum([
+    "fence",
+    "old",
+    "late",
+    "room",
+    "ticket",
+    "unhealthy",
+    "invalid",
+    "incarnation",
+]);
 export type StartRefusal = z.infer<typeof startRefusalSchema>;
--- a/packages/workload/src/taskName.ts
+++ b/packages/workload/src/taskName.ts
@@ -14,7 +14,9 @@
 const NAME = /^(.+)\.(\d+)\.(\d+)\.(\d+)$/;
 
 /** Parts of the name of a task; undefined for a name of another form. */
-export const parseTaskName = (name: string): (TaskPlace & { readonly jobId: string; readonly key: string; }) | undefined => {
+export const parseTaskName = (
+    name: string,
+): (TaskPlace & { readonly jobId: string; readonly key: string; }) | undefined => {
     const [, jobId, occurrence, step, index] = NAME.exec(name) ?? [];
     if (jobId === undefined || occurrence === undefined || step === undefined || index === undefined) {
         return undefined;
