--- /dev/null
+++ b/packages/control/src/agentTask.ts
@@ -0,0 +1,108 @@
+import type { BackoffOptions } from "@persimmonpitch/clock/backoff.js";
+import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { Connection } from "@persimmonpitch/protocol/connection.js";
+import type {
+    AgentToControllerMethods,
+    ControllerToAgentMethods,
+    ExecutorReport,
+} from "@persimmonpitch/protocol/executorMessages.js";
+import { agentToControllerMethods, controllerToAgentMethods } from "@persimmonpitch/protocol/executorMessages.js";
+import type { ControllerContext } from "./controllerContext.js";
+
+/** A connection to an agent, as the controller uses it. */
+export type AgentConnection = Connection<AgentToControllerMethods, ControllerToAgentMethods>;
+
+const CONNECT_TIMEOUT_MS: Millis = 700;
+const ATTACH_TIMEOUT_MS: Millis = 3_000;
+const RETRY: BackoffOptions = { baseMs: 100, maxMs: 1_000 };
+
+/** What happens on a connection to an agent. */
+export interface AgentEvents {
+    /** The agent's executors have listed their runs under the epoch of this controller. */
+    onAttached(vm: string, connection: AgentConnection, reports: readonly ExecutorReport[]): void;
+    onReport(vm: string, report: ExecutorReport): void;
+    onDetached(vm: string): void;
+    /** The agent knows a newer controller. */
+    onFenced(epoch: number): void;
+    /** Extends leases and acknowledges ends; returns whether the agent answered. */
+    renewLeases(vm: string, connection: AgentConnection): Promise<boolean>;
+}
+
+/** Time between two extensions of the leases of an agent's executors. */
+const LEASE_INTERVAL_MS: Millis = 1_000;
+
+/** Connects to one agent, again and again, and serves the connection while it is open. */
+export const runAgentTask = async (
+    context: ControllerContext,
+    vm: string,
+    epoch: number,
+    events: AgentEvents,
+    signal: AbortSignal,
+): Promise<void> => {
+    let failures = 0;
+    while (!signal.aborted) {
+        const row = context.replica.agents.get(vm)?.value;
+        if (row === undefined) {
+            return;
+        }
+        const link = await context.connect(row, CONNECT_TIMEOUT_MS);
+        if (link.isOk && !signal.aborted) {
+            const connection: AgentConnection = new Connection({
+                link: link.value,
+                clock: context.clock,
+                local: agentToControllerMethods,
+                remote: controllerToAgentMethods,
+                handlers: {
+                    "agent.report": report => {
+                        events.onReport(vm, report);
+                        return Promise.resolve({});
+                    },
+                },
+            });
+            const isAttached = await serveConnection(context, vm, epoch, events, connection, signal);
+            failures = isAttached ? 0 : failures + 1;
+        }
+        else {
+            failures += 1;
+        }
+        await context.clock.sleep(backoffDelay(RETRY, failures, context.random), signal);
+    }
+};
+
+const serveConnection = async (
+    { clock, logger }: ControllerContext,
+    vm: string,
+    epoch: number,
+    events: AgentEvents,
+    connection: AgentConnection,
+    signal: AbortSignal,
+): Promise<boolean> => {
+    const served = connection.run();
+    const attached = await connection.call("agent.attach", { epoch }, ATTACH_TIMEOUT_MS);
+    if (attached.isErr || signal.aborted) {
+        connection.close();
+        await served;
+        return false;
+    }
+    if (attached.value.kind === "refused") {
+        events.onFenced(attached.value.epoch);
+        connection.close();
+        await served;
+        return false;
+    }
+    logger.log("info", "agent.attached", { vm, epoch });
+    events.onAttached(vm, connection, attached.value.reports);
+    while (connection.isOpen && !signal.aborted && await events.renewLeases(vm, connection)) {
+        const closed = new AbortController();
+        void served.then(() => {
+            closed.abort();
+        });
+        await clock.sleep(LEASE_INTERVAL_MS, AbortSignal.any([signal, closed.signal]));
+    }
+    connection.close();
+    await served;
+    events.onDetached(vm);
+    logger.log("info", "agent.detached", { vm });
+    return true;
+};
--- /dev/null
+++ b/packages/control/src/buildDispatchView.ts
@@ -0,0 +1,73 @@
+import type { DispatchView, ExecutorView, JobView, RunView } from "@persimmonpitch/dispatch/dispatchView.js";
+import type { ClusterConfig } from "@persimmonpitch/workload/clusterConfig.js";
+import type { Demand } from "@persimmonpitch/workload/step.js";
+import type { ControllerContext } from "./controllerContext.js";
+import type { ExecutorState, HeldRun } from "./executorState.js";
+import type { Fleet } from "./fleet.js";
+import type { JobBook } from "./jobBook.js";
+
+/** What a pass decides on, from what the controller knows. */
+export const buildDispatchView = (
+    context: ControllerContext,
+    config: ClusterConfig,
+    jobs: JobBook,
+    fleet: Fleet,
+): DispatchView => {
+    const offset = context.storeOffsetMs();
+    const now = context.clock.now();
+    return {
+        now: now + offset,
+        wallTime: context.clock.wallTime(),
+        timings: context.timings,
+        teams: config.teams,
+        jobs: jobViews(config, jobs),
+        executors: [...fleet.executors.values()].flatMap(state => executorView(state, now, offset)),
+    };
+};
+
+const jobViews = (config: ClusterConfig, jobs: JobBook): readonly JobView[] => {
+    const queues = new Map(config.queues.map(queue => [queue.name, queue]));
+    return [...jobs.jobs.values()].flatMap(open => {
+        const queue = queues.get(open.job.queue);
+        return queue === undefined || !open.isOpen ? [] : [{ job: open.job, progress: open.progress, queue }];
+    });
+};
+
+const executorView = (state: ExecutorState, now: number, offset: number): readonly ExecutorView[] => {
+    const { info } = state;
+    if (info === undefined) {
+        return [];
+    }
+    return [{
+        vm: state.vm,
+        executorId: state.executorId,
+        service: info.service,
+        rack: info.rack,
+        labels: info.labels,
+        capacity: [...state.strays.values()].reduce((rest, { demand }) => subtract(rest, demand), info.capacity),
+        takesWork: state.isAttached && !info.isDraining && now >= state.pausedUntil,
+        leavesInMs: info.isDraining ? info.remainingMs ?? 0 : undefined,
+        runs: [...state.runs.values()].map(run => runView(run, offset)),
+        recentEnds: state.recentEnds.map(end => ({ ...end, at: end.at + offset })),
+    }];
+};
+
+const subtract = (from: Demand, demand: Demand): Demand => ({
+    milliCores: from.milliCores - demand.milliCores,
+    memoryMb: from.memoryMb - demand.memoryMb,
+    accelerators: from.accelerators - demand.accelerators,
+});
+
+const shift = (at: number | undefined, offset: number): number | undefined => at === undefined ? undefined : at + offset;
+
+const runView = (run: HeldRun, offset: number): RunView => ({
+    jobId: run.jobId,
+    key: run.key,
+    run: run.run,
+    orderedAt: run.orderedAt + offset,
+    isStopping: run.isStopping || run.isConcluded,
+    percent: run.percent,
+    progressAt: shift(run.progressAt, offset),
+    firstPercent: run.firstPercent,
+    firstListedAt: shift(run.firstListedAt, offset),
+});
--- /dev/null
+++ b/packages/control/src/controlNode.ts
@@ -0,0 +1,154 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Link } from "@persimmonpitch/protocol/link.js";
+import type { Timings } from "@persimmonpitch/workload/timings.js";
+import type { ConfigBook } from "./configBook.js";
+import { Controller } from "./controller.js";
+import type { ConnectLink } from "./controllerContext.js";
+import { Election } from "./election.js";
+import { ForwardingStore } from "./forwardingStore.js";
+import { PeerLinks } from "./peerLinks.js";
+import type { DirectStores } from "./peerServer.js";
+import { servePeer } from "./peerServer.js";
+import { register } from "./registration.js";
+import { Replica } from "./replica.js";
+import type { ProcessRow } from "./rows.js";
+import { rowKeys } from "./rows.js";
+import type { RowStore } from "./rowStore.js";
+import type { RowSink } from "./tableFollower.js";
+import { TableFollower } from "./tableFollower.js";
+
+/** What a control node works on. */
+export interface ControlNodeOptions {
+    readonly self: ProcessRow;
+    readonly stores: DirectStores;
+    /** Receives the rows of the operator. */
+    readonly operatorRows: RowSink;
+    readonly config: ConfigBook;
+    readonly timings: Timings;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly connect: ConnectLink;
+    readonly random: () => number;
+}
+
+/** Entries that do not decide take changes a little later, so that several share one call to the store. */
+const FOLLOWER_PAUSE_MS: Millis = 40;
+
+/** The part of an entry that follows the store and decides when it holds the role. */
+export class ControlNode {
+    readonly replica: Replica;
+    readonly store: RowStore;
+    readonly follower: TableFollower;
+    private readonly operatorFollower: TableFollower;
+    private readonly peers: PeerLinks;
+    private readonly election: Election;
+    private controller: Controller | undefined;
+    private readonly stopped = new AbortController();
+    private readonly released = new AbortController();
+
+    constructor(private readonly options: ControlNodeOptions) {
+        const { self, stores, operatorRows, clock, logger, connect, random } = options;
+        const { vm, instanceId } = self;
+        this.replica = new Replica(logger);
+        this.peers = new PeerLinks({
+            vm,
+            replica: this.replica,
+            clock,
+            logger,
+            connect,
+            random,
+            onDown: instance => {
+                this.election.noteDown(instance);
+            },
+        });
+        const forwarding = (name: keyof DirectStores): ForwardingStore =>
+            new ForwardingStore({ direct: stores[name], peers: () => this.peers.stores(name), clock, logger, name });
+        this.store = forwarding("state");
+        this.follower = new TableFollower({
+            name: "state",
+            store: this.store,
+            sink: this.replica,
+            clock,
+            logger,
+            random,
+            pauseMs: () => this.controller === undefined ? FOLLOWER_PAUSE_MS : 0,
+        });
+        this.operatorFollower = new TableFollower({
+            name: "operator",
+            store: forwarding("operator"),
+            sink: operatorRows,
+            clock,
+            logger,
+            random,
+        });
+        this.election = new Election({
+            vm,
+            instanceId,
+            store: this.store,
+            replica: this.replica,
+            follower: this.follower,
+            clock,
+            logger,
+            random,
+        });
+    }
+
+    /** Whether requests can be answered: the rows and a configuration are known. */
+    get isReady(): boolean {
+        return this.follower.version !== undefined && this.options.config.current !== undefined;
+    }
+
+    /** Serves a link that another entry opened. */
+    async servePeer(link: Link): Promise<void> {
+        await servePeer(link, this.options.clock, this.options.stores);
+    }
+
+    /** Runs until `stop`. */
+    async run(): Promise<void> {
+        const { signal } = this.stopped;
+        const { self, clock, logger, random } = this.options;
+        await Promise.all([
+            this.follower.run(signal),
+            this.operatorFollower.run(signal),
+            this.peers.run(signal),
+            register({ store: this.store, key: rowKeys.entry(self.vm), row: self, clock, logger, random }, signal),
+            this.runElection(signal),
+        ]);
+    }
+
+    /** Gives the role away if it is held, and takes it no more. */
+    async release(): Promise<void> {
+        this.released.abort();
+        await this.controller?.release();
+    }
+
+    /** Ends all tasks. */
+    stop(): void {
+        this.stopped.abort();
+    }
+
+    private async runElection(signal: AbortSignal): Promise<void> {
+        const electing = AbortSignal.any([signal, this.released.signal]);
+        while (!electing.aborted) {
+            const role = await this.election.take(electing);
+            if (role === undefined) {
+                return;
+            }
+            const { clock, logger, timings, connect, random, config } = this.options;
+            this.controller = new Controller({
+                store: this.store,
+                replica: this.replica,
+                config,
+                clock,
+                logger,
+                timings,
+                connect,
+                random,
+                storeOffsetMs: () => this.follower.storeOffsetMs,
+            }, role);
+            await this.controller.run(signal);
+            this.controller = undefined;
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/election.ts
@@ -0,0 +1,145 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { TakenRole } from "./controllerContext.js";
+import type { Replica } from "./replica.js";
+import type { RoleRow } from "./rows.js";
+import { rowKeys } from "./rows.js";
+import type { RowStore } from "./rowStore.js";
+import type { TableFollower } from "./tableFollower.js";
+
+/** The role may be taken once the term has not moved for this long while the store answered. */
+export const TERM_MS: Millis = 2_000;
+const CHECK_MS: Millis = 250;
+/** A longer gap between two answers of the store than this starts the observation of the term anew. */
+const MAX_ANSWER_GAP_MS: Millis = 1_800;
+const SYNC_TIMEOUT_MS: Millis = 3_000;
+
+/** What an election works on. */
+export interface ElectionOptions {
+    readonly vm: string;
+    readonly instanceId: string;
+    readonly store: RowStore;
+    readonly replica: Replica;
+    readonly follower: TableFollower;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly random: () => number;
+}
+
+/** Takes the controller's role when nobody holds it any more. */
+export class Election {
+    private readonly wake = new WakeSignal();
+    private observedSince: Millis;
+    private lastAnswerAt: Millis;
+    private observedTerm = 0;
+    /** Instances of entries whose process is known to be down. */
+    private readonly downInstances = new Set<string>();
+
+    constructor(private readonly options: ElectionOptions) {
+        this.observedSince = options.clock.now();
+        this.lastAnswerAt = this.observedSince;
+    }
+
+    /** The process with that instance id is down, so it holds no role. */
+    noteDown(instanceId: string): void {
+        this.downInstances.add(instanceId);
+        this.wake.wake();
+    }
+
+    /** Waits until the role is taken; undefined when `signal` aborts before. */
+    async take(signal: AbortSignal): Promise<TakenRole | undefined> {
+        const { replica, clock, random } = this.options;
+        const stopListening = replica.listen(keys => {
+            if (keys.includes(rowKeys.role) || keys.some(key => key.startsWith("entry/"))) {
+                this.wake.wake();
+            }
+        });
+        try {
+            while (!signal.aborted) {
+                this.observe();
+                if (this.mayTake()) {
+                    const taken = await this.tryTake(signal);
+                    if (taken !== undefined) {
+                        return taken;
+                    }
+                    // Entries that saw the same event do not try again together.
+                    await clock.sleep(random() * CHECK_MS, signal);
+                }
+                await this.wake.wait(clock, CHECK_MS, signal);
+            }
+            return undefined;
+        }
+        finally {
+            stopListening();
+        }
+    }
+
+    private observe(): void {
+        const { replica, follower, clock } = this.options;
+        const term = replica.term?.version ?? 0;
+        const answeredAt = follower.answeredAt ?? this.lastAnswerAt;
+        if (term !== this.observedTerm || answeredAt - this.lastAnswerAt > MAX_ANSWER_GAP_MS) {
+            this.observedTerm = term;
+            this.observedSince = clock.now();
+        }
+        this.lastAnswerAt = answeredAt;
+    }
+
+    private mayTake(): boolean {
+        const { replica, follower, vm, instanceId, clock } = this.options;
+        if (follower.version === undefined) {
+            return false;
+        }
+        const role = replica.role?.value;
+        if (role === undefined || role.isReleased) {
+            return true;
+        }
+        const current = replica.entries.get(role.vm)?.value.instanceId;
+        const isSuperseded = role.vm === vm
+            ? role.instanceId !== instanceId
+            : current !== undefined && current !== role.instanceId;
+        if (isSuperseded || this.downInstances.has(role.instanceId)) {
+            return true;
+        }
+        return clock.now() - this.observedSince > TERM_MS
+            && clock.now() - this.lastAnswerAt < MAX_ANSWER_GAP_MS;
+    }
+
+    private async tryTake(signal: AbortSignal): Promise<TakenRole | undefined> {
+        const { vm, instanceId, store, replica, clock, logger } = this.options;
+        const known = replica.role;
+        const row: RoleRow = { vm, instanceId, epoch: (known?.value.epoch ?? 0) + 1, isReleased: false };
+        const takenAt = clock.now();
+        const outcome = await store.commit({
+            expected: [{ key: rowKeys.role, version: known?.version ?? 0 }],
+            puts: [
+                { key: rowKeys.role, value: JSON.stringify(row) },
+                { key: rowKeys.term, value: JSON.stringify({ epoch: row.epoch, beat: 0 }) },
+            ],
+        });
+        const rowVersion = outcome.isOk ? outcome.value.version : await this.readBack(row);
+        if (rowVersion === undefined || !await this.isSynced(rowVersion, signal)) {
+            return undefined;
+        }
+        logger.log("info", "role.taken", { epoch: row.epoch, from: known?.value.vm });
+        return { epoch: row.epoch, rowVersion, takenAt, released: { ...row, isReleased: true } };
+    }
+
+    /** Version of the role's row if it is the one that we wrote, after an answer that did not say so. */
+    private async readBack(row: RoleRow): Promise<number | undefined> {
+        const page = await this.options.store.scan({ from: rowKeys.role, to: `${rowKeys.role}\u0000`, limit: 1 });
+        const found = page.isOk ? page.value.rows[0] : undefined;
+        return found?.value === JSON.stringify(row) ? found.version : undefined;
+    }
+
+    /** Waits until the replica holds everything that was written before the role was taken. */
+    private async isSynced(version: number, signal: AbortSignal): Promise<boolean> {
+        const { follower, clock } = this.options;
+        const until = clock.now() + SYNC_TIMEOUT_MS;
+        while ((follower.version ?? 0) < version && clock.now() < until && !signal.aborted) {
+            await clock.sleep(5, signal);
+        }
+        return (follower.version ?? 0) >= version;
+    }
+}
--- /dev/null
+++ b/packages/control/src/jobBook.ts
@@ -0,0 +1,40 @@
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import { NO_PROGRESS } from "@persimmonpitch/workload/progress.js";
+import { OpenJob } from "./openJob.js";
+import type { Replica } from "./replica.js";
+
+/** The jobs that have not ended, and those of which something still runs. */
+export class JobBook {
+    readonly jobs = new Map<string, OpenJob>();
+    private readonly ended = new Set<string>();
+
+    constructor(private readonly replica: Replica, private readonly logger: Logger) {
+        for (const jobId of replica.jobs.keys()) {
+            this.take(jobId);
+        }
+    }
+
+    /** Takes up a job from its rows; returns whether it is new and open. */
+    take(jobId: string): boolean {
+        const row = this.replica.jobs.get(jobId);
+        if (row === undefined || this.jobs.has(jobId) || this.ended.has(jobId)) {
+            return false;
+        }
+        const progress = this.replica.progress.get(jobId);
+        const open = new OpenJob(row.value, progress?.value ?? NO_PROGRESS, progress?.version ?? 0);
+        if (!open.isOpen) {
+            this.ended.add(jobId);
+            return false;
+        }
+        this.jobs.set(jobId, open);
+        return true;
+    }
+
+    /** Forgets a job that has ended and of which nothing runs. */
+    release(jobId: string): void {
+        const outcome = this.jobs.get(jobId)?.progress.outcome;
+        this.jobs.delete(jobId);
+        this.ended.add(jobId);
+        this.logger.log("info", "job.ended", { job: jobId, outcome });
+    }
+}
--- /dev/null
+++ b/packages/control/src/openJob.ts
@@ -0,0 +1,59 @@
+import type { JobProgress, Outcome, TaskProgress } from "@persimmonpitch/workload/progress.js";
+import { NO_TASK_PROGRESS } from "@persimmonpitch/workload/progress.js";
+import type { Step } from "@persimmonpitch/workload/step.js";
+import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
+import { taskKey } from "@persimmonpitch/workload/taskName.js";
+
+/** Keys of the tasks of one step in one occurrence. */
+export const stepKeys = (step: Step, occurrence: number, number: number): readonly string[] =>
+    Array.from({ length: step.count }, (_, index) => taskKey({ occurrence, step: number, index }));
+
+/** Number of copies of the steps of a job. */
+export const occurrenceCount = (job: StepJob): number => job.repetition?.count ?? 1;
+
+/** A job that the controller works on, with its progress before it is durable. */
+export class OpenJob {
+    private tasks: Record<string, TaskProgress>;
+    private currentOutcome: Outcome;
+    private doneTasks: number;
+    private readonly totalTasks: number;
+    private readonly isEndless: boolean;
+
+    constructor(readonly job: StepJob, progress: JobProgress, public rowVersion: number) {
+        this.tasks = { ...progress.tasks };
+        this.currentOutcome = progress.outcome;
+        this.doneTasks = Object.values(this.tasks).filter(({ isDone }) => isDone).length;
+        this.totalTasks = occurrenceCount(job) * job.steps.reduce((sum, { count }) => sum + count, 0);
+        this.isEndless = job.steps.some(({ isLongRunning }) => isLongRunning);
+    }
+
+    get progress(): JobProgress {
+        return { outcome: this.currentOutcome, tasks: this.tasks };
+    }
+
+    get isOpen(): boolean {
+        return this.currentOutcome === "open";
+    }
+
+    task(key: string): TaskProgress {
+        return this.tasks[key] ?? NO_TASK_PROGRESS;
+    }
+
+    /** Changes what is known about one task; the job completes with its last task. */
+    update(key: string, change: Partial<TaskProgress>): void {
+        const before = this.task(key);
+        const after = { ...before, ...change };
+        this.tasks[key] = after;
+        this.doneTasks += Number(after.isDone) - Number(before.isDone);
+        if (this.isOpen && !this.isEndless && this.doneTasks === this.totalTasks) {
+            this.currentOutcome = "completed";
+        }
+    }
+
+    /** Ends the job unless it has ended. */
+    conclude(outcome: Outcome): void {
+        if (this.isOpen) {
+            this.currentOutcome = outcome;
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/peerLinks.ts
@@ -0,0 +1,103 @@
+import type { BackoffOptions } from "@persimmonpitch/clock/backoff.js";
+import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import { Connection } from "@persimmonpitch/protocol/connection.js";
+import type { StoreMethods, StoreTable } from "@persimmonpitch/protocol/storeMessages.js";
+import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
+import type { ConnectLink } from "./controllerContext.js";
+import { PeerStore } from "./peerStore.js";
+import type { Replica } from "./replica.js";
+import type { RowStore } from "./rowStore.js";
+
+/** What peer links work on. */
+export interface PeerLinksOptions {
+    readonly vm: string;
+    readonly replica: Replica;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly connect: ConnectLink;
+    readonly random: () => number;
+    /** Called when the process of a peer is known to be down. */
+    readonly onDown: (instanceId: string) => void;
+}
+
+type PeerConnection = Connection<Record<string, never>, StoreMethods>;
+
+const CONNECT_TIMEOUT_MS: Millis = 700;
+const RETRY: BackoffOptions = { baseMs: 200, maxMs: 2_000 };
+const CHECK_MS: Millis = 1_000;
+
+/** Connections to the other entries: for forwarded store calls, and to see at once when one dies. */
+export class PeerLinks {
+    private readonly connections = new Map<string, PeerConnection>();
+    private readonly tasks = new Map<string, Promise<void>>();
+
+    constructor(private readonly options: PeerLinksOptions) {}
+
+    /** Keeps one task for each peer until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { replica, clock, vm } = this.options;
+        while (!signal.aborted) {
+            for (const peer of replica.entries.keys()) {
+                if (peer !== vm && !this.tasks.has(peer)) {
+                    this.tasks.set(
+                        peer,
+                        this.serve(peer, signal).finally(() => {
+                            this.tasks.delete(peer);
+                        }),
+                    );
+                }
+            }
+            await clock.sleep(CHECK_MS, signal);
+        }
+        await Promise.all(this.tasks.values());
+    }
+
+    /** Stores that make calls through the connected peers. */
+    stores(table: StoreTable): readonly RowStore[] {
+        return [...this.connections.values()]
+            .filter(({ isOpen }) => isOpen)
+            .map(connection => new PeerStore(connection, table));
+    }
+
+    private async serve(peer: string, signal: AbortSignal): Promise<void> {
+        const { replica, clock, connect, random, logger, onDown } = this.options;
+        let failures = 0;
+        let lastInstance: string | undefined;
+        while (!signal.aborted) {
+            const row = replica.entries.get(peer)?.value;
+            if (row === undefined) {
+                return;
+            }
+            const link = await connect(row, CONNECT_TIMEOUT_MS);
+            if (link.isErr) {
+                failures += 1;
+                if (link.error.isRefused && lastInstance !== undefined) {
+                    logger.log("info", "peer.down", { vm: peer });
+                    onDown(lastInstance);
+                    lastInstance = undefined;
+                }
+                await clock.sleep(backoffDelay(RETRY, failures, random), signal);
+                continue;
+            }
+            failures = 0;
+            lastInstance = row.instanceId;
+            const connection: PeerConnection = new Connection({
+                link: link.value,
+                clock,
+                local: {},
+                remote: storeMethods,
+                handlers: {},
+            });
+            this.connections.set(peer, connection);
+            const abort = () => {
+                connection.close();
+            };
+            signal.addEventListener("abort", abort);
+            await connection.run();
+            signal.removeEventListener("abort", abort);
+            this.connections.delete(peer);
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/progressWriter.ts
@@ -0,0 +1,171 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import { encodeProgress } from "@persimmonpitch/workload/progressRow.js";
+import type { CommitError, StoredRow } from "@persimmonpitch/workload/storedRow.js";
+import type { OpenJob } from "./openJob.js";
+import { rowKeys } from "./rows.js";
+import type { RowStore } from "./rowStore.js";
+
+/** The store takes 100 entries and 1 MB a call; conditions and rows both count. */
+const MAX_JOBS_PER_COMMIT = 45;
+const MAX_BYTES_PER_COMMIT = 600_000;
+const RETRY_MS: Millis = 100;
+
+/** What a progress writer works on. */
+export interface ProgressWriterOptions {
+    readonly store: RowStore;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Version of the role's row; every write fails once another process has taken the role. */
+    readonly roleVersion: number;
+    /** Called once the role is known to be lost. */
+    readonly onRoleLost: (detail: string) => void;
+}
+
+interface PendingRow {
+    readonly open: OpenJob;
+    readonly key: string;
+    readonly value: string;
+    readonly expectedVersion: number;
+}
+
+/** Writes the progress of jobs, many changes in one transaction, one transaction at a time. */
+export class ProgressWriter {
+    private dirty = new Set<OpenJob>();
+    private readonly wake = new WakeSignal();
+    private waiters: (() => void)[] = [];
+    private isStopped = false;
+
+    constructor(private readonly options: ProgressWriterOptions) {}
+
+    markDirty(open: OpenJob): void {
+        this.dirty.add(open);
+        this.wake.wake();
+    }
+
+    /** Resolves with true once everything marked so far is durable, and with false if the role is lost before. */
+    async flushed(): Promise<boolean> {
+        if (!this.isStopped) {
+            await new Promise<void>(resolve => {
+                this.waiters.push(resolve);
+                this.wake.wake();
+            });
+        }
+        return !this.isStopped;
+    }
+
+    /** Writes until `signal` aborts or the role is lost. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted && !this.isStopped) {
+            if (this.dirty.size === 0 && this.waiters.length === 0) {
+                await this.wake.wait(this.options.clock, 60_000, signal);
+                continue;
+            }
+            const waiters = this.waiters;
+            this.waiters = [];
+            const jobs = [...this.dirty];
+            this.dirty = new Set();
+            await this.writeAll(jobs, signal);
+            if (!signal.aborted) {
+                waiters.forEach(resolve => {
+                    resolve();
+                });
+            }
+            else {
+                this.waiters.push(...waiters);
+            }
+        }
+        this.isStopped = true;
+        this.waiters.forEach(resolve => {
+            resolve();
+        });
+    }
+
+    private async writeAll(jobs: readonly OpenJob[], signal: AbortSignal): Promise<void> {
+        let rest = jobs.map(open => this.pendingRow(open));
+        while (rest.length > 0 && !signal.aborted && !this.isStopped) {
+            const chunk = takeChunk(rest);
+            await this.writeChunk(chunk, signal);
+            rest = rest.slice(chunk.length);
+        }
+    }
+
+    private pendingRow(open: OpenJob): PendingRow {
+        const value = encodeProgress(open.progress);
+        return { open, key: rowKeys.run(open.job.jobId), value, expectedVersion: open.rowVersion };
+    }
+
+    private async writeChunk(chunk: readonly PendingRow[], signal: AbortSignal): Promise<void> {
+        const { store, clock, roleVersion } = this.options;
+        const transaction = {
+            expected: [
+                { key: rowKeys.role, version: roleVersion },
+                ...chunk.map(({ key, expectedVersion }) => ({ key, version: expectedVersion })),
+            ],
+            puts: chunk.map(({ key, value }) => ({ key, value })),
+        };
+        // After an unclear answer the same conditions and values are sent again: either that succeeds,
+        // or the conflict shows whether the first copy took effect.
+        while (!signal.aborted && !this.isStopped) {
+            const outcome = await store.commit(transaction);
+            if (outcome.isOk) {
+                chunk.forEach(({ open }) => {
+                    open.rowVersion = outcome.value.version;
+                });
+                return;
+            }
+            if (this.settle(chunk, outcome.error)) {
+                return;
+            }
+            await clock.sleep(RETRY_MS, signal);
+        }
+    }
+
+    /** Returns whether the chunk needs no further try. */
+    private settle(chunk: readonly PendingRow[], error: CommitError): boolean {
+        switch (error.kind) {
+            case "conflict":
+                return this.settleConflict(chunk, error.rows);
+            case "rejected":
+                this.options.logger.log("error", "progress.rejected", { detail: error.detail });
+                this.loseRole("The store rejects the progress of jobs.");
+                return true;
+            case "unavailable":
+            case "unclear":
+                this.options.logger.log("debug", "progress.retried", { kind: error.kind, detail: error.detail });
+                return false;
+            default: {
+                const never: never = error;
+                return never;
+            }
+        }
+    }
+
+    private settleConflict(chunk: readonly PendingRow[], rows: readonly StoredRow[]): boolean {
+        const byKey = new Map(rows.map(row => [row.key, row]));
+        const written = chunk.map(({ key, value }) => ({ row: byKey.get(key), value }));
+        if (!written.every(({ row, value }) => row?.value === value)) {
+            this.loseRole("A condition of a write of progress does not hold.");
+            return true;
+        }
+        chunk.forEach(({ open, key }) => {
+            open.rowVersion = byKey.get(key)?.version ?? open.rowVersion;
+        });
+        return true;
+    }
+
+    private loseRole(detail: string): void {
+        this.isStopped = true;
+        this.options.onRoleLost(detail);
+    }
+}
+
+const takeChunk = (rows: readonly PendingRow[]): readonly PendingRow[] => {
+    let bytes = 0;
+    const end = rows.findIndex((row, index) => {
+        bytes += row.value.length;
+        return index > 0 && (bytes > MAX_BYTES_PER_COMMIT || index >= MAX_JOBS_PER_COMMIT);
+    });
+    return end < 0 ? rows : rows.slice(0, end);
+};
--- /dev/null
+++ b/packages/control/src/registration.ts
@@ -0,0 +1,32 @@
+import type { BackoffOptions } from "@persimmonpitch/clock/backoff.js";
+import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
+import type { Clock } from "@persimmonpitch/clock/clock.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { ProcessRow } from "./rows.js";
+import type { RowStore } from "./rowStore.js";
+
+const RETRY: BackoffOptions = { baseMs: 50, maxMs: 500 };
+
+/** What a registration works on. */
+export interface RegistrationOptions {
+    readonly store: RowStore;
+    readonly key: string;
+    readonly row: ProcessRow;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly random: () => number;
+}
+
+/** Writes where this process listens, and tries until the store has taken it. */
+export const register = async (options: RegistrationOptions, signal: AbortSignal): Promise<void> => {
+    const { store, key, row, clock, logger, random } = options;
+    const value = JSON.stringify(row);
+    for (let failures = 0; !signal.aborted; failures += 1) {
+        const outcome = await store.commit({ puts: [{ key, value }] });
+        if (outcome.isOk) {
+            logger.log("info", "process.registered", { key });
+            return;
+        }
+        await clock.sleep(backoffDelay(RETRY, failures, random), signal);
+    }
+};
--- a/packages/control/src/tableFollower.ts
+++ b/packages/control/src/tableFollower.ts
@@ -4,7 +4,8 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Result } from "true-myth";
 import { err, ok } from "true-myth/result";
-import type { ChangedRow, ReadError, RowStore, StoredRow } from "./rowStore.js";
+import type { ChangedRow, ReadError, StoredRow } from "@persimmonpitch/workload/storedRow.js";
+import type { RowStore } from "./rowStore.js";
 
 /** What receives the rows of a table. */
 export interface RowSink {
--- /dev/null
+++ b/packages/protocol/src/storeMessages.ts
@@ -0,0 +1,37 @@
+import {
+    commitErrorSchema,
+    committedSchema,
+    readErrorSchema,
+    rowChangesSchema,
+    rowPageSchema,
+    rowRangeSchema,
+    rowTransactionSchema,
+} from "@persimmonpitch/workload/storedRow.js";
+import { z } from "zod";
+
+/** Which table a forwarded call is for: the system's own rows, or the rows of the operator. */
+export const storeTableSchema = z.enum(["state", "operator"]);
+export type StoreTable = z.infer<typeof storeTableSchema>;
+
+const resultSchema = <V extends z.ZodType, E extends z.ZodType>(value: V, error: E) =>
+    z.discriminatedUnion("kind", [
+        z.object({ kind: z.literal("ok"), value }),
+        z.object({ kind: z.literal("error"), error }),
+    ]);
+
+/** Store calls that an entry makes for a peer that the store refuses. */
+export const storeMethods = {
+    "store.commit": {
+        params: z.object({ table: storeTableSchema, transaction: rowTransactionSchema }),
+        result: resultSchema(committedSchema, commitErrorSchema),
+    },
+    "store.scan": {
+        params: z.object({ table: storeTableSchema, range: rowRangeSchema }),
+        result: resultSchema(rowPageSchema, readErrorSchema),
+    },
+    "store.follow": {
+        params: z.object({ table: storeTableSchema, after: z.number(), waitMs: z.number().nonnegative() }),
+        result: resultSchema(rowChangesSchema, readErrorSchema),
+    },
+} as const;
+export type StoreMethods = typeof storeMethods;
--- a/packages/workload/src/executorReport.ts
+++ b/packages/workload/src/executorReport.ts
@@ -12,8 +12,8 @@
     /** Least time left before a draining executor leaves. */
     remainingMs: z.number().nonnegative().optional(),
     capacity: demandSchema,
-    /** Kind of the executor and name of its rack. */
     labels: z.array(z.string()),
+    rack: z.string().optional(),
 });
 export type ExecutorInfo = z.infer<typeof executorInfoSchema>;
 
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -11,30 +11,34 @@
 export type Placement = z.infer<typeof placementSchema>;
 
 /** What is durable about one task. */
-export const taskProgressSchema = z.object({
+export interface TaskProgress {
     /** Number of the last run; 0 before the first. */
-    run: z.number().int().nonnegative().default(0),
+    readonly run: number;
     /** Where that run was ordered; absent when no run can be in progress. */
-    placement: placementSchema.optional(),
-    failures: z.number().int().nonnegative().default(0),
-    checkpoint: z.string().optional(),
-    isDone: z.boolean().default(false),
-});
-export type TaskProgress = z.infer<typeof taskProgressSchema>;
+    readonly placement?: Placement | undefined;
+    readonly failures: number;
+    /** Last run whose failure was counted, so that a gang counts one failure for each of its runs. */
+    readonly failedRun?: number | undefined;
+    readonly checkpoint?: string | undefined;
+    readonly isDone: boolean;
+}
 
 /** How far a job is open or has ended. */
 export const outcomeSchema = z.enum(["open", "completed", "failed", "cancelled"]);
 export type Outcome = z.infer<typeof outcomeSchema>;
 
-/** The row of a job's progress: one entry for each task that was ever started. */
-export const jobProgressSchema = z.object({
-    outcome: outcomeSchema.default("open"),
-    tasks: z.record(z.string(), taskProgressSchema).default({}),
-});
-export type JobProgress = z.infer<typeof jobProgressSchema>;
+/** How far a job has come: one entry, by key of the task, for each task that was ever started. */
+export interface JobProgress {
+    readonly outcome: Outcome;
+    readonly tasks: Readonly<Record<string, TaskProgress>>;
+}
 
 /** Progress of a job of which nothing was started. */
 export const NO_PROGRESS: JobProgress = { outcome: "open", tasks: {} };
 
 /** Progress of a task that was never started. */
 export const NO_TASK_PROGRESS: TaskProgress = { run: 0, failures: 0, isDone: false };
+
+/** Progress of one task of a job. */
+export const progressOf = (progress: JobProgress, key: string): TaskProgress =>
+    progress.tasks[key] ?? NO_TASK_PROGRESS;
