feat(protocol): name the executor in orders, and report each executor of a VM by itself

One agent may serve an old executor that drains and its successor at one time. Orders return the executor's clock, so that the controller can compare it with later lists. Each call of a lower epoch has a refusal.

--- a/packages/protocol/src/executorMessages.ts
+++ b/packages/protocol/src/executorMessages.ts
@@ -2,11 +2,17 @@
 import { z } from "zod";
 
 const epochSchema = z.number().int().nonnegative();
-const runSchema = z.object({ epoch: epochSchema, task: z.string(), run: z.number().int().positive() });
+/** Which executor of the agent's VM a call is for; an old one may drain there while its successor starts. */
+const targetSchema = z.object({ epoch: epochSchema, executorId: z.string() });
 
-/** What an agent says of its executor; without `list` the executor has not answered yet. */
+const runSchema = targetSchema.extend({ task: z.string(), run: z.number().int().positive() });
+
+/** The executor's steady clock when it answered an order, to compare with the clock of later lists. */
+const clockSchema = z.number();
+
+/** What an agent says of one executor; without `list` the executor has not answered yet. */
 export const executorReportSchema = z.object({
-    executor: executorInfoSchema.optional(),
+    executor: executorInfoSchema,
     list: runListSchema.optional(),
     /** Whether nothing listens at the executor's address, so nothing runs there. */
     isGone: z.boolean().default(false),
@@ -15,46 +21,56 @@
 
 /** Methods that an agent serves to the controller. Each carries the epoch of the role; a lower one is refused. */
 export const controllerToAgentMethods = {
-    /** Raises the epoch that the agent accepts, and returns what the executor lists under it. */
+    /** Raises the epoch that the agent accepts, and returns what each executor lists under it. */
     "agent.attach": {
         params: z.object({ epoch: epochSchema }),
         result: z.discriminatedUnion("kind", [
-            z.object({ kind: z.literal("attached"), report: executorReportSchema }),
+            z.object({ kind: z.literal("attached"), reports: z.array(executorReportSchema) }),
+            /** The highest epoch that the agent has seen. */
             z.object({ kind: z.literal("refused"), epoch: epochSchema }),
         ]),
     },
     /** Extends the lease of everything on the executor and acknowledges ends that are durable. */
     "agent.lease": {
-        params: z.object({
-            epoch: epochSchema,
+        params: targetSchema.extend({
             born: z.number(),
             /** On the executor's clock. */
             deadlineMs: z.number(),
             durableEnd: z.number().int().nonnegative(),
         }),
-        result: z.object({}),
+        result: z.discriminatedUnion("kind", [
+            z.object({ kind: z.literal("accepted") }),
+            z.object({ kind: z.literal("refused"), reason: z.enum(["fence", "incarnation"]) }),
+        ]),
     },
     "agent.start": {
         params: runSchema.extend({
-            executorId: z.string(),
             born: z.number(),
             payload: z.string(),
             checkpoint: z.string().optional(),
             ticket: z.string().optional(),
+            /** On the executor's clock. */
             deadlineMs: z.number(),
         }),
         result: z.discriminatedUnion("kind", [
-            z.object({ kind: z.literal("started") }),
+            z.object({ kind: z.literal("started"), clockMs: clockSchema }),
+            /** The run is not there and will not be, except that the order of an older epoch may have run before. */
             z.object({ kind: z.literal("refused"), reason: startRefusalSchema }),
             /** The run was ordered to stop before the start was answered. */
             z.object({ kind: z.literal("abandoned") }),
+            /** The agent stops; the run may be there or may appear. */
+            z.object({ kind: z.literal("unclear") }),
         ]),
     },
     "agent.stop": {
         params: runSchema,
         result: z.discriminatedUnion("kind", [
             /** A list that is read later shows the run only if it has not ended yet. */
-            z.object({ kind: z.literal("stopped") }),
+            z.object({ kind: z.literal("stopped"), clockMs: clockSchema }),
+            z.object({ kind: z.literal("refused"), reason: z.literal("fence") }),
+            /** Nothing listens at the executor's address, so nothing runs there. */
+            z.object({ kind: z.literal("gone") }),
+            /** The agent does not know the executor, or stops. */
             z.object({ kind: z.literal("unclear") }),
         ]),
     },
@@ -63,6 +79,7 @@
 
 /** Methods that the controller serves to an agent. */
 export const agentToControllerMethods = {
+    /** One executor's report. */
     "agent.report": { params: executorReportSchema, result: z.object({}) },
 } as const;
 export type AgentToControllerMethods = typeof agentToControllerMethods;
--- a/packages/workload/src/executorReport.ts
+++ b/packages/workload/src/executorReport.ts
@@ -52,7 +52,7 @@
 });
 export type RunList = z.infer<typeof runListSchema>;
 
-/** Why an executor refuses a start. */
+/** Why an executor, or the agent beside it, refuses a start. */
 export const startRefusalSchema = z.enum([
     "fence",
     "old",
@@ -61,6 +61,8 @@
     "ticket",
     "unhealthy",
     "invalid",
+    /** The executor is not of the incarnation that was named, or has not listed its runs yet. */
     "incarnation",
+    "draining",
 ]);
 export type StartRefusal = z.infer<typeof startRefusalSchema>;
