--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -97,11 +97,9 @@
     }
 
     onReport(vm: string, report: ExecutorReport): void {
-        const state = this.fleet.executor(vm, report.executorId);
-        if (report.executor !== undefined) {
-            state.info = report.executor;
-            this.fleet.restart(state, report.executor.born);
-        }
+        const state = this.fleet.executor(vm, report.executor.executorId);
+        state.info = report.executor;
+        this.fleet.restart(state, report.executor.born);
         if (report.isGone) {
             state.isAttached = false;
             this.fleet.loseAll(state, "gone");
@@ -213,6 +211,9 @@
             deadlineMs: state.deadlineMs,
             durableEnd: state.durableEnd,
         }, LEASE_TIMEOUT_MS);
+        if (answer.isOk && answer.value.kind === "refused" && answer.value.reason === "fence") {
+            this.loseRole("An agent knows a newer epoch.");
+        }
         return answer.isOk;
     }
 
--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -131,6 +131,7 @@
                 fleet.lose(held, `refused: ${answer.value.reason}`);
                 break;
             case "abandoned":
+            case "unclear":
                 break;
             default: {
                 const never: never = answer.value;
@@ -142,11 +143,11 @@
 
     private async sendStop(state: ExecutorState, held: HeldRun): Promise<void> {
         const clockMs = await this.callStop(state, held);
-        if (clockMs === undefined) {
+        if (clockMs === undefined && this.stateOf(held) !== undefined) {
             await this.options.context.clock.sleep(STOP_RETRY_MS);
             held.isStopSent = false;
         }
-        else {
+        else if (clockMs !== undefined) {
             held.stopClockMs = clockMs;
         }
         this.options.onChanged();
--- /dev/null
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -0,0 +1,3 @@
+import type { DispatchDecision, DispatchView } from "./dispatchView.js";
+
+export const dispatchPass = (_view: DispatchView): readonly DispatchDecision[] => [];
