--- /dev/null
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -0,0 +1,48 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+
+/** What can be set for the decisions. */
+export interface DispatchOptions {
+    /** Worth of a job of mean size, by the priority of its queue; the last entry holds for all further priorities. */
+    readonly worthByPriority: readonly number[];
+    /** Share of the worth that a late job still earns, by priority. */
+    readonly lateShareByPriority: readonly number[];
+    /** Cost of one core-second of work that is thrown away. */
+    readonly lostCoreSecondCost: number;
+    /** By what factor the gain of a preemption must exceed its cost; below 2, estimates that are off cause losses. */
+    readonly preemptionMargin: number;
+    /** Slack at which the urgency of a job falls to 1/e. */
+    readonly urgencyScaleMs: Millis;
+    /** Number of blocked units for which room is kept free; each of them idles some room. */
+    readonly maxReservations: number;
+    /** How long an executor that fails everything is left alone before it is tried again. */
+    readonly probeAfterMs: Millis;
+    /** How long a task stays away from an executor on which its last run ended without success. */
+    readonly avoidAfterEndMs: Millis;
+    /** Shortest standstill that counts as a stall; reports of progress come about once a second. */
+    readonly stallMs: Millis;
+    /** Least time that a move must gain. */
+    readonly minMoveGainMs: Millis;
+    /** Least share of the remaining time that a move must gain. */
+    readonly minMoveGainShare: number;
+    /** How much slower than comparable runs a run must be before it can count as slow. */
+    readonly slowFactor: number;
+}
+
+export const DEFAULT_DISPATCH_OPTIONS: DispatchOptions = {
+    worthByPriority: [4, 3, 1],
+    lateShareByPriority: [0.15, 0.33],
+    lostCoreSecondCost: 0.0022,
+    preemptionMargin: 2,
+    urgencyScaleMs: 4_000,
+    maxReservations: 4,
+    probeAfterMs: 5_000,
+    avoidAfterEndMs: 5_000,
+    stallMs: 2_500,
+    minMoveGainMs: 1_500,
+    minMoveGainShare: 0.3,
+    slowFactor: 3,
+};
+
+/** The entry for a priority; the last one holds for all further priorities. */
+export const byPriority = (table: readonly number[], priority: number): number =>
+    table[Math.min(priority, table.length - 1)] ?? 0;
--- /dev/null
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -0,0 +1,96 @@
+import { DEFAULT_DISPATCH_OPTIONS, type DispatchOptions } from "./dispatchOptions.js";
+import type { DispatchDecision, DispatchView, JobView } from "./dispatchView.js";
+import { executorHealth } from "./executorHealth.js";
+import { type ExecutorRoom, executorRooms } from "./executorRoom.js";
+import { guaranteedOccurrences } from "./guarantees.js";
+import { findMoves, type Move } from "./moves.js";
+import { openOccurrences } from "./openOccurrences.js";
+import { type PassState, stopGroup } from "./passState.js";
+import { prospectsOf } from "./prospects.js";
+import { type ReadyUnit, readyUnits } from "./readyUnits.js";
+import { expectedReleases } from "./reservations.js";
+import { runGroups } from "./runGroups.js";
+import { estimateRunTimes } from "./runTimes.js";
+import { scarcityOf, spansOf } from "./seating.js";
+import { orderUnits, type RankedUnit } from "./unitOrder.js";
+import { placeUnit } from "./unitPlacement.js";
+
+/** Executors on which a run of each task failed lately, by job and key. */
+type Avoided = ReadonlyMap<string, ReadonlySet<number>>;
+
+const avoidedExecutors = ({ executors, now }: DispatchView, { avoidAfterEndMs }: DispatchOptions): Avoided => {
+    const avoided = new Map<string, Set<number>>();
+    executors.forEach(({ recentEnds }, index) => {
+        for (const { jobId, key, isFailure, at } of recentEnds) {
+            if (isFailure && now - at < avoidAfterEndMs) {
+                const id = `${jobId} ${key}`;
+                avoided.set(id, (avoided.get(id) ?? new Set()).add(index));
+            }
+        }
+    });
+    return avoided;
+};
+
+const isAvoidedBy = ({ owner, keys }: ReadyUnit, avoided: Avoided) => {
+    const indexes = keys.flatMap(key => [...avoided.get(`${owner.view.job.jobId} ${key}`) ?? []]);
+    const all = new Set(indexes);
+    return ({ index }: ExecutorRoom): boolean => all.has(index);
+};
+
+const unhealthyExecutors = (moves: readonly Move[]): ReadonlySet<number> =>
+    new Set(
+        moves
+            .filter(({ reason }) => reason === "stalled" || reason === "slow")
+            .flatMap(({ group }) => group.members.map(({ executor }) => executor)),
+    );
+
+const placeAll = (state: PassState, ordered: readonly RankedUnit[]): void => {
+    const avoided = avoidedExecutors(state.view, state.options);
+    let reservations = 0;
+    for (const ranked of ordered) {
+        const spans = spansOf(state.rooms, ranked.unit, isAvoidedBy(ranked.unit, avoided));
+        if (placeUnit(state, ranked, spans, reservations < state.options.maxReservations)) {
+            reservations += 1;
+        }
+    }
+};
+
+/** Decides which tasks start where and which runs stop, for one view of the jobs and executors. */
+export const dispatchPass = (
+    view: DispatchView,
+    overrides: Partial<DispatchOptions> = {},
+): readonly DispatchDecision[] => {
+    const options = { ...DEFAULT_DISPATCH_OPTIONS, ...overrides };
+    const jobs: ReadonlyMap<string, JobView> = new Map(view.jobs.map(job => [job.job.jobId, job]));
+    const occurrences = openOccurrences(view.jobs, view.wallTime);
+    const groups = runGroups(view.executors, jobs);
+    const runTimes = estimateRunTimes(view.jobs, groups, view.now);
+    const moves = findMoves(view, groups, runTimes, options);
+    const unhealthy = unhealthyExecutors(moves);
+    const rooms = executorRooms(view, jobs, index => {
+        const executor = view.executors[index];
+        return executor === undefined
+            ? "failing"
+            : executorHealth(executor, unhealthy.has(index), view.now, options);
+    });
+    const prospects = prospectsOf(occurrences, groups, runTimes, view.wallTime, options);
+    const guaranteed = guaranteedOccurrences(view, occurrences);
+    const state: PassState = {
+        view,
+        options,
+        rooms,
+        groups,
+        runTimes,
+        prospects,
+        guaranteed,
+        releases: expectedReleases(groups, runTimes),
+        scarcity: scarcityOf(rooms),
+        stopped: new Set(),
+        decisions: [],
+    };
+    moves.forEach(({ group, reason }) => {
+        stopGroup(state, group, reason);
+    });
+    placeAll(state, orderUnits(occurrences.flatMap(readyUnits), occurrences, prospects, guaranteed, options));
+    return state.decisions;
+};
--- /dev/null
+++ b/packages/dispatch/src/executorRoom.ts
@@ -0,0 +1,154 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { Demand } from "@persimmonpitch/workload/step.js";
+import { addTo, countedDemand, type MutableDemand, noDemand, slotsIn } from "./demand.js";
+import type { DispatchView, ExecutorView, JobView } from "./dispatchView.js";
+import type { ExecutorHealth } from "./executorHealth.js";
+import type { ReadyUnit } from "./readyUnits.js";
+import { findRunStep, type RunStep } from "./runGroups.js";
+
+/** Room kept from a later time on for a unit that does not fit yet. */
+export interface Reservation {
+    fromMs: Millis;
+    /** What is kept. */
+    readonly held: MutableDemand;
+    /** What is left of the executor at that time for others. */
+    readonly spare: MutableDemand;
+}
+
+/** What is left of one executor; a pass keeps it up to date as it decides. */
+export interface ExecutorRoom {
+    readonly index: number;
+    readonly executor: ExecutorView;
+    readonly rack: string;
+    health: ExecutorHealth;
+    /** What no run takes up now. */
+    readonly free: MutableDemand;
+    /** What runs that are ending by order still take up. */
+    readonly coming: MutableDemand;
+    /** What is kept, of both, for units that are ahead in the order. */
+    readonly claimed: MutableDemand;
+    reservation: Reservation | undefined;
+    /** Runs here, with the starts of this pass. */
+    taskCount: number;
+    /** Tasks here of each step with a limit per executor. */
+    readonly tasksOfStep: Map<string, number>;
+}
+
+type StepOfOccurrence = Pick<RunStep, "view" | "occurrence" | "stepIndex">;
+
+const stepId = ({ view, occurrence, stepIndex }: StepOfOccurrence): string =>
+    `${view.job.jobId} ${occurrence} ${stepIndex}`;
+
+const unitStepId = ({ owner, stepIndex }: ReadyUnit): string => stepId({ ...owner, stepIndex });
+
+const countTask = (room: ExecutorRoom, id: string, count: number): void => {
+    room.tasksOfStep.set(id, (room.tasksOfStep.get(id) ?? 0) + count);
+};
+
+/** An executor without a rack is taken as a rack of its own. */
+const rackOf = ({ rack, vm }: ExecutorView): string => rack ?? `vm ${vm}`;
+
+const takeRuns = (room: ExecutorRoom, jobs: ReadonlyMap<string, JobView>): void => {
+    for (const run of room.executor.runs) {
+        const runStep = findRunStep(jobs, run);
+        if (runStep === undefined) {
+            // The demand of a run of an unknown job is unknown, so nothing may be added until it has ended.
+            Object.assign(room.free, noDemand());
+            return;
+        }
+        const demand = countedDemand(runStep.step);
+        addTo(room.free, demand, -1);
+        countTask(room, stepId(runStep), 1);
+        if (run.isStopping) {
+            addTo(room.coming, demand);
+        }
+    }
+};
+
+/** The room of every executor before the pass decides anything. */
+export const executorRooms = (
+    { executors }: DispatchView,
+    jobs: ReadonlyMap<string, JobView>,
+    healthOf: (index: number) => ExecutorHealth,
+): readonly ExecutorRoom[] =>
+    executors.map((executor, index) => {
+        const room: ExecutorRoom = {
+            index,
+            executor,
+            rack: rackOf(executor),
+            health: healthOf(index),
+            free: { ...executor.capacity },
+            coming: noDemand(),
+            claimed: noDemand(),
+            reservation: undefined,
+            taskCount: executor.runs.length,
+            tasksOfStep: new Map(),
+        };
+        takeRuns(room, jobs);
+        return room;
+    });
+
+/** What is left once the runs that are ending have ended, and without what is kept for others. */
+export const laterRoom = ({ free, coming, claimed }: ExecutorRoom): MutableDemand => ({
+    milliCores: free.milliCores + coming.milliCores - claimed.milliCores,
+    memoryMb: free.memoryMb + coming.memoryMb - claimed.memoryMb,
+    accelerators: free.accelerators + coming.accelerators - claimed.accelerators,
+});
+
+const smaller = (left: Demand, right: Demand): MutableDemand => ({
+    milliCores: Math.min(left.milliCores, right.milliCores),
+    memoryMb: Math.min(left.memoryMb, right.memoryMb),
+    accelerators: Math.min(left.accelerators, right.accelerators),
+});
+
+/** What work of the given length may use now without delaying what room is kept for. */
+export const roomNow = (room: ExecutorRoom, lengthMs: Millis): MutableDemand => {
+    const unclaimed = smaller(room.free, laterRoom(room));
+    const { reservation } = room;
+    return reservation === undefined || lengthMs <= reservation.fromMs
+        ? unclaimed
+        : smaller(unclaimed, reservation.spare);
+};
+
+/** Whether the executor may run tasks of the unit at all. */
+export const accepts = ({ executor }: ExecutorRoom, { owner, step }: ReadyUnit): boolean =>
+    executor.takesWork
+    && executor.service === owner.view.queue.service
+    && (step.requiredLabel === undefined || executor.labels.includes(step.requiredLabel));
+
+/** How many tasks an executor takes, by its health. */
+const SEATS: { readonly [K in ExecutorHealth]: (slots: number, room: ExecutorRoom, unit: ReadyUnit) => number; } = {
+    healthy: slots => slots,
+    suspect: slots => slots,
+    probing: (slots, { taskCount }, { step }) =>
+        taskCount > 0 || step.isGang && step.count > 1 ? 0 : Math.min(1, slots),
+    failing: () => 0,
+};
+
+/** How many tasks of the unit fit into the available part of an executor. */
+export const seatsIn = (room: ExecutorRoom, unit: ReadyUnit, available: Demand): number => {
+    const { maxPerExecutor } = unit.step;
+    const slots = slotsIn(available, unit.demand);
+    const limit = maxPerExecutor === undefined
+        ? slots
+        : Math.max(0, maxPerExecutor - (room.tasksOfStep.get(unitStepId(unit)) ?? 0));
+    return SEATS[room.health](Math.min(slots, limit), room, unit);
+};
+
+/** Takes room for tasks that start now. */
+export const takeRoom = (room: ExecutorRoom, unit: ReadyUnit, count: number, lengthMs: Millis): void => {
+    addTo(room.free, unit.demand, -count);
+    room.taskCount += count;
+    countTask(room, unitStepId(unit), count);
+    if (room.reservation !== undefined && lengthMs > room.reservation.fromMs) {
+        addTo(room.reservation.spare, unit.demand, -count);
+    }
+};
+
+/** Keeps free and coming room for tasks that start as soon as they fit. */
+export const claimRoom = (room: ExecutorRoom, { demand }: ReadyUnit, count: number): void => {
+    addTo(room.claimed, demand, count);
+    if (room.reservation !== undefined) {
+        addTo(room.reservation.spare, demand, -count);
+    }
+};
--- /dev/null
+++ b/packages/dispatch/src/guarantees.ts
@@ -0,0 +1,42 @@
+import type { DispatchView, JobView } from "./dispatchView.js";
+import { isStepDone, type OpenOccurrence } from "./openOccurrences.js";
+import { occurrenceId } from "./prospects.js";
+import type { ReadyUnit } from "./readyUnits.js";
+
+/** Accelerators that an occurrence can use at one time: those of its largest step that is not done. */
+const openDemand = ({ view, occurrence }: OpenOccurrence): number =>
+    view.job.steps.reduce(
+        (most, { count, demand }, index) =>
+            isStepDone(view, occurrence, index) ? most : Math.max(most, count * demand.accelerators),
+        0,
+    );
+
+/** The order in which work claims what its team is guaranteed; it is the same in every pass. */
+export const byStart = (left: OpenOccurrence, right: OpenOccurrence): number =>
+    left.startAt - right.startAt
+    || (left.view.job.jobId < right.view.job.jobId ? -1 : Number(left.view.job.jobId > right.view.job.jobId))
+    || left.occurrence - right.occurrence;
+
+/** Ids of the occurrences of priority 0 that fit, oldest first, within what their teams are guaranteed. */
+export const guaranteedOccurrences = (
+    { teams }: DispatchView,
+    occurrences: readonly OpenOccurrence[],
+): ReadonlySet<string> => {
+    const left = new Map(teams.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]));
+    const isUrgent = ({ job, queue }: JobView): boolean =>
+        queue.priority === 0 && job.team !== undefined && (left.get(job.team) ?? 0) > 0;
+    const guaranteed = new Set<string>();
+    for (const owner of occurrences.filter(({ view }) => isUrgent(view)).sort(byStart)) {
+        const team = owner.view.job.team ?? "";
+        const room = (left.get(team) ?? 0) - openDemand(owner);
+        if (room >= 0) {
+            left.set(team, room);
+            guaranteed.add(occurrenceId(owner));
+        }
+    }
+    return guaranteed;
+};
+
+/** Whether the unit is a first step that has to start in the time of a guarantee. */
+export const isGuaranteedStart = (guaranteed: ReadonlySet<string>, { owner, stepIndex }: ReadyUnit): boolean =>
+    stepIndex === 0 && guaranteed.has(occurrenceId(owner));
--- /dev/null
+++ b/packages/dispatch/src/moves.ts
@@ -0,0 +1,202 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { DispatchOptions } from "./dispatchOptions.js";
+import type { DispatchView, StopReason } from "./dispatchView.js";
+import type { RunGroup } from "./runGroups.js";
+import { type MeasuredRun, measuredRun, type RunTimes } from "./runTimes.js";
+
+/** A group that has to end where it is. */
+export interface Move {
+    readonly group: RunGroup;
+    readonly reason: StopReason;
+}
+
+/** What the checks of a pass have in common. */
+interface MoveContext {
+    readonly view: DispatchView;
+    readonly options: DispatchOptions;
+    readonly runTimes: RunTimes;
+    /** When a run on each executor last made progress. */
+    readonly lastProgress: readonly (Millis | undefined)[];
+    readonly measured: readonly MeasuredOnExecutor[];
+    /** How much longer runs take than estimated, by executor; only where runs of different jobs agree. */
+    readonly slowness: ReadonlyMap<number, number>;
+    readonly usualSlowness: number;
+}
+
+interface MeasuredOnExecutor {
+    readonly executor: number;
+    readonly group: RunGroup;
+    readonly measured: MeasuredRun;
+    /** Time at the measured rate against the estimated time. */
+    readonly slowness: number;
+}
+
+/** A rate counts once it is measured over this time. */
+const MIN_MEASURED_MS = 1_500;
+
+/** Runs of this many jobs must agree before an executor counts as slow. */
+const MIN_SLOW_JOBS = 2;
+
+/** Progress may be reported in whole percents, so a run may seem to stand still for this many of them. */
+const STANDSTILL_PERCENTS = 3;
+
+/** Share of the unsaved work that a standstill must exceed: what stands still may go on, a restart loses the work. */
+const STANDSTILL_SHARE = 0.25;
+
+/** Slowness that no error of the declared time explains. */
+const IMPOSSIBLE_SLOWNESS = 15;
+
+/** Longest time from a stop to the next start elsewhere that is expected. */
+const RESTART_MS = 700;
+
+/** A draining run is stopped so long before the executor leaves, besides the time of the stop. */
+const DRAIN_MARGIN_MS = 500;
+
+const median = (values: readonly number[]): number =>
+    [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 1;
+
+const measureAll = (groups: readonly RunGroup[], { stepMs }: RunTimes): readonly MeasuredOnExecutor[] =>
+    groups.filter(({ step }) => !step.isLongRunning).flatMap(group => {
+        const wholeMs = Math.max(1, stepMs(group.view, group.stepIndex));
+        return group.members.flatMap(({ executor, run }) => {
+            const measured = measuredRun(run, group.workingSince);
+            return measured === undefined || measured.durationMs < MIN_MEASURED_MS
+                ? []
+                : [{ executor, group, measured, slowness: measured.totalMs / wholeMs }];
+        });
+    });
+
+const slownessByExecutor = (measured: readonly MeasuredOnExecutor[]): ReadonlyMap<number, number> => {
+    const byExecutor = new Map<number, MeasuredOnExecutor[]>();
+    for (const one of measured) {
+        byExecutor.set(one.executor, [...byExecutor.get(one.executor) ?? [], one]);
+    }
+    return new Map(
+        [...byExecutor]
+            .filter(([, all]) => new Set(all.map(({ group }) => group.view.job.jobId)).size >= MIN_SLOW_JOBS)
+            .map(([executor, all]) => [executor, Math.min(...all.map(({ slowness }) => slowness))]),
+    );
+};
+
+/** Whether runs on other executors made progress in the time, so that a standstill is not one of the reports. */
+const doNeighboursMove = ({ lastProgress, view: { now } }: MoveContext, own: number, inMs: Millis): boolean => {
+    const others = lastProgress.filter((_, executor) => executor !== own);
+    return others.every(at => at === undefined) || others.some(at => at !== undefined && now - at < inMs);
+};
+
+const standstillLimit = ({ view: { now, timings }, options, runTimes }: MoveContext, group: RunGroup): Millis => {
+    const { view, stepIndex, step, members, workingSince } = group;
+    const isResumed = members.some(({ run }) => (run.firstPercent ?? 0) > 0);
+    const elapsedMs = now - (workingSince ?? now);
+    const unsavedMs = step.hasCheckpoints ? Math.min(elapsedMs, timings.checkpointIntervalMs) : elapsedMs;
+    return Math.max(
+        options.stallMs + (isResumed ? timings.restoreMs : 0),
+        STANDSTILL_PERCENTS * runTimes.stepMs(view, stepIndex) / 100,
+        STANDSTILL_SHARE * unsavedMs,
+    );
+};
+
+const isStalled = (context: MoveContext, group: RunGroup): boolean => {
+    const { workingSince, members } = group;
+    if (workingSince === undefined) {
+        return false;
+    }
+    const limitMs = standstillLimit(context, group);
+    return members.some(({ executor, run: { percent = 0, progressAt } }) => {
+        const standsFor = context.view.now - Math.max(workingSince, progressAt ?? 0);
+        return percent < 100 && standsFor > limitMs && doNeighboursMove(context, executor, limitMs);
+    });
+};
+
+/** The time that the task of a slow run is expected to take elsewhere; undefined without evidence that it is slow. */
+const usualTotalMs = (context: MoveContext, own: MeasuredOnExecutor): Millis | undefined => {
+    const { measured, slowness, usualSlowness, options, runTimes } = context;
+    const { group, executor } = own;
+    const siblings = measured.filter(other =>
+        other.group !== group
+        && other.executor !== executor
+        && other.group.view === group.view
+        && other.group.stepIndex === group.stepIndex
+    );
+    const siblingMs = median(siblings.map(other => other.measured.totalMs));
+    if (siblings.length >= 2 && own.measured.totalMs > options.slowFactor * siblingMs) {
+        return siblingMs;
+    }
+    const estimatedMs = runTimes.stepMs(group.view, group.stepIndex) * Math.max(1, usualSlowness);
+    const here = slowness.get(executor) ?? 0;
+    const isExecutorSlow = here > options.slowFactor * usualSlowness;
+    return isExecutorSlow || own.slowness > IMPOSSIBLE_SLOWNESS ? estimatedMs : undefined;
+};
+
+const isSlow = (context: MoveContext, group: RunGroup): boolean => {
+    const { options, view: { timings } } = context;
+    return context.measured.some(own => {
+        const usualMs = own.group === group ? usualTotalMs(context, own) : undefined;
+        if (usualMs === undefined) {
+            return false;
+        }
+        const percent = group.members.reduce((least, { run }) => Math.min(least, run.percent ?? 0), 100);
+        const openShare = 1 - percent / 100;
+        const staysMs = openShare * own.measured.totalMs;
+        const savedShare = group.step.hasCheckpoints ? percent / 100 : 0;
+        const restoreMs = group.step.hasCheckpoints ? timings.restoreMs : 0;
+        const movesMs = (1 - savedShare) * usualMs + restoreMs + RESTART_MS;
+        const gainMs = staysMs - movesMs;
+        return gainMs >= options.minMoveGainMs && gainMs >= options.minMoveGainShare * staysMs;
+    });
+};
+
+const isDraining = ({ view: { executors, timings }, runTimes }: MoveContext, group: RunGroup): boolean => {
+    const leavesInMs = group.members.reduce(
+        (least, { executor }) => Math.min(least, executors[executor]?.leavesInMs ?? Infinity),
+        Infinity,
+    );
+    return group.step.hasCheckpoints
+        && leavesInMs <= timings.stopTimeoutMs + DRAIN_MARGIN_MS
+        && leavesInMs < runTimes.remainingMs(group);
+};
+
+type MoveReason = Exclude<StopReason, "preempted">;
+
+/** Whether a group has to end where it is, by the reason. */
+const CHECKS: { readonly [K in MoveReason]: (context: MoveContext, group: RunGroup) => boolean; } = {
+    stalled: isStalled,
+    slow: isSlow,
+    draining: isDraining,
+};
+
+/** The order in which the reasons are checked. */
+const REASONS: readonly MoveReason[] = ["draining", "stalled", "slow"];
+
+const lastProgressOf = ({ executors }: DispatchView): readonly (Millis | undefined)[] =>
+    executors.map(({ runs }) =>
+        runs.reduce<Millis | undefined>(
+            (latest, { progressAt }) => progressAt === undefined ? latest : Math.max(latest ?? 0, progressAt),
+            undefined,
+        )
+    );
+
+/** The groups that have to end where they are: stalled, slow, or on an executor that leaves. */
+export const findMoves = (
+    view: DispatchView,
+    groups: readonly RunGroup[],
+    runTimes: RunTimes,
+    options: DispatchOptions,
+): readonly Move[] => {
+    const measured = measureAll(groups, runTimes);
+    const context: MoveContext = {
+        view,
+        options,
+        runTimes,
+        lastProgress: lastProgressOf(view),
+        measured,
+        slowness: slownessByExecutor(measured),
+        usualSlowness: median(measured.map(({ slowness }) => slowness)),
+    };
+    const findMove = (group: RunGroup): readonly Move[] => {
+        const isLongRunning = group.step.isLongRunning;
+        const reason = REASONS.find(one => (one === "draining" || !isLongRunning) && CHECKS[one](context, group));
+        return reason === undefined ? [] : [{ group, reason }];
+    };
+    return groups.filter(({ isStopping }) => !isStopping).flatMap(findMove);
+};
--- /dev/null
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -0,0 +1,58 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { NO_TASK_PROGRESS, type TaskProgress } from "@persimmonpitch/workload/progress.js";
+import type { Step } from "@persimmonpitch/workload/step.js";
+import { taskKey } from "@persimmonpitch/workload/taskName.js";
+import type { JobView } from "./dispatchView.js";
+
+/** One occurrence of the steps of an open job that is due. */
+export interface OpenOccurrence {
+    readonly view: JobView;
+    readonly occurrence: number;
+    /** Time from which its deadlines count: acceptance, or the due time of a repetition. */
+    readonly startAt: Millis;
+}
+
+/** Progress of one task. */
+export const progressOf = ({ progress }: JobView, key: string): TaskProgress => progress.tasks[key] ?? NO_TASK_PROGRESS;
+
+/** The keys of all tasks of a step. */
+export const stepKeys = (occurrence: number, step: number, { count }: Step): readonly string[] =>
+    Array.from({ length: count }, (_, index) => taskKey({ occurrence, step, index }));
+
+/** Whether all tasks of a step are done; one end stands for all members of a gang. */
+export const isStepDone = (view: JobView, occurrence: number, index: number): boolean => {
+    const step = view.job.steps[index];
+    if (step === undefined) {
+        return true;
+    }
+    const isDone = (key: string): boolean => progressOf(view, key).isDone;
+    const keys = stepKeys(occurrence, index, step);
+    return step.isGang ? keys.some(isDone) : keys.every(isDone);
+};
+
+const isOccurrenceDone = (view: JobView, occurrence: number): boolean =>
+    view.job.steps.every((_, index) => isStepDone(view, occurrence, index));
+
+const dueOccurrences = (view: JobView, wallTime: Millis): readonly OpenOccurrence[] => {
+    const { acceptedAt, repetition } = view.job;
+    if (repetition === undefined) {
+        return [{ view, occurrence: 0, startAt: acceptedAt }];
+    }
+    const { count, firstDueAt, intervalMs } = repetition;
+    const due: OpenOccurrence[] = [];
+    for (let occurrence = 0; occurrence < count; occurrence += 1) {
+        const startAt = firstDueAt + occurrence * intervalMs;
+        if (startAt > wallTime) {
+            break;
+        }
+        due.push({ view, occurrence, startAt });
+    }
+    return due;
+};
+
+/** The occurrences of open jobs that are due and not done. */
+export const openOccurrences = (jobs: readonly JobView[], wallTime: Millis): readonly OpenOccurrence[] =>
+    jobs
+        .filter(({ progress }) => progress.outcome === "open")
+        .flatMap(view => dueOccurrences(view, wallTime))
+        .filter(({ view, occurrence }) => !isOccurrenceDone(view, occurrence));
--- /dev/null
+++ b/packages/dispatch/src/passState.ts
@@ -0,0 +1,40 @@
+import { addTo, countedDemand } from "./demand.js";
+import type { DispatchOptions } from "./dispatchOptions.js";
+import type { DispatchDecision, DispatchView, StopReason } from "./dispatchView.js";
+import type { ExecutorRoom } from "./executorRoom.js";
+import type { Prospect } from "./prospects.js";
+import type { Releases } from "./reservations.js";
+import { type RunGroup, stopDecisions } from "./runGroups.js";
+import type { RunTimes } from "./runTimes.js";
+import type { Scarcity } from "./seating.js";
+
+/** What a pass knows, and what it has decided so far. */
+export interface PassState {
+    readonly view: DispatchView;
+    readonly options: DispatchOptions;
+    readonly rooms: readonly ExecutorRoom[];
+    readonly groups: readonly RunGroup[];
+    readonly runTimes: RunTimes;
+    readonly prospects: ReadonlyMap<string, Prospect>;
+    /** Ids of the occurrences that have a guarantee. */
+    readonly guaranteed: ReadonlySet<string>;
+    readonly releases: Releases;
+    readonly scarcity: Scarcity;
+    readonly stopped: Set<RunGroup>;
+    readonly decisions: DispatchDecision[];
+}
+
+/** Stops a group whole; the room of its members is then to come. */
+export const stopGroup = ({ rooms, stopped, decisions }: PassState, group: RunGroup, reason: StopReason): void => {
+    if (group.isStopping || stopped.has(group)) {
+        return;
+    }
+    stopped.add(group);
+    decisions.push(...stopDecisions(group, reason));
+    for (const { executor } of group.members) {
+        const room = rooms[executor];
+        if (room !== undefined) {
+            addTo(room.coming, countedDemand(group.step));
+        }
+    }
+};
--- /dev/null
+++ b/packages/dispatch/src/preemption.ts
@@ -0,0 +1,91 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { coresOf } from "./demand.js";
+import { byPriority } from "./dispatchOptions.js";
+import { progressOf, stepKeys } from "./openOccurrences.js";
+import type { PassState } from "./passState.js";
+import { occurrenceId, type Prospect } from "./prospects.js";
+import type { RunGroup } from "./runGroups.js";
+import type { RankedUnit } from "./unitOrder.js";
+import type { Victim } from "./victims.js";
+
+/** Each stop costs at least this much, for the orders and the start that it causes. */
+const COST_PER_STOP = 0.02;
+
+/** Time that a stopped task waits, on average, until it starts again. */
+const RESTART_WAIT_MS = 1_000;
+
+/** Time of work that a stop throws away on each member. */
+export const unsavedMs = ({ view: { now, timings } }: PassState, { step, workingSince }: RunGroup): Millis => {
+    const elapsedMs = Math.max(0, now - (workingSince ?? now));
+    return step.hasCheckpoints ? Math.min(elapsedMs, timings.checkpointIntervalMs) : elapsedMs;
+};
+
+/** Worth that an occurrence loses if it is delayed. */
+const delayCost = (state: PassState, { view }: RunGroup, prospect: Prospect | undefined, delayMs: Millis): number => {
+    if (prospect === undefined) {
+        return 0;
+    }
+    const lateShare = byPriority(state.options.lateShareByPriority, view.queue.priority);
+    const { slackMs, lateSlackMs, worth } = prospect;
+    if (slackMs >= 0 && slackMs < delayMs) {
+        return worth * (1 - lateShare);
+    }
+    return slackMs < 0 && lateSlackMs >= 0 && lateSlackMs < delayMs ? worth * lateShare : 0;
+};
+
+/** Cost of stopping a group: the work thrown away, and the worth that its occurrence may lose. */
+export const stopCost = (state: PassState, group: RunGroup): number => {
+    const { options, prospects, view } = state;
+    const { step, members } = group;
+    const lostMs = unsavedMs(state, group) + (step.hasCheckpoints ? view.timings.restoreMs : 0);
+    const lostWork = members.length * coresOf(step.demand) * lostMs / 1_000;
+    return COST_PER_STOP * members.length
+        + options.lostCoreSecondCost * lostWork
+        + delayCost(state, group, prospects.get(occurrenceId(group)), lostMs + RESTART_WAIT_MS);
+};
+
+/** Whether the tasks of a long-running step that are away already are as many as may be away. */
+const isAtMissLimit = ({ view, occurrence, stepIndex, step }: RunGroup, away: ReadonlySet<string>): boolean => {
+    if (!step.isLongRunning || step.mayMiss === undefined) {
+        return false;
+    }
+    const missing = stepKeys(occurrence, stepIndex, step)
+        .filter(key => progressOf(view, key).placement === undefined || away.has(`${view.job.jobId} ${key}`));
+    return missing.length >= step.mayMiss;
+};
+
+const awayTasks = ({ groups, stopped }: PassState): ReadonlySet<string> =>
+    new Set(
+        groups
+            .filter(group => group.isStopping || stopped.has(group))
+            .flatMap(({ view, members }) => members.map(({ run }) => `${view.job.jobId} ${run.key}`)),
+    );
+
+/** Limits the victims of a long-running step to what `mayMiss` still allows. */
+const withinMissLimit = (victims: readonly Victim[], away: ReadonlySet<string>): readonly Victim[] => {
+    const taken = new Set(away);
+    return victims.filter(({ group }) => {
+        if (isAtMissLimit(group, taken)) {
+            return false;
+        }
+        if (group.step.isLongRunning) {
+            group.members.forEach(({ run }) => taken.add(`${group.view.job.jobId} ${run.key}`));
+        }
+        return true;
+    });
+};
+
+/** The groups that may be stopped for the unit; work with a guarantee never is. */
+export const victimsFor = (state: PassState, { unit }: RankedUnit, mayTakeUrgent: boolean): readonly Victim[] => {
+    const { priority } = unit.owner.view.queue;
+    const isLower = ({ view }: RunGroup): boolean => view.queue.priority > priority || mayTakeUrgent;
+    const victims = state.groups
+        .filter(group =>
+            !group.isStopping
+            && !state.stopped.has(group)
+            && isLower(group)
+            && !state.guaranteed.has(occurrenceId(group))
+        )
+        .map(group => ({ group, cost: stopCost(state, group) }));
+    return withinMissLimit(victims, awayTasks(state));
+};
--- /dev/null
+++ b/packages/dispatch/src/prospects.ts
@@ -0,0 +1,112 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { coresOf } from "./demand.js";
+import { byPriority, type DispatchOptions } from "./dispatchOptions.js";
+import type { JobView } from "./dispatchView.js";
+import { isStepDone, type OpenOccurrence } from "./openOccurrences.js";
+import type { RunGroup } from "./runGroups.js";
+import type { RunTimes } from "./runTimes.js";
+
+/** Whether an occurrence can still complete on time, or late but for a part of its worth, or for nothing. */
+export type Outlook = "onTime" | "late" | "hopeless";
+
+/** What an occurrence is worth and how much time it has. */
+export interface Prospect {
+    readonly outlook: Outlook;
+    /** Worth if it completes on time. */
+    readonly worth: number;
+    /** Time that can pass before it must go on to be on time. */
+    readonly slackMs: Millis;
+    /** The same for being late but not worthless. */
+    readonly lateSlackMs: Millis;
+    /** Work that is left, in core-seconds. */
+    readonly openWork: number;
+}
+
+/** Late is up to three times the time in which an occurrence is on time. */
+const LATE_FACTOR = 3;
+
+/** Worth of a job of no work, as a share of the worth of a job of mean size. */
+const BASE_WORTH = 0.3;
+
+/** Identity of an occurrence among all jobs. */
+export const occurrenceId = ({ view, occurrence }: Pick<OpenOccurrence, "view" | "occurrence">): string =>
+    `${view.job.jobId} ${occurrence}`;
+
+/** Length of the longest chain of steps, given the time of each. */
+const longestChain = ({ job }: JobView, timeOf: (stepIndex: number) => Millis): Millis => {
+    const ends: Millis[] = [];
+    job.steps.forEach(({ after }, index) => {
+        const begin = after.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), 0);
+        ends.push(begin + timeOf(index));
+    });
+    return ends.reduce((latest, end) => Math.max(latest, end), 0);
+};
+
+/** Work of a job in core-seconds by the estimated times; long-running steps count as nothing. */
+const workOf = (view: JobView, runTimes: RunTimes, isCounted: (stepIndex: number) => boolean): number =>
+    view.job.steps.reduce((sum, { count, demand, isLongRunning }, index) =>
+        isLongRunning || !isCounted(index)
+            ? sum
+            : sum + count * coresOf(demand) * runTimes.stepMs(view, index) / 1_000, 0);
+
+const meanWork = (jobs: readonly JobView[], runTimes: RunTimes): ReadonlyMap<string, number> => {
+    const sums = new Map<string, { readonly work: number; readonly count: number; }>();
+    for (const view of jobs) {
+        const { work, count } = sums.get(view.queue.name) ?? { work: 0, count: 0 };
+        sums.set(view.queue.name, { work: work + workOf(view, runTimes, () => true), count: count + 1 });
+    }
+    return new Map([...sums].map(([queue, { work, count }]) => [queue, work / count]));
+};
+
+const outlookOf = (slackMs: Millis, lateSlackMs: Millis): Outlook => {
+    if (slackMs >= 0) {
+        return "onTime";
+    }
+    return lateSlackMs >= 0 ? "late" : "hopeless";
+};
+
+/** Time until the last running group of a step ends, by occurrence and step. */
+const runningSteps = (groups: readonly RunGroup[], runTimes: RunTimes): ReadonlyMap<string, Millis> => {
+    const remaining = new Map<string, Millis>();
+    for (const group of groups) {
+        const id = `${occurrenceId(group)} ${group.stepIndex}`;
+        remaining.set(id, Math.max(remaining.get(id) ?? 0, runTimes.remainingMs(group)));
+    }
+    return remaining;
+};
+
+/** Judges each occurrence by its deadlines and the work that is left. */
+export const prospectsOf = (
+    occurrences: readonly OpenOccurrence[],
+    groups: readonly RunGroup[],
+    runTimes: RunTimes,
+    wallTime: Millis,
+    { worthByPriority }: DispatchOptions,
+): ReadonlyMap<string, Prospect> => {
+    const means = meanWork(occurrences.map(({ view }) => view), runTimes);
+    const running = runningSteps(groups, runTimes);
+    const prospectOf = (owner: OpenOccurrence): Prospect => {
+        const { view, occurrence, startAt } = owner;
+        const { queue, job } = view;
+        const isFinite = (index: number): boolean => job.steps[index]?.isLongRunning !== true;
+        const isOpen = (index: number): boolean => isFinite(index) && !isStepDone(view, occurrence, index);
+        const chainMs = longestChain(view, index => isFinite(index) ? runTimes.stepMs(view, index) : 0);
+        const openMs = longestChain(view, index =>
+            isOpen(index)
+                ? running.get(`${occurrenceId(owner)} ${index}`) ?? runTimes.stepMs(view, index)
+                : 0);
+        const allowedMs = queue.slackFactor * chainMs + queue.targetLatencyMs;
+        const passedMs = wallTime - startAt;
+        const slackMs = allowedMs - passedMs - openMs;
+        const lateSlackMs = LATE_FACTOR * allowedMs - passedMs - openMs;
+        const share = workOf(view, runTimes, () => true) / Math.max(1, means.get(queue.name) ?? 1);
+        return {
+            outlook: outlookOf(slackMs, lateSlackMs),
+            worth: byPriority(worthByPriority, queue.priority) * (BASE_WORTH + (1 - BASE_WORTH) * share),
+            slackMs,
+            lateSlackMs,
+            openWork: workOf(view, runTimes, isOpen),
+        };
+    };
+    return new Map(occurrences.map(owner => [occurrenceId(owner), prospectOf(owner)]));
+};
--- /dev/null
+++ b/packages/dispatch/src/reservations.ts
@@ -0,0 +1,105 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { Demand } from "@persimmonpitch/workload/step.js";
+import { addTo, countedDemand, type MutableDemand, noDemand } from "./demand.js";
+import { type ExecutorRoom, laterRoom, seatsIn } from "./executorRoom.js";
+import type { ReadyUnit } from "./readyUnits.js";
+import type { RunGroup } from "./runGroups.js";
+import type { RunTimes } from "./runTimes.js";
+import { fillSeats, type Scarcity, type Seat } from "./seating.js";
+
+/** Room that a run gives back when it ends by itself. */
+export interface Release {
+    readonly inMs: Millis;
+    readonly demand: Demand;
+}
+
+/** Releases of each executor, by its index, in the order of time. */
+export type Releases = ReadonlyMap<number, readonly Release[]>;
+
+/** A time at which a unit fits, and where. */
+export interface LaterFit {
+    readonly inMs: Millis;
+    readonly seats: readonly Seat[];
+}
+
+/** When and where running work gives room back by itself. */
+export const expectedReleases = (groups: readonly RunGroup[], { remainingMs }: RunTimes): Releases => {
+    const releases = new Map<number, Release[]>();
+    for (const group of groups) {
+        const inMs = remainingMs(group);
+        if (group.isStopping || !Number.isFinite(inMs)) {
+            continue;
+        }
+        for (const { executor } of group.members) {
+            const list = releases.get(executor) ?? [];
+            list.push({ inMs, demand: countedDemand(group.step) });
+            releases.set(executor, list);
+        }
+    }
+    releases.forEach(list => list.sort((left, right) => left.inMs - right.inMs));
+    return releases;
+};
+
+/** What is left later and is not held for other units. */
+const unreservedRoom = (room: ExecutorRoom): MutableDemand => {
+    const later = laterRoom(room);
+    if (room.reservation !== undefined) {
+        addTo(later, room.reservation.held, -1);
+    }
+    return later;
+};
+
+/** The earliest time at which `count` tasks of the unit fit on the executors together. */
+export const earliestFit = (
+    rooms: readonly ExecutorRoom[],
+    unit: ReadyUnit,
+    count: number,
+    releases: Releases,
+    scarcity: Scarcity,
+): LaterFit | undefined => {
+    const available = new Map(rooms.map(room => [room, unreservedRoom(room)]));
+    const seatsOf = (room: ExecutorRoom): number => seatsIn(room, unit, available.get(room) ?? noDemand());
+    const events = rooms
+        .flatMap(room => (releases.get(room.index) ?? []).map(release => ({ room, ...release })))
+        .sort((left, right) => left.inMs - right.inMs);
+    let total = rooms.reduce((sum, room) => sum + seatsOf(room), 0);
+    let inMs = 0;
+    for (const { room, demand, inMs: at } of events) {
+        if (total >= count) {
+            break;
+        }
+        total -= seatsOf(room);
+        addTo(available.get(room) ?? noDemand(), demand);
+        total += seatsOf(room);
+        inMs = at;
+    }
+    if (total < count) {
+        return undefined;
+    }
+    const { seats } = fillSeats(rooms, unit, count, room => available.get(room) ?? noDemand(), scarcity);
+    return { inMs, seats };
+};
+
+const releasedBy = (list: readonly Release[], timeMs: Millis): MutableDemand => {
+    const released = noDemand();
+    for (const { inMs, demand } of list) {
+        if (inMs <= timeMs) {
+            addTo(released, demand);
+        }
+    }
+    return released;
+};
+
+/** Keeps the room of a later fit: other work may use it only if it ends before, or in what is left. */
+export const reserve = ({ demand }: ReadyUnit, { inMs, seats }: LaterFit, releases: Releases): void => {
+    for (const { room, count } of seats) {
+        if (room.reservation === undefined) {
+            const spare = laterRoom(room);
+            addTo(spare, releasedBy(releases.get(room.index) ?? [], inMs));
+            room.reservation = { fromMs: inMs, held: noDemand(), spare };
+        }
+        addTo(room.reservation.held, demand, count);
+        addTo(room.reservation.spare, demand, -count);
+        room.reservation.fromMs = Math.min(room.reservation.fromMs, inMs);
+    }
+};
--- /dev/null
+++ b/packages/dispatch/src/unitOrder.ts
@@ -0,0 +1,102 @@
+import { byPriority, type DispatchOptions } from "./dispatchOptions.js";
+import type { JobView } from "./dispatchView.js";
+import { byStart, isGuaranteedStart } from "./guarantees.js";
+import type { OpenOccurrence } from "./openOccurrences.js";
+import { occurrenceId, type Outlook, type Prospect } from "./prospects.js";
+import type { ReadyUnit } from "./readyUnits.js";
+
+/** A ready unit with what its occurrence is worth. */
+export interface RankedUnit {
+    readonly unit: ReadyUnit;
+    readonly prospect: Prospect;
+    readonly isGuaranteed: boolean;
+    readonly tier: number;
+    /** Lower ranks first within a tier. */
+    readonly rank: number;
+}
+
+/** Worth by work is raised by this factor for the largest jobs of a queue, which find room least often. */
+const LARGE_JOB_FACTOR = 1.5;
+
+/** Share of the jobs of a queue that count as its largest. */
+const LARGE_SHARE = 0.1;
+
+const GUARANTEED_TIER = 0;
+const URGENT_TIER = 1;
+
+interface Rank {
+    readonly tier: number;
+    readonly rank: number;
+}
+
+/** Worth per core-second, discounted by the slack: the apparent-tardiness-cost rule for weighted tardiness. */
+const tardinessIndex = ({ worth, openWork, slackMs }: Prospect, factor: number, options: DispatchOptions): number =>
+    factor * worth / Math.max(1, openWork) * Math.exp(-Math.max(0, slackMs) / options.urgencyScaleMs);
+
+type RankHandler = (prospect: Prospect, priority: number, factor: number, options: DispatchOptions) => Rank;
+
+/** Rank of a unit by the outlook of its occurrence. */
+const RANKS: { readonly [K in Outlook]: RankHandler; } = {
+    onTime: (prospect, priority, factor, options) =>
+        priority === 0
+            ? { tier: URGENT_TIER, rank: prospect.slackMs }
+            : { tier: 2, rank: -tardinessIndex(prospect, factor, options) },
+    late: ({ lateSlackMs, worth }, priority, factor, { lateShareByPriority }) => ({
+        tier: 3,
+        rank: lateSlackMs / (factor * worth * byPriority(lateShareByPriority, priority)),
+    }),
+    hopeless: ({ lateSlackMs }) => ({ tier: 4, rank: -lateSlackMs }),
+};
+
+/** Long-running work has no end to be late for, so only its priority counts. */
+const longRunningRank = (priority: number): Rank => ({ tier: priority === 0 ? URGENT_TIER : 2, rank: priority });
+
+const acceleratorsOf = ({ job }: JobView): number =>
+    job.steps.reduce((most, { count, demand }) => Math.max(most, count * demand.accelerators), 0);
+
+/** For each queue, the accelerators from which a job counts as one of its largest. */
+const largeSizes = (jobs: readonly JobView[]): ReadonlyMap<string, number> => {
+    const sizes = new Map<string, number[]>();
+    for (const view of jobs) {
+        sizes.set(view.queue.name, [...sizes.get(view.queue.name) ?? [], acceleratorsOf(view)]);
+    }
+    return new Map([...sizes].map(([queue, all]) => {
+        const descending = all.sort((left, right) => right - left);
+        return [queue, descending[Math.floor(all.length * LARGE_SHARE)] ?? 0];
+    }));
+};
+
+const compareUnits = (left: RankedUnit, right: RankedUnit): number =>
+    left.tier - right.tier
+    || left.rank - right.rank
+    || byStart(left.unit.owner, right.unit.owner)
+    || left.unit.stepIndex - right.unit.stepIndex;
+
+/** Orders the units: guaranteed starts, other urgent work, then work that can be on time, late work, hopeless work. */
+export const orderUnits = (
+    units: readonly ReadyUnit[],
+    occurrences: readonly OpenOccurrence[],
+    prospects: ReadonlyMap<string, Prospect>,
+    guaranteed: ReadonlySet<string>,
+    options: DispatchOptions,
+): readonly RankedUnit[] => {
+    const large = largeSizes(occurrences.map(({ view }) => view));
+    const rankUnit = (unit: ReadyUnit): readonly RankedUnit[] => {
+        const prospect = prospects.get(occurrenceId(unit.owner));
+        if (prospect === undefined) {
+            return [];
+        }
+        const { view } = unit.owner;
+        const { name, priority } = view.queue;
+        if (isGuaranteedStart(guaranteed, unit)) {
+            // Claims on room must come in the same order in every pass, so slack does not count here.
+            return [{ unit, prospect, isGuaranteed: true, tier: GUARANTEED_TIER, rank: 0 }];
+        }
+        const factor = acceleratorsOf(view) > (large.get(name) ?? 0) ? LARGE_JOB_FACTOR : 1;
+        const rank = unit.step.isLongRunning
+            ? longRunningRank(priority)
+            : RANKS[prospect.outlook](prospect, priority, factor, options);
+        return [{ unit, prospect, isGuaranteed: false, ...rank }];
+    };
+    return units.flatMap(rankUnit).sort(compareUnits);
+};
--- /dev/null
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -0,0 +1,234 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { byPriority } from "./dispatchOptions.js";
+import type { StartDecision } from "./dispatchView.js";
+import { claimRoom, type ExecutorRoom, laterRoom, roomNow, takeRoom } from "./executorRoom.js";
+import { type PassState, stopGroup } from "./passState.js";
+import { victimsFor } from "./preemption.js";
+import { nextRun, type ReadyUnit } from "./readyUnits.js";
+import { earliestFit, type LaterFit, reserve } from "./reservations.js";
+import { type Available, fillBestSpan, fillSeats, type Seat, type Seating, type Spans } from "./seating.js";
+import type { RankedUnit } from "./unitOrder.js";
+import { chooseVictims, type VictimSet } from "./victims.js";
+
+/** Expected time until a run that is ordered to stop has ended. */
+const STOP_MS = 300;
+
+/** Natural ends come later than estimated about as often as earlier, so a wait is taken as this much longer. */
+const WAIT_FACTOR = 1.2;
+
+/** A unit, the time of one of its tasks, and how many tasks have no place yet. */
+interface Request {
+    readonly ranked: RankedUnit;
+    readonly lengthMs: Millis;
+    readonly spans: Spans;
+}
+
+const startDecisions = (unit: ReadyUnit, keys: readonly string[], seats: readonly Seat[]): readonly StartDecision[] => {
+    const places = seats.flatMap(({ room, count }) => Array.from({ length: count }, () => room.executor));
+    const tasks = places.flatMap(({ vm, executorId }, index) => {
+        const key = keys[index];
+        return key === undefined ? [] : [{ key, vm, executorId }];
+    });
+    const { jobId } = unit.owner.view.job;
+    return unit.step.isGang
+        ? [{ kind: "start", jobId, run: nextRun(unit, keys), tasks }]
+        : tasks.map(task => ({ kind: "start", jobId, run: nextRun(unit, [task.key]), tasks: [task] }));
+};
+
+const start = (
+    state: PassState,
+    { ranked: { unit }, lengthMs }: Request,
+    keys: readonly string[],
+    seats: readonly Seat[],
+): void => {
+    state.decisions.push(...startDecisions(unit, keys, seats));
+    seats.forEach(({ room, count }) => {
+        takeRoom(room, unit, count, lengthMs);
+    });
+};
+
+const claim = ({ unit }: RankedUnit, seats: readonly Seat[]): void => {
+    seats.forEach(({ room, count }) => {
+        claimRoom(room, unit, count);
+    });
+};
+
+const fill = (
+    state: PassState,
+    { unit }: RankedUnit,
+    spans: readonly (readonly ExecutorRoom[])[],
+    count: number,
+    available: Available,
+): Seating | undefined => fillBestSpan(spans, unit, count, available, state.scarcity);
+
+const fallbackSpans = ({ fallback }: Spans): readonly (readonly ExecutorRoom[])[] =>
+    fallback === undefined ? [] : [fallback];
+
+const cheapestVictims = (
+    state: PassState,
+    ranked: RankedUnit,
+    spans: readonly (readonly ExecutorRoom[])[],
+    count: number,
+    mayTakeUrgent: boolean,
+): VictimSet | undefined => {
+    const victims = victimsFor(state, ranked, mayTakeUrgent);
+    return spans
+        .map(rooms => chooseVictims(rooms, ranked.unit, count, victims))
+        .reduce((best, set) => set !== undefined && set.cost < (best?.cost ?? Infinity) ? set : best, undefined);
+};
+
+/** Stops the victims and keeps their room for the unit. */
+const preempt = (
+    state: PassState,
+    ranked: RankedUnit,
+    spans: readonly (readonly ExecutorRoom[])[],
+    count: number,
+    { groups }: VictimSet,
+): void => {
+    groups.forEach(group => {
+        stopGroup(state, group, "preempted");
+    });
+    claim(ranked, fill(state, ranked, spans, count, laterRoom)?.seats ?? []);
+};
+
+const soonestFit = (state: PassState, { ranked, spans }: Request, count: number): LaterFit | undefined =>
+    spans.preferred
+        .map(rooms => earliestFit(rooms, ranked.unit, count, state.releases, state.scarcity))
+        .reduce((best, fit) => fit !== undefined && fit.inMs < (best?.inMs ?? Infinity) ? fit : best, undefined);
+
+/** Whether the worth that a preemption saves is clearly above its cost. */
+const isWorthwhile = (
+    { options }: PassState,
+    { unit, prospect }: RankedUnit,
+    waitMs: Millis,
+    cost: number,
+): boolean => {
+    const lateShare = byPriority(options.lateShareByPriority, unit.owner.view.queue.priority);
+    const isSaved = prospect.slackMs >= STOP_MS && prospect.slackMs < WAIT_FACTOR * waitMs;
+    return isSaved && prospect.worth * (1 - lateShare) > options.preemptionMargin * cost;
+};
+
+const tryPreempt = (state: PassState, { ranked, spans }: Request, count: number, waitMs: Millis): boolean => {
+    if (ranked.unit.owner.view.queue.priority > 0 || !isWorthwhile(state, ranked, waitMs, 0)) {
+        return false;
+    }
+    const victims = cheapestVictims(state, ranked, spans.preferred, count, false);
+    if (victims === undefined || !isWorthwhile(state, ranked, waitMs, victims.cost)) {
+        return false;
+    }
+    preempt(state, ranked, spans.preferred, count, victims);
+    return true;
+};
+
+/** Whether room is kept for the unit: small tasks find room by themselves as others end. */
+const needsReservation = ({ unit: { step, demand } }: RankedUnit): boolean => step.isGang || demand.accelerators > 1;
+
+/** Starts as many tasks as fit in the preferred executors; a gang whole or not at all. Returns the tasks left. */
+const startNow = (state: PassState, request: Request, keys: readonly string[]): readonly string[] => {
+    const { ranked, spans, lengthMs } = request;
+    const { unit } = ranked;
+    const available: Available = room => roomNow(room, lengthMs);
+    const whole = fill(state, ranked, spans.preferred, keys.length, available);
+    if (whole !== undefined) {
+        start(state, request, keys, whole.seats);
+        return [];
+    }
+    if (unit.step.isGang) {
+        return keys;
+    }
+    const part = fillSeats(spans.preferred.flat(), unit, keys.length, available, state.scarcity);
+    start(state, request, keys, part.seats);
+    return keys.slice(part.count);
+};
+
+/** Starts the tasks where they run slower, if waiting for the preferred executors costs more. */
+const startSlower = (
+    state: PassState,
+    request: Request,
+    keys: readonly string[],
+    waitMs: Millis,
+): readonly string[] => {
+    const { ranked: { unit }, spans: { fallback }, lengthMs } = request;
+    const extraMs = (state.view.timings.spreadSlowdown - 1) * lengthMs;
+    if (fallback === undefined || waitMs <= extraMs) {
+        return keys;
+    }
+    const slower: Request = { ...request, lengthMs: lengthMs + extraMs };
+    const seating = fillSeats(fallback, unit, keys.length, room => roomNow(room, slower.lengthMs), state.scarcity);
+    if (unit.step.isGang && seating.count < keys.length) {
+        return keys;
+    }
+    start(state, slower, keys, seating.seats);
+    return keys.slice(seating.count);
+};
+
+/** Keeps room that is free or coming for tasks of the unit; false if they do not fit in it. */
+const claimComing = (
+    state: PassState,
+    { ranked }: Request,
+    spans: readonly (readonly ExecutorRoom[])[],
+    count: number,
+): boolean => {
+    const seating = fill(state, ranked, spans, count, laterRoom);
+    claim(ranked, seating?.seats ?? []);
+    return seating !== undefined;
+};
+
+const stopVictims = (
+    state: PassState,
+    { ranked }: Request,
+    spans: readonly (readonly ExecutorRoom[])[],
+    count: number,
+    mayTakeUrgent: boolean,
+): boolean => {
+    const victims = cheapestVictims(state, ranked, spans, count, mayTakeUrgent);
+    if (victims === undefined) {
+        return false;
+    }
+    preempt(state, ranked, spans, count, victims);
+    return true;
+};
+
+/** Frees room for a unit whose guarantee demands it, first where it runs at full speed and from lower priorities. */
+const enforceGuarantee = (state: PassState, request: Request, keys: readonly string[]): void => {
+    const { preferred } = request.spans;
+    if (stopVictims(state, request, preferred, keys.length, false)) {
+        return;
+    }
+    const left = startSlower(state, request, keys, Infinity);
+    const slower = fallbackSpans(request.spans);
+    if (left.length === 0 || claimComing(state, request, slower, left.length)) {
+        return;
+    }
+    for (const [spans, mayTakeUrgent] of [[slower, false], [preferred, true], [slower, true]] as const) {
+        if (stopVictims(state, request, spans, left.length, mayTakeUrgent)) {
+            return;
+        }
+    }
+};
+
+/** Places a unit: starts it, keeps coming room for it, frees room for it, or reserves room for later. True if it reserved. */
+export const placeUnit = (state: PassState, ranked: RankedUnit, spans: Spans, mayReserve: boolean): boolean => {
+    const { unit, isGuaranteed } = ranked;
+    const isUrgent = unit.owner.view.queue.priority === 0;
+    const request = { ranked, spans, lengthMs: state.runTimes.stepMs(unit.owner.view, unit.stepIndex) };
+    const left = startNow(state, request, unit.keys);
+    if (left.length === 0 || isUrgent && claimComing(state, request, spans.preferred, left.length)) {
+        return false;
+    }
+    if (isGuaranteed) {
+        enforceGuarantee(state, request, left);
+        return false;
+    }
+    const fit = soonestFit(state, request, left.length);
+    const waitMs = fit?.inMs ?? Infinity;
+    const blocked = startSlower(state, request, left, waitMs);
+    if (blocked.length === 0 || tryPreempt(state, request, blocked.length, waitMs)) {
+        return false;
+    }
+    if (!mayReserve || fit === undefined || !needsReservation(ranked)) {
+        return false;
+    }
+    reserve(unit, fit, state.releases);
+    return true;
+};
--- /dev/null
+++ b/packages/dispatch/src/victims.ts
@@ -0,0 +1,153 @@
+import { addTo, countedDemand, type MutableDemand, noDemand } from "./demand.js";
+import { type ExecutorRoom, laterRoom, seatsIn } from "./executorRoom.js";
+import type { ReadyUnit } from "./readyUnits.js";
+import type { RunGroup } from "./runGroups.js";
+
+/** Runs that may be stopped for other work, with what that costs. */
+export interface Victim {
+    readonly group: RunGroup;
+    readonly cost: number;
+}
+
+/** Victims that make room for all tasks, and their cost together. */
+export interface VictimSet {
+    readonly groups: readonly RunGroup[];
+    readonly cost: number;
+}
+
+interface Search {
+    readonly unit: ReadyUnit;
+    readonly rooms: readonly ExecutorRoom[];
+    readonly available: Map<number, MutableDemand>;
+    readonly victims: ReadonlyMap<number, readonly Victim[]>;
+    readonly chosen: Set<Victim>;
+}
+
+const costPerAccelerator = ({ group, cost }: Victim): number =>
+    cost / Math.max(1, group.members.length * group.step.demand.accelerators);
+
+const byCost = (left: Victim, right: Victim): number => costPerAccelerator(left) - costPerAccelerator(right);
+
+const victimsByRoom = (victims: readonly Victim[]): ReadonlyMap<number, readonly Victim[]> => {
+    const found = new Map<number, Victim[]>();
+    for (const victim of [...victims].sort(byCost)) {
+        for (const executor of new Set(victim.group.members.map(member => member.executor))) {
+            found.set(executor, [...found.get(executor) ?? [], victim]);
+        }
+    }
+    return found;
+};
+
+const giveBack = (victim: Victim, executor: number, available: MutableDemand, factor: number): void => {
+    const here = victim.group.members.filter(member => member.executor === executor).length;
+    addTo(available, countedDemand(victim.group.step), factor * here);
+};
+
+const seatsOf = ({ unit, available }: Search, room: ExecutorRoom): number =>
+    seatsIn(room, unit, available.get(room.index) ?? noDemand());
+
+/** Drops the victims without which there is still enough room, the most expensive first. */
+const withoutNeedless = (
+    victims: readonly Victim[],
+    isEnough: (rest: readonly Victim[]) => boolean,
+): readonly Victim[] =>
+    [...victims].sort((left, right) => right.cost - left.cost).reduce<readonly Victim[]>((kept, victim) => {
+        const rest = kept.filter(other => other !== victim);
+        return isEnough(rest) ? rest : kept;
+    }, victims);
+
+/** The cheapest victims found that make room for one more task on an executor. */
+const nextSeat = (search: Search, room: ExecutorRoom): readonly Victim[] | undefined => {
+    const { unit, available, victims, chosen } = search;
+    const seats = seatsOf(search, room);
+    const roomWith = (some: readonly Victim[]): number => {
+        const part = { ...available.get(room.index) ?? noDemand() };
+        some.forEach(victim => {
+            giveBack(victim, room.index, part, 1);
+        });
+        return seatsIn(room, unit, part);
+    };
+    const some: Victim[] = [];
+    for (const victim of victims.get(room.index) ?? []) {
+        if (chosen.has(victim)) {
+            continue;
+        }
+        some.push(victim);
+        if (roomWith(some) > seats) {
+            return withoutNeedless(some, rest => roomWith(rest) > seats);
+        }
+    }
+    return undefined;
+};
+
+const choose = (search: Search, victim: Victim, factor: 1 | -1): void => {
+    if (factor === 1) {
+        search.chosen.add(victim);
+    }
+    else {
+        search.chosen.delete(victim);
+    }
+    for (const executor of new Set(victim.group.members.map(member => member.executor))) {
+        const part = search.available.get(executor);
+        if (part !== undefined) {
+            giveBack(victim, executor, part, factor);
+        }
+    }
+};
+
+const totalCost = (victims: Iterable<Victim>): number => [...victims].reduce((sum, { cost }) => sum + cost, 0);
+
+interface SeatGain {
+    readonly victims: readonly Victim[];
+    readonly cost: number;
+}
+
+const cheapestStep = (search: Search, cache: Map<number, SeatGain | undefined>): SeatGain | undefined => {
+    let best: SeatGain | undefined;
+    for (const room of search.rooms) {
+        if (!cache.has(room.index)) {
+            const victims = nextSeat(search, room);
+            cache.set(room.index, victims && { victims, cost: totalCost(victims) });
+        }
+        const step = cache.get(room.index);
+        if (step !== undefined && step.cost < (best?.cost ?? Infinity)) {
+            best = step;
+        }
+    }
+    return best;
+};
+
+/** Chooses victims on the executors so that `count` tasks of the unit fit there once the victims have ended. */
+export const chooseVictims = (
+    rooms: readonly ExecutorRoom[],
+    unit: ReadyUnit,
+    count: number,
+    victims: readonly Victim[],
+): VictimSet | undefined => {
+    const search: Search = {
+        unit,
+        rooms,
+        available: new Map(rooms.map(room => [room.index, laterRoom(room)])),
+        victims: victimsByRoom(victims),
+        chosen: new Set(),
+    };
+    const total = (): number => rooms.reduce((sum, room) => sum + seatsOf(search, room), 0);
+    const cache = new Map<number, SeatGain | undefined>();
+    while (total() < count) {
+        const step = cheapestStep(search, cache);
+        if (step === undefined) {
+            return undefined;
+        }
+        for (const victim of step.victims) {
+            choose(search, victim, 1);
+            victim.group.members.forEach(({ executor }) => cache.delete(executor));
+        }
+    }
+    for (const victim of [...search.chosen].sort((left, right) => right.cost - left.cost)) {
+        choose(search, victim, -1);
+        if (total() < count) {
+            choose(search, victim, 1);
+        }
+    }
+    return { groups: [...search.chosen].map(({ group }) => group), cost: totalCost(search.chosen) };
+};
