--- /dev/null
+++ b/packages/standins/src/memoryStepExecutor.ts
@@ -0,0 +1,393 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type {
+    Answered,
+    ExecutorFailure,
+    ExecutorPort,
+    ListRequest,
+    StartOrder,
+    StopOrder,
+} from "@persimmonpitch/executor/executorPort.js";
+import type { EndKind, ExecutorInfo, RunEnd, RunList } from "@persimmonpitch/workload/executorReport.js";
+import type { Demand } from "@persimmonpitch/workload/step.js";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { MemoryGangs } from "./memoryGangs.js";
+import type { RunHost } from "./memoryRun.js";
+import { MemoryRun } from "./memoryRun.js";
+import type { StepWork } from "./stepWork.js";
+import { gangKey, parseStepWork } from "./stepWork.js";
+
+/** Faults that a test can cause. */
+export const stepExecutorFaultsSchema = z.object({
+    /** Every call answers `gone`; the runs go on until the lease ends. */
+    gone: z.boolean(),
+    /** No call is answered or has an effect. */
+    silent: z.boolean(),
+    /** Number of next orders that are not answered and are carried out later. */
+    unansweredOrders: z.number().int().nonnegative(),
+    /** How much later, in milliseconds; 0 carries them out at once. */
+    orderDelayMs: z.number().nonnegative(),
+    /** Every run fails soon after its start. */
+    failAll: z.boolean(),
+    /** No run makes progress. */
+    standsStill: z.boolean(),
+    /** Work takes this many times as long. */
+    slowFactor: z.number().positive(),
+});
+export type StepExecutorFaults = z.infer<typeof stepExecutorFaultsSchema>;
+
+const NO_FAULTS: StepExecutorFaults = {
+    gone: false,
+    silent: false,
+    unansweredOrders: 0,
+    orderDelayMs: 0,
+    failAll: false,
+    standsStill: false,
+    slowFactor: 1,
+};
+
+/** Options of an in-memory executor. */
+export interface StepExecutorOptions {
+    readonly clock: Clock;
+    readonly executorId: string;
+    readonly born?: number;
+    readonly service?: string;
+    readonly dataCentre?: string;
+    readonly labels?: readonly string[];
+    readonly capacity?: Demand;
+    /** Executors whose runs form gangs with each other share this. */
+    readonly gangs?: MemoryGangs;
+    /** What the runs of a task do; by default the payload says it. */
+    readonly workOf?: (task: string, payload: string) => StepWork;
+    /** Difference of the executor's clock to `clock`. */
+    readonly clockOffsetMs?: Millis;
+    readonly stopMs?: Millis;
+    readonly gangTimeoutMs?: Millis;
+    readonly checkpointIntervalMs?: Millis;
+    readonly restoreMs?: Millis;
+}
+
+const DEFAULT_BORN = 1_764_000_000_000;
+const DEFAULT_CAPACITY: Demand = { milliCores: 32_000, memoryMb: 65_536, accelerators: 8 };
+const DEFAULT_STOP_MS: Millis = 100;
+const DEFAULT_GANG_TIMEOUT_MS: Millis = 3_000;
+const DEFAULT_CHECKPOINT_INTERVAL_MS: Millis = 1_000;
+const MAX_LEASE_MS: Millis = 10_000;
+
+/** A silent executor's callers give up after this time. */
+const SILENCE_MS: Millis = 5_000;
+
+/** A start that the executor accepted. */
+export interface AcceptedStart {
+    readonly task: string;
+    readonly run: number;
+    readonly born: number;
+    readonly fence: number;
+    readonly at: Millis;
+}
+
+/** A heartbeat of an executor. */
+export interface ExecutorHeartbeat {
+    readonly info: ExecutorInfo;
+    readonly sequence: number;
+}
+
+const runKey = (task: string, run: number): string => `${task}#${run}`;
+
+const refusal = <T>(reason: "fence" | "old" | "late" | "room"): Result<T, ExecutorFailure> =>
+    Result.err({ kind: "refused", reason });
+
+const gone = <T>(): Result<T, ExecutorFailure> => Result.err({ kind: "gone" });
+
+const unanswered = <T>(detail: string): Result<T, ExecutorFailure> => Result.err({ kind: "unanswered", detail });
+
+/** An executor of tasks of steps, in memory. */
+export class MemoryStepExecutor implements ExecutorPort {
+    /** Every start that was accepted, in all incarnations. */
+    readonly starts: AcceptedStart[] = [];
+    readonly counts = { lists: 0, starts: 0, stops: 0 };
+    readonly executorId: string;
+    born: number;
+    private readonly faults: StepExecutorFaults = { ...NO_FAULTS };
+    private readonly gangs: MemoryGangs;
+    private readonly lists = new Set<WakeSignal>();
+    private isUp = true;
+    private isDraining = false;
+    private remainingMs: Millis | undefined;
+    private sequence = 0;
+    // What follows is lost with the incarnation.
+    private readonly running = new Map<string, MemoryRun>();
+    private readonly ends: RunEnd[] = [];
+    /** For each task the highest run number that ended or was stopped here. */
+    private readonly lastRuns = new Map<string, number>();
+    private endNumber = 0;
+    private fence = 0;
+    private leaseEnd: Millis = -Infinity;
+
+    constructor(private readonly options: StepExecutorOptions) {
+        this.executorId = options.executorId;
+        this.born = options.born ?? DEFAULT_BORN;
+        this.gangs = options.gangs ?? new MemoryGangs();
+    }
+
+    /** What the executor says of itself, under the next sequence number. */
+    heartbeat(): ExecutorHeartbeat {
+        this.sequence += 1;
+        return { info: this.info(), sequence: this.sequence };
+    }
+
+    info(): ExecutorInfo {
+        const { service = "steps", dataCentre = "dc1", labels = [], capacity = DEFAULT_CAPACITY } = this.options;
+        return {
+            executorId: this.executorId,
+            born: this.born,
+            service,
+            dataCentre,
+            isDraining: this.isDraining,
+            ...(this.remainingMs === undefined ? {} : { remainingMs: this.remainingMs }),
+            capacity,
+            labels: [...labels],
+        };
+    }
+
+    /** Sets faults; runs and calls that wait notice at once. */
+    setFaults(faults: Partial<StepExecutorFaults>): void {
+        const runs = [...this.running.values()];
+        runs.forEach(run => {
+            this.gangs.settleGangOf(run);
+        });
+        Object.assign(this.faults, faults);
+        runs.forEach(run => {
+            this.gangs.wakeGangOf(run);
+        });
+        this.wakeLists();
+    }
+
+    /** Announces in the next heartbeats that the executor leaves; it still does what it is ordered. */
+    drain(remainingMs: Millis): void {
+        this.isDraining = true;
+        this.remainingMs = remainingMs;
+    }
+
+    /** Ends the process: its runs and all that it knew are lost, and nothing listens. */
+    crash(): void {
+        this.isUp = false;
+        const runs = [...this.running.values()];
+        this.running.clear();
+        this.ends.length = 0;
+        this.lastRuns.clear();
+        this.endNumber = 0;
+        this.fence = 0;
+        this.leaseEnd = -Infinity;
+        // All runs are over before one leaves its gang, so that none of them ends as broken here.
+        runs.forEach(run => {
+            run.vanish();
+        });
+        runs.forEach(run => {
+            this.gangs.leave(run);
+        });
+        this.wakeLists();
+    }
+
+    /** Starts a new incarnation under the same id. */
+    restart(): void {
+        this.crash();
+        this.born += 1;
+        this.sequence = 0;
+        this.isDraining = false;
+        this.remainingMs = undefined;
+        this.isUp = true;
+    }
+
+    start(order: StartOrder): Promise<Result<Answered, ExecutorFailure>> {
+        this.counts.starts += 1;
+        return this.order(() => this.acceptStart(order));
+    }
+
+    stop(order: StopOrder): Promise<Result<Answered, ExecutorFailure>> {
+        this.counts.stops += 1;
+        return this.order(() => this.acceptStop(order));
+    }
+
+    async list(request: ListRequest, signal?: AbortSignal): Promise<Result<RunList, ExecutorFailure>> {
+        this.counts.lists += 1;
+        const fault = await this.failCall(signal);
+        if (fault !== undefined) {
+            return fault;
+        }
+        if (!this.admits(request.fence)) {
+            return refusal("fence");
+        }
+        this.extendLease(request.deadlineMs ?? -Infinity);
+        const kept = this.ends.filter(({ number }) => number > request.acknowledgedEnd);
+        this.ends.splice(0, this.ends.length, ...kept);
+        const { born } = this;
+        await this.waitForEnd(request.waitMs, signal);
+        if (this.born !== born || !this.isUp || this.faults.gone) {
+            return gone();
+        }
+        return signal?.aborted === true ? unanswered("The call was aborted.") : Result.ok(this.runList());
+    }
+
+    private runList(): RunList {
+        return {
+            born: this.born,
+            clockMs: this.now(),
+            running: [...this.running.values()].map(run => run.report()),
+            ends: structuredClone(this.ends),
+        };
+    }
+
+    private async waitForEnd(waitMs: Millis, signal: AbortSignal | undefined): Promise<void> {
+        const { clock } = this.options;
+        const until = clock.now() + waitMs;
+        const wake = new WakeSignal();
+        this.lists.add(wake);
+        const isIdle = () => this.ends.length === 0 && this.isUp && !this.faults.gone;
+        while (isIdle() && clock.now() < until && signal?.aborted !== true) {
+            await wake.wait(clock, until - clock.now(), signal);
+        }
+        this.lists.delete(wake);
+    }
+
+    private async order(
+        accept: () => Result<Answered, ExecutorFailure>,
+    ): Promise<Result<Answered, ExecutorFailure>> {
+        const fault = await this.failCall();
+        if (fault !== undefined) {
+            return fault;
+        }
+        if (this.faults.unansweredOrders === 0) {
+            return accept();
+        }
+        this.faults.unansweredOrders -= 1;
+        void this.acceptLater(accept, this.faults.orderDelayMs);
+        return unanswered("The order is under way.");
+    }
+
+    private async acceptLater(accept: () => unknown, delayMs: Millis): Promise<void> {
+        const { born } = this;
+        if (delayMs > 0) {
+            await this.options.clock.sleep(delayMs);
+        }
+        // An order that was under way to an incarnation does not reach the next one.
+        if (this.isUp && this.born === born) {
+            accept();
+        }
+    }
+
+    private acceptStart({ task, run, fence, deadlineMs, payload, checkpoint }: StartOrder): Result<
+        Answered,
+        ExecutorFailure
+    > {
+        if (!this.admits(fence)) {
+            return refusal("fence");
+        }
+        const key = runKey(task, run);
+        if (this.running.has(key)) {
+            this.extendLease(deadlineMs);
+            return Result.ok({ clockMs: this.now() });
+        }
+        if (run <= (this.lastRuns.get(task) ?? 0)) {
+            return refusal("old");
+        }
+        if (deadlineMs <= this.now()) {
+            return refusal("late");
+        }
+        const work = (this.options.workOf ?? ((_, text) => parseStepWork(text)))(task, payload);
+        if (!this.hasRoom(work.demand)) {
+            return refusal("room");
+        }
+        this.extendLease(deadlineMs);
+        const gang = work.gangSize === 1 ? key : gangKey(task, run);
+        const restoreMs = this.options.restoreMs ?? 0;
+        const started = new MemoryRun(this.host(), { task, run, work, gang, checkpoint, restoreMs });
+        this.running.set(key, started);
+        this.starts.push({ task, run, born: this.born, fence, at: this.options.clock.now() });
+        void started.execute();
+        return Result.ok({ clockMs: this.now() });
+    }
+
+    private acceptStop({ task, run, fence }: StopOrder): Result<Answered, ExecutorFailure> {
+        if (!this.admits(fence)) {
+            return refusal("fence");
+        }
+        this.noteLastRun(task, run);
+        this.running.get(runKey(task, run))?.stop(this.options.stopMs ?? DEFAULT_STOP_MS);
+        return Result.ok({ clockMs: this.now() });
+    }
+
+    private host(): RunHost {
+        const { clock, gangTimeoutMs, checkpointIntervalMs } = this.options;
+        return {
+            clock,
+            gangs: this.gangs,
+            gangTimeoutMs: gangTimeoutMs ?? DEFAULT_GANG_TIMEOUT_MS,
+            checkpointIntervalMs: checkpointIntervalMs ?? DEFAULT_CHECKPOINT_INTERVAL_MS,
+            pace: () => this.faults.standsStill ? 0 : 1 / this.faults.slowFactor,
+            failsAll: () => this.faults.failAll,
+            leaseEnd: () => this.leaseEnd - this.offset(),
+            onEnd: (run, kind) => {
+                this.onEnd(run, kind);
+            },
+        };
+    }
+
+    private onEnd(ended: MemoryRun, kind: EndKind): void {
+        const { task, run } = ended.order;
+        this.running.delete(runKey(task, run));
+        this.noteLastRun(task, run);
+        this.endNumber += 1;
+        this.ends.push({ number: this.endNumber, task, run, kind, checkpoint: ended.checkpoint(kind) });
+        this.wakeLists();
+    }
+
+    private noteLastRun(task: string, run: number): void {
+        this.lastRuns.set(task, Math.max(run, this.lastRuns.get(task) ?? 0));
+    }
+
+    private hasRoom(demand: Demand): boolean {
+        const { capacity = DEFAULT_CAPACITY } = this.options;
+        const taken = [...this.running.values()].map(({ order }) => order.work.demand);
+        const names = ["milliCores", "memoryMb", "accelerators"] as const;
+        return names.every(name => taken.reduce((sum, other) => sum + other[name], demand[name]) <= capacity[name]);
+    }
+
+    /** Whether an order under that token is taken; a higher one shuts out the lower ones. */
+    private admits(fence: number): boolean {
+        this.fence = Math.max(this.fence, fence);
+        return fence === this.fence;
+    }
+
+    /** The lease only ever extends. */
+    private extendLease(deadlineMs: Millis): void {
+        this.leaseEnd = Math.max(this.leaseEnd, Math.min(deadlineMs, this.now() + MAX_LEASE_MS));
+    }
+
+    /** The answer to a call under a fault that fails every call. */
+    private async failCall(signal?: AbortSignal): Promise<Result<never, ExecutorFailure> | undefined> {
+        if (!this.isUp || this.faults.gone) {
+            return gone();
+        }
+        if (this.faults.silent) {
+            await this.options.clock.sleep(SILENCE_MS, signal);
+            return unanswered("The executor is silent.");
+        }
+        return undefined;
+    }
+
+    private offset(): Millis {
+        return this.options.clockOffsetMs ?? 0;
+    }
+
+    private now(): Millis {
+        return this.options.clock.now() + this.offset();
+    }
+
+    private wakeLists(): void {
+        this.lists.forEach(wake => {
+            wake.wake();
+        });
+    }
+}
