--- /dev/null
+++ b/packages/executor/src/controllerHandlers.ts
@@ -0,0 +1,57 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { withTimeout } from "@persimmonpitch/clock/deadline.js";
+import type { ControllerToAgentMethods, ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
+import type { HandlerTable } from "@persimmonpitch/protocol/method.js";
+import type { AgentContext } from "./agentContext.js";
+import type { ExecutorOrders } from "./executorOrders.js";
+import type { ObservedExecutor } from "./observedExecutor.js";
+
+/** What the calls of a controller work on. */
+export interface ControllerHandlerContext extends AgentContext {
+    readonly executors: ReadonlyMap<string, ObservedExecutor>;
+    readonly orders: ExecutorOrders;
+}
+
+/** Called when the controller of a connection attached. */
+export type OnAttached = (epoch: number, reports: readonly ExecutorReport[]) => void;
+
+/** An executor that does not answer within this time is reported without a list. */
+const ATTACH_LIST_MS: Millis = 1_000;
+
+const refreshAll = async (clock: Clock, executors: readonly ObservedExecutor[]): Promise<void> => {
+    await Promise.all(executors.map(executor => withTimeout(clock, ATTACH_LIST_MS, executor.refresh())));
+};
+
+/** The methods that an agent serves on one controller's connection. */
+export const createControllerHandlers = (
+    context: ControllerHandlerContext,
+    onAttached: OnAttached,
+): HandlerTable<ControllerToAgentMethods> => {
+    const { clock, logger, authority, executors, orders } = context;
+    return {
+        "agent.attach": async ({ epoch }) => {
+            if (!authority.accept(epoch)) {
+                logger.log("warn", "controller.refused", { epoch, highest: authority.epoch });
+                return { kind: "refused", epoch: authority.epoch };
+            }
+            // An order of an older controller that is still under way is refused by the executor only after this.
+            await refreshAll(clock, [...executors.values()]);
+            if (authority.epoch !== epoch) {
+                return { kind: "refused", epoch: authority.epoch };
+            }
+            logger.log("info", "controller.attached", { epoch });
+            const reports = [...executors.values()].map(executor => executor.report());
+            onAttached(epoch, reports);
+            return { kind: "attached", reports };
+        },
+        "agent.lease": ({ epoch, executorId, ...grant }) => {
+            if (epoch !== authority.epoch) {
+                return Promise.resolve({ kind: "refused", reason: "fence" });
+            }
+            const isAccepted = executors.get(executorId)?.grant(grant) ?? false;
+            return Promise.resolve(isAccepted ? { kind: "accepted" } : { kind: "refused", reason: "incarnation" });
+        },
+        "agent.start": params => orders.start(params),
+        "agent.stop": params => orders.stop(params),
+    };
+};
--- /dev/null
+++ b/packages/executor/src/executorAgent.ts
@@ -0,0 +1,90 @@
+import type { Clock } from "@persimmonpitch/clock/clock.js";
+import type { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Link } from "@persimmonpitch/protocol/link.js";
+import type { ExecutorInfo } from "@persimmonpitch/workload/executorReport.js";
+import type { AgentContext } from "./agentContext.js";
+import { Authority } from "./authority.js";
+import { runControllerConnection } from "./controllerConnection.js";
+import { ExecutorOrders } from "./executorOrders.js";
+import type { ExecutorPort } from "./executorPort.js";
+import { ObservedExecutor } from "./observedExecutor.js";
+
+/** Everything that the agent needs from outside. */
+export interface ExecutorAgentOptions {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly port: ExecutorPort;
+    readonly random?: () => number;
+}
+
+/** The agent beside the executors of one VM. An old executor may drain there while its successor starts. */
+export class ExecutorAgent {
+    private readonly stopController = new AbortController();
+    private readonly connected = new Set<WakeSignal>();
+    private readonly executors = new Map<string, ObservedExecutor>();
+    private readonly tasks = new Set<Promise<void>>();
+    private readonly context: AgentContext;
+    private readonly orders: ExecutorOrders;
+
+    constructor({ clock, logger, port, random = Math.random }: ExecutorAgentOptions) {
+        this.context = {
+            clock,
+            logger,
+            port,
+            random,
+            authority: new Authority(),
+            signal: this.stopController.signal,
+            onChange: () => {
+                this.connected.forEach(wake => {
+                    wake.wake();
+                });
+            },
+        };
+        this.orders = new ExecutorOrders(this.context, executorId => this.executors.get(executorId));
+    }
+
+    /** Takes what an executor says of itself; `sequence` rises within an incarnation. */
+    onHeartbeat(info: ExecutorInfo, sequence: number): void {
+        const known = this.executors.get(info.executorId);
+        if (known !== undefined) {
+            known.onHeartbeat(info, sequence);
+            return;
+        }
+        const executor = new ObservedExecutor(this.context, info, sequence);
+        this.executors.set(info.executorId, executor);
+        this.context.logger.log("info", "executor.seen", { executor: info.executorId, born: info.born });
+        void this.track(this.observe(executor));
+        this.context.onChange();
+    }
+
+    /** Takes the notice of an executor that it leaves. */
+    onLeave(executorId: string): void {
+        this.executors.get(executorId)?.leave();
+    }
+
+    /** Serves a controller until its connection closes. */
+    serve(link: Link): Promise<void> {
+        const { context, executors, orders, connected } = this;
+        return this.track(runControllerConnection({ ...context, executors, orders, connected }, link));
+    }
+
+    /** Ends all tasks of the agent; what runs on the executors goes on. */
+    async stop(): Promise<void> {
+        this.stopController.abort();
+        await Promise.all(this.tasks);
+    }
+
+    private async observe(executor: ObservedExecutor): Promise<void> {
+        await executor.run();
+        this.executors.delete(executor.executorId);
+    }
+
+    private track(task: Promise<void>): Promise<void> {
+        const tracked = task.finally(() => {
+            this.tasks.delete(tracked);
+        });
+        this.tasks.add(tracked);
+        return tracked;
+    }
+}
--- a/packages/protocol/src/executorMessages.ts
+++ b/packages/protocol/src/executorMessages.ts
@@ -1,7 +1,7 @@
 import { executorInfoSchema, runListSchema, startRefusalSchema } from "@persimmonpitch/workload/executorReport.js";
 import { z } from "zod";
 
-const epochSchema = z.number().int().nonnegative();
+const epochSchema = z.number().int().positive();
 /** Which executor of the agent's VM a call is for; an old one may drain there while its successor starts. */
 const targetSchema = z.object({ epoch: epochSchema, executorId: z.string() });
 
@@ -54,7 +54,7 @@
         }),
         result: z.discriminatedUnion("kind", [
             z.object({ kind: z.literal("started"), clockMs: clockSchema }),
-            /** The run is not there and will not be, except that the order of an older epoch may have run before. */
+            /** The run will not start; if an unanswered try started it, it was stopped, and lists show it until it ends. */
             z.object({ kind: z.literal("refused"), reason: startRefusalSchema }),
             /** The run was ordered to stop before the start was answered. */
             z.object({ kind: z.literal("abandoned") }),
