--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -58,7 +58,8 @@
     accelerators: from.accelerators - demand.accelerators,
 });
 
-const shift = (at: number | undefined, offset: number): number | undefined => at === undefined ? undefined : at + offset;
+const shift = (at: number | undefined, offset: number): number | undefined =>
+    at === undefined ? undefined : at + offset;
 
 const runView = (run: HeldRun, offset: number): RunView => ({
     jobId: run.jobId,
--- a/packages/control/src/tableFollower.ts
+++ b/packages/control/src/tableFollower.ts
@@ -2,9 +2,9 @@
 import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { ChangedRow, ReadError, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Result } from "true-myth";
 import { err, ok } from "true-myth/result";
-import type { ChangedRow, ReadError, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { RowStore } from "./rowStore.js";
 
 /** What receives the rows of a table. */
--- a/packages/standins/src/memoryRowStore.ts
+++ b/packages/standins/src/memoryRowStore.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import type { RowStore } from "@persimmonpitch/control/rowStore.js";
 import type {
     ChangedRow,
     CommitError,
@@ -8,10 +9,9 @@
     RowChanges,
     RowPage,
     RowRange,
-    RowStore,
     RowTransaction,
     StoredRow,
-} from "@persimmonpitch/control/rowStore.js";
+} from "@persimmonpitch/workload/storedRow.js";
 import { Result } from "true-myth";
 import { z } from "zod";
 
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -40,5 +40,4 @@
 export const NO_TASK_PROGRESS: TaskProgress = { run: 0, failures: 0, isDone: false };
 
 /** Progress of one task of a job. */
-export const progressOf = (progress: JobProgress, key: string): TaskProgress =>
-    progress.tasks[key] ?? NO_TASK_PROGRESS;
+export const progressOf = (progress: JobProgress, key: string): TaskProgress => progress.tasks[key] ?? NO_TASK_PROGRESS;
