feat(control): log what a controller takes up and orders, and confirm a silent term with the store

Ruled out: a frozen or cut controller (it renewed all the while). A candidate now reads the term from the store before it takes the role.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -344,6 +344,7 @@
         }
         for (const run of held) {
             run.isClaimed = true;
+            this.context.logger.log("info", "run.ordered", { task: run.task, run: run.run, executor: run.executorId });
             this.orders.start(run);
         }
     }
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -58,7 +58,7 @@
         try {
             while (!signal.aborted) {
                 this.observe();
-                if (this.mayTake()) {
+                if (this.mayTake() && await this.isTermStill()) {
                     const taken = await this.tryTake(signal);
                     if (taken !== undefined) {
                         return taken;
@@ -106,6 +106,24 @@
             && clock.now() - this.lastAnswerAt < MAX_ANSWER_GAP_MS;
     }
 
+    /**
+     * Whether the store itself shows the term that was observed: the changes that a follower receives can be late,
+     * for example while the store drops its history.
+     */
+    private async isTermStill(): Promise<boolean> {
+        const { store, replica, clock } = this.options;
+        const observed = replica.term?.version ?? 0;
+        const page = await store.scan({ from: rowKeys.term, to: `${rowKeys.term}\u0000`, limit: 1 });
+        if (page.isErr) {
+            return false;
+        }
+        const isStill = (page.value.rows[0]?.version ?? 0) <= observed;
+        if (!isStill) {
+            this.observedSince = clock.now();
+        }
+        return isStill;
+    }
+
     private async tryTake(signal: AbortSignal): Promise<TakenRole | undefined> {
         const { vm, instanceId, store, replica, clock, logger } = this.options;
         const known = replica.role;
--- a/packages/control/src/jobBook.ts
+++ b/packages/control/src/jobBook.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import { NO_PROGRESS } from "@persimmonpitch/workload/progress.js";
+import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import { OpenJob } from "./openJob.js";
 import type { Replica } from "./replica.js";
 
@@ -27,6 +28,7 @@
             return false;
         }
         this.jobs.set(jobId, open);
+        this.logger.log("info", "job.taken", { job: jobId, queue: open.job.queue, steps: describeSteps(open.job) });
         return true;
     }
 
@@ -38,3 +40,11 @@
         this.logger.log("info", "job.ended", { job: jobId, outcome });
     }
 }
+
+/** A short form of the steps for the log: tasks x accelerators, with a letter for each trait. */
+const describeSteps = ({ steps, repetition }: StepJob): string => {
+    const texts = steps.map(({ count, demand, isGang, isTight, hasCheckpoints, declaredMs }) =>
+        `${count}x${demand.accelerators}${isGang ? "g" : ""}${isTight ? "t" : ""}${hasCheckpoints ? "c" : ""}~${declaredMs}`
+    );
+    return `${repetition === undefined ? "" : `${repetition.count}*`}${texts.join("+")}`;
+};
