--- a/packages/executor/src/executorOrders.ts
+++ b/packages/executor/src/executorOrders.ts
@@ -157,7 +157,7 @@
             clock,
             onUnanswered: () => {
                 executor.doubt();
-                logger.log("info", "order.unanswered", { executor: executor.executorId });
+                logger.log("debug", "order.unanswered", { executor: executor.executorId });
             },
         });
         if (repeated.answer?.isOk !== true) {
