--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -14,8 +14,12 @@
     readonly urgencyScaleMs: Millis;
     /** Number of blocked units for which room is kept free; each of them idles some room. */
     readonly maxReservations: number;
+    /** Number of blocked units for which later room and victims are looked for; it bounds the time of a pass. */
+    readonly maxSearches: number;
     /** How long an executor that fails everything is left alone before it is tried again. */
     readonly probeAfterMs: Millis;
+    /** How long an executor from which runs were moved is ranked behind others. */
+    readonly suspectMs: Millis;
     /** How long a task stays away from an executor on which its last run ended without success. */
     readonly avoidAfterEndMs: Millis;
     /** Shortest standstill that counts as a stall; reports of progress come about once a second. */
@@ -35,7 +39,9 @@
     preemptionMargin: 2,
     urgencyScaleMs: 4_000,
     maxReservations: 4,
+    maxSearches: 24,
     probeAfterMs: 5_000,
+    suspectMs: 10_000,
     avoidAfterEndMs: 5_000,
     stallMs: 2_500,
     minMoveGainMs: 1_500,
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -1,17 +1,17 @@
 import { DEFAULT_DISPATCH_OPTIONS, type DispatchOptions } from "./dispatchOptions.js";
 import type { DispatchDecision, DispatchView, JobView } from "./dispatchView.js";
 import { executorHealth } from "./executorHealth.js";
-import { type ExecutorRoom, executorRooms } from "./executorRoom.js";
+import { executorRooms } from "./executorRoom.js";
 import { guaranteedOccurrences } from "./guarantees.js";
 import { findMoves, type Move } from "./moves.js";
 import { openOccurrences } from "./openOccurrences.js";
 import { type PassState, stopGroup } from "./passState.js";
 import { prospectsOf } from "./prospects.js";
-import { type ReadyUnit, readyUnits } from "./readyUnits.js";
+import { type ReadyUnit, readyUnits, unitKind } from "./readyUnits.js";
 import { expectedReleases } from "./reservations.js";
-import { runGroups } from "./runGroups.js";
+import { findRunSteps, runGroups } from "./runGroups.js";
 import { estimateRunTimes } from "./runTimes.js";
-import { scarcityOf, spansOf } from "./seating.js";
+import { scarcityOf, type Spans, spansOf } from "./seating.js";
 import { orderUnits, type RankedUnit } from "./unitOrder.js";
 import { placeUnit } from "./unitPlacement.js";
 
@@ -31,11 +31,10 @@
     return avoided;
 };
 
-const isAvoidedBy = ({ owner, keys }: ReadyUnit, avoided: Avoided) => {
-    const indexes = keys.flatMap(key => [...avoided.get(`${owner.view.job.jobId} ${key}`) ?? []]);
-    const all = new Set(indexes);
-    return ({ index }: ExecutorRoom): boolean => all.has(index);
-};
+const avoidedBy = ({ owner, keys }: ReadyUnit, avoided: Avoided): ReadonlySet<number> =>
+    avoided.size === 0
+        ? new Set()
+        : new Set(keys.flatMap(key => [...avoided.get(`${owner.view.job.jobId} ${key}`) ?? []]));
 
 const unhealthyExecutors = (moves: readonly Move[]): ReadonlySet<number> =>
     new Set(
@@ -46,12 +45,16 @@
 
 const placeAll = (state: PassState, ordered: readonly RankedUnit[]): void => {
     const avoided = avoidedExecutors(state.view, state.options);
-    let reservations = 0;
-    for (const ranked of ordered) {
-        const spans = spansOf(state.rooms, ranked.unit, isAvoidedBy(ranked.unit, avoided));
-        if (placeUnit(state, ranked, spans, reservations < state.options.maxReservations)) {
-            reservations += 1;
+    const spansOfKind = new Map<string, Spans>();
+    for (const { unit, ...rank } of ordered) {
+        const { size } = avoidedBy(unit, avoided);
+        const kind = size === 0 ? unitKind(unit) : undefined;
+        const known = kind === undefined ? undefined : spansOfKind.get(kind);
+        const spans = known ?? spansOf(state.rooms, unit, avoidedBy(unit, avoided));
+        if (kind !== undefined) {
+            spansOfKind.set(kind, spans);
         }
+        placeUnit(state, { ...rank, unit }, spans, kind);
     }
 };
 
@@ -63,15 +66,16 @@
     const options = { ...DEFAULT_DISPATCH_OPTIONS, ...overrides };
     const jobs: ReadonlyMap<string, JobView> = new Map(view.jobs.map(job => [job.job.jobId, job]));
     const occurrences = openOccurrences(view.jobs, view.wallTime);
-    const groups = runGroups(view.executors, jobs);
+    const runSteps = findRunSteps(view.executors, jobs);
+    const groups = runGroups(view.executors, runSteps);
     const runTimes = estimateRunTimes(view.jobs, groups, view.now);
     const moves = findMoves(view, groups, runTimes, options);
     const unhealthy = unhealthyExecutors(moves);
-    const rooms = executorRooms(view, jobs, index => {
+    const rooms = executorRooms(view, runSteps, index => {
         const executor = view.executors[index];
         return executor === undefined
             ? "failing"
-            : executorHealth(executor, unhealthy.has(index), view.now, options);
+            : executorHealth(executor, jobs, unhealthy.has(index), view.now, options);
     });
     const prospects = prospectsOf(occurrences, groups, runTimes, view.wallTime, options);
     const guaranteed = guaranteedOccurrences(view, occurrences);
@@ -86,6 +90,10 @@
         releases: expectedReleases(groups, runTimes),
         scarcity: scarcityOf(rooms),
         stopped: new Set(),
+        stopCosts: new Map(),
+        misfits: new Map(),
+        reservationCount: 0,
+        searchCount: 0,
         decisions: [],
     };
     moves.forEach(({ group, reason }) => {
--- a/packages/dispatch/src/executorHealth.ts
+++ b/packages/dispatch/src/executorHealth.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { DispatchOptions } from "./dispatchOptions.js";
-import type { ExecutorView } from "./dispatchView.js";
+import type { EndView, ExecutorView, JobView } from "./dispatchView.js";
+import { progressOf } from "./openOccurrences.js";
 
 /** `failing` takes nothing, `probing` one task at a time, `suspect` only what has no better place. */
 export type ExecutorHealth = "healthy" | "suspect" | "probing" | "failing";
@@ -15,16 +16,39 @@
     return failedJobs.size >= MIN_FAILED_JOBS;
 };
 
+/** Whether the run of an end was stopped before its task was done, as stalled and slow runs are. */
+const isInterrupted = (jobs: ReadonlyMap<string, JobView>, { jobId, key, isFailure }: EndView): boolean => {
+    const view = jobs.get(jobId);
+    return !isFailure && view !== undefined && !progressOf(view, key).isDone;
+};
+
+/** Whether a run that came after the time has made progress. */
+const hasProgressSince = ({ runs }: ExecutorView, time: Millis): boolean =>
+    runs.some(({ firstListedAt = 0, progressAt = 0 }) => firstListedAt >= time && progressAt > firstListedAt);
+
+/**
+ * Whether runs were stopped here lately and nothing has worked since.
+ * A stop for other work looks the same, so the executor is only ranked behind others.
+ */
+const wasLeft = (executor: ExecutorView, jobs: ReadonlyMap<string, JobView>, now: Millis, forMs: Millis): boolean => {
+    const last = executor.recentEnds.at(-1);
+    return last !== undefined
+        && now - last.at < forMs
+        && isInterrupted(jobs, last)
+        && !hasProgressSince(executor, last.at);
+};
+
 /** Judges an executor by its last ends and by whether a run on it makes no progress. */
 export const executorHealth = (
     executor: ExecutorView,
+    jobs: ReadonlyMap<string, JobView>,
     hasUnhealthyRun: boolean,
     now: Millis,
-    { probeAfterMs }: DispatchOptions,
+    { probeAfterMs, suspectMs }: DispatchOptions,
 ): ExecutorHealth => {
     if (failsEverything(executor)) {
         const lastEnd = executor.recentEnds.at(-1)?.at ?? now;
         return now - lastEnd >= probeAfterMs ? "probing" : "failing";
     }
-    return hasUnhealthyRun ? "suspect" : "healthy";
+    return hasUnhealthyRun || wasLeft(executor, jobs, now, suspectMs) ? "suspect" : "healthy";
 };
--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -1,10 +1,10 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Demand } from "@persimmonpitch/workload/step.js";
 import { addTo, countedDemand, type MutableDemand, noDemand, slotsIn } from "./demand.js";
-import type { DispatchView, ExecutorView, JobView } from "./dispatchView.js";
+import type { DispatchView, ExecutorView } from "./dispatchView.js";
 import type { ExecutorHealth } from "./executorHealth.js";
 import type { ReadyUnit } from "./readyUnits.js";
-import { findRunStep, type RunStep } from "./runGroups.js";
+import type { RunStep, RunSteps } from "./runGroups.js";
 
 /** Room kept from a later time on for a unit that does not fit yet. */
 export interface Reservation {
@@ -48,9 +48,9 @@
 /** An executor without a rack is taken as a rack of its own. */
 const rackOf = ({ rack, vm }: ExecutorView): string => rack ?? `vm ${vm}`;
 
-const takeRuns = (room: ExecutorRoom, jobs: ReadonlyMap<string, JobView>): void => {
+const takeRuns = (room: ExecutorRoom, runSteps: RunSteps): void => {
     for (const run of room.executor.runs) {
-        const runStep = findRunStep(jobs, run);
+        const runStep = runSteps.get(run);
         if (runStep === undefined) {
             // The demand of a run of an unknown job is unknown, so nothing may be added until it has ended.
             Object.assign(room.free, noDemand());
@@ -68,7 +68,7 @@
 /** The room of every executor before the pass decides anything. */
 export const executorRooms = (
     { executors }: DispatchView,
-    jobs: ReadonlyMap<string, JobView>,
+    runSteps: RunSteps,
     healthOf: (index: number) => ExecutorHealth,
 ): readonly ExecutorRoom[] =>
     executors.map((executor, index) => {
@@ -84,7 +84,7 @@
             taskCount: executor.runs.length,
             tasksOfStep: new Map(),
         };
-        takeRuns(room, jobs);
+        takeRuns(room, runSteps);
         return room;
     });
 
@@ -125,6 +125,10 @@
     failing: () => 0,
 };
 
+/** How many tasks of the unit an executor holds that runs nothing else. */
+export const capacitySeats = ({ executor, health }: ExecutorRoom, { step, demand }: ReadyUnit): number =>
+    health === "failing" ? 0 : Math.min(slotsIn(executor.capacity, demand), step.maxPerExecutor ?? Infinity);
+
 /** How many tasks of the unit fit into the available part of an executor. */
 export const seatsIn = (room: ExecutorRoom, unit: ReadyUnit, available: Demand): number => {
     const { maxPerExecutor } = unit.step;
--- a/packages/dispatch/src/guarantees.ts
+++ b/packages/dispatch/src/guarantees.ts
@@ -1,13 +1,13 @@
 import type { DispatchView, JobView } from "./dispatchView.js";
-import { isStepDone, type OpenOccurrence } from "./openOccurrences.js";
+import type { OpenOccurrence } from "./openOccurrences.js";
 import { occurrenceId } from "./prospects.js";
 import type { ReadyUnit } from "./readyUnits.js";
 
 /** Accelerators that an occurrence can use at one time: those of its largest step that is not done. */
-const openDemand = ({ view, occurrence }: OpenOccurrence): number =>
+const openDemand = ({ view, doneSteps }: OpenOccurrence): number =>
     view.job.steps.reduce(
         (most, { count, demand }, index) =>
-            isStepDone(view, occurrence, index) ? most : Math.max(most, count * demand.accelerators),
+            doneSteps[index] === true ? most : Math.max(most, count * demand.accelerators),
         0,
     );
 
--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { DispatchOptions } from "./dispatchOptions.js";
 import type { DispatchView, StopReason } from "./dispatchView.js";
+import { groupBy } from "./groupBy.js";
 import type { RunGroup } from "./runGroups.js";
 import { type MeasuredRun, measuredRun, type RunTimes } from "./runTimes.js";
 
@@ -55,9 +56,9 @@
 const median = (values: readonly number[]): number =>
     [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 1;
 
-const measureAll = (groups: readonly RunGroup[], { stepMs }: RunTimes): readonly MeasuredOnExecutor[] =>
+const measureAll = (groups: readonly RunGroup[], { declaredMs }: RunTimes): readonly MeasuredOnExecutor[] =>
     groups.filter(({ step }) => !step.isLongRunning).flatMap(group => {
-        const wholeMs = Math.max(1, stepMs(group.view, group.stepIndex));
+        const wholeMs = Math.max(1, declaredMs(group.view, group.stepIndex));
         return group.members.flatMap(({ executor, run }) => {
             const measured = measuredRun(run, group.workingSince);
             return measured === undefined || measured.durationMs < MIN_MEASURED_MS
@@ -67,10 +68,7 @@
     });
 
 const slownessByExecutor = (measured: readonly MeasuredOnExecutor[]): ReadonlyMap<number, number> => {
-    const byExecutor = new Map<number, MeasuredOnExecutor[]>();
-    for (const one of measured) {
-        byExecutor.set(one.executor, [...byExecutor.get(one.executor) ?? [], one]);
-    }
+    const byExecutor = groupBy(measured, ({ executor }) => executor);
     return new Map(
         [...byExecutor]
             .filter(([, all]) => new Set(all.map(({ group }) => group.view.job.jobId)).size >= MIN_SLOW_JOBS)
@@ -122,7 +120,7 @@
     if (siblings.length >= 2 && own.measured.totalMs > options.slowFactor * siblingMs) {
         return siblingMs;
     }
-    const estimatedMs = runTimes.stepMs(group.view, group.stepIndex) * Math.max(1, usualSlowness);
+    const estimatedMs = runTimes.declaredMs(group.view, group.stepIndex) * Math.max(1, usualSlowness);
     const here = slowness.get(executor) ?? 0;
     const isExecutorSlow = here > options.slowFactor * usualSlowness;
     return isExecutorSlow || own.slowness > IMPOSSIBLE_SLOWNESS ? estimatedMs : undefined;
--- a/packages/dispatch/src/openOccurrences.ts
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -10,6 +10,8 @@
     readonly occurrence: number;
     /** Time from which its deadlines count: acceptance, or the due time of a repetition. */
     readonly startAt: Millis;
+    /** Whether all tasks of each step are done. */
+    readonly doneSteps: readonly boolean[];
 }
 
 /** Progress of one task. */
@@ -20,23 +22,27 @@
     Array.from({ length: count }, (_, index) => taskKey({ occurrence, step, index }));
 
 /** Whether all tasks of a step are done; one end stands for all members of a gang. */
-export const isStepDone = (view: JobView, occurrence: number, index: number): boolean => {
-    const step = view.job.steps[index];
-    if (step === undefined) {
-        return true;
+const isStepDone = (view: JobView, occurrence: number, stepIndex: number, { count, isGang }: Step): boolean => {
+    for (let index = 0; index < count; index += 1) {
+        const { isDone } = progressOf(view, taskKey({ occurrence, step: stepIndex, index }));
+        if (isDone === isGang) {
+            return isGang;
+        }
     }
-    const isDone = (key: string): boolean => progressOf(view, key).isDone;
-    const keys = stepKeys(occurrence, index, step);
-    return step.isGang ? keys.some(isDone) : keys.every(isDone);
+    return !isGang;
 };
 
-const isOccurrenceDone = (view: JobView, occurrence: number): boolean =>
-    view.job.steps.every((_, index) => isStepDone(view, occurrence, index));
+const occurrenceOf = (view: JobView, occurrence: number, startAt: Millis): OpenOccurrence => ({
+    view,
+    occurrence,
+    startAt,
+    doneSteps: view.job.steps.map((step, index) => isStepDone(view, occurrence, index, step)),
+});
 
 const dueOccurrences = (view: JobView, wallTime: Millis): readonly OpenOccurrence[] => {
     const { acceptedAt, repetition } = view.job;
     if (repetition === undefined) {
-        return [{ view, occurrence: 0, startAt: acceptedAt }];
+        return [occurrenceOf(view, 0, acceptedAt)];
     }
     const { count, firstDueAt, intervalMs } = repetition;
     const due: OpenOccurrence[] = [];
@@ -45,7 +51,7 @@
         if (startAt > wallTime) {
             break;
         }
-        due.push({ view, occurrence, startAt });
+        due.push(occurrenceOf(view, occurrence, startAt));
     }
     return due;
 };
@@ -55,4 +61,4 @@
     jobs
         .filter(({ progress }) => progress.outcome === "open")
         .flatMap(view => dueOccurrences(view, wallTime))
-        .filter(({ view, occurrence }) => !isOccurrenceDone(view, occurrence));
+        .filter(({ doneSteps }) => doneSteps.includes(false));
--- a/packages/dispatch/src/passState.ts
+++ b/packages/dispatch/src/passState.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { addTo, countedDemand } from "./demand.js";
 import type { DispatchOptions } from "./dispatchOptions.js";
 import type { DispatchDecision, DispatchView, StopReason } from "./dispatchView.js";
@@ -8,6 +9,12 @@
 import type { RunTimes } from "./runTimes.js";
 import type { Scarcity } from "./seating.js";
 
+/** The number and length of tasks that did not fit. */
+export interface Misfit {
+    readonly count: number;
+    readonly lengthMs: Millis;
+}
+
 /** What a pass knows, and what it has decided so far. */
 export interface PassState {
     readonly view: DispatchView;
@@ -21,6 +28,11 @@
     readonly releases: Releases;
     readonly scarcity: Scarcity;
     readonly stopped: Set<RunGroup>;
+    readonly stopCosts: Map<RunGroup, number>;
+    /** Requests that did not fit; room only becomes less in a pass, so larger ones need not be tried. */
+    readonly misfits: Map<string, Misfit>;
+    reservationCount: number;
+    searchCount: number;
     readonly decisions: DispatchDecision[];
 }
 
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -15,7 +15,7 @@
 const RESTART_WAIT_MS = 1_000;
 
 /** Time of work that a stop throws away on each member. */
-export const unsavedMs = ({ view: { now, timings } }: PassState, { step, workingSince }: RunGroup): Millis => {
+const unsavedMs = ({ view: { now, timings } }: PassState, { step, workingSince }: RunGroup): Millis => {
     const elapsedMs = Math.max(0, now - (workingSince ?? now));
     return step.hasCheckpoints ? Math.min(elapsedMs, timings.checkpointIntervalMs) : elapsedMs;
 };
@@ -34,7 +34,7 @@
 };
 
 /** Cost of stopping a group: the work thrown away, and the worth that its occurrence may lose. */
-export const stopCost = (state: PassState, group: RunGroup): number => {
+const stopCost = (state: PassState, group: RunGroup): number => {
     const { options, prospects, view } = state;
     const { step, members } = group;
     const lostMs = unsavedMs(state, group) + (step.hasCheckpoints ? view.timings.restoreMs : 0);
@@ -44,6 +44,12 @@
         + delayCost(state, group, prospects.get(occurrenceId(group)), lostMs + RESTART_WAIT_MS);
 };
 
+const cachedStopCost = (state: PassState, group: RunGroup): number => {
+    const cost = state.stopCosts.get(group) ?? stopCost(state, group);
+    state.stopCosts.set(group, cost);
+    return cost;
+};
+
 /** Whether the tasks of a long-running step that are away already are as many as may be away. */
 const isAtMissLimit = ({ view, occurrence, stepIndex, step }: RunGroup, away: ReadonlySet<string>): boolean => {
     if (!step.isLongRunning || step.mayMiss === undefined) {
@@ -86,6 +92,6 @@
             && isLower(group)
             && !state.guaranteed.has(occurrenceId(group))
         )
-        .map(group => ({ group, cost: stopCost(state, group) }));
+        .map(group => ({ group, cost: cachedStopCost(state, group) }));
     return withinMissLimit(victims, awayTasks(state));
 };
--- a/packages/dispatch/src/prospects.ts
+++ b/packages/dispatch/src/prospects.ts
@@ -2,7 +2,7 @@
 import { coresOf } from "./demand.js";
 import { byPriority, type DispatchOptions } from "./dispatchOptions.js";
 import type { JobView } from "./dispatchView.js";
-import { isStepDone, type OpenOccurrence } from "./openOccurrences.js";
+import type { OpenOccurrence } from "./openOccurrences.js";
 import type { RunGroup } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
 
@@ -86,10 +86,10 @@
     const means = meanWork(occurrences.map(({ view }) => view), runTimes);
     const running = runningSteps(groups, runTimes);
     const prospectOf = (owner: OpenOccurrence): Prospect => {
-        const { view, occurrence, startAt } = owner;
+        const { view, startAt, doneSteps } = owner;
         const { queue, job } = view;
         const isFinite = (index: number): boolean => job.steps[index]?.isLongRunning !== true;
-        const isOpen = (index: number): boolean => isFinite(index) && !isStepDone(view, occurrence, index);
+        const isOpen = (index: number): boolean => isFinite(index) && doneSteps[index] === false;
         const chainMs = longestChain(view, index => isFinite(index) ? runTimes.stepMs(view, index) : 0);
         const openMs = longestChain(view, index =>
             isOpen(index)
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -1,7 +1,6 @@
-import type { Step } from "@persimmonpitch/workload/step.js";
-import type { Demand } from "@persimmonpitch/workload/step.js";
+import type { Demand, Step } from "@persimmonpitch/workload/step.js";
 import { countedDemand } from "./demand.js";
-import { isStepDone, type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
+import { type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
 
 /** Tasks of one step that can start now: a whole gang, or all free tasks of a step that is not a gang. */
 export interface ReadyUnit {
@@ -25,12 +24,22 @@
     return step.isGang && free.length < keys.length ? [] : free;
 };
 
-const isStepReady = ({ view, occurrence }: OpenOccurrence, step: Step): boolean =>
-    step.after.every(earlier => isStepDone(view, occurrence, earlier));
+const isStepReady = ({ doneSteps }: OpenOccurrence, { after }: Step, stepIndex: number): boolean =>
+    doneSteps[stepIndex] === false && after.every(earlier => doneSteps[earlier] === true);
 
 /** The units of an occurrence that can start as soon as there is room. */
 export const readyUnits = (owner: OpenOccurrence): readonly ReadyUnit[] =>
     owner.view.job.steps.flatMap((step, stepIndex) => {
-        const keys = isStepReady(owner, step) ? freeKeys(owner, stepIndex, step) : [];
+        const keys = isStepReady(owner, step, stepIndex) ? freeKeys(owner, stepIndex, step) : [];
         return keys.length === 0 ? [] : [{ owner, stepIndex, step, demand: countedDemand(step), keys }];
     });
+
+/** Units of one kind have the same choice of executors and the same demand. */
+export const unitKind = ({ owner, step, demand, keys }: ReadyUnit): string => {
+    const { isGang, isTight, dataRack, requiredLabel, maxPerExecutor } = step;
+    const { milliCores, memoryMb, accelerators } = demand;
+    const limit = maxPerExecutor === undefined ? "" : `${maxPerExecutor} ${owner.view.job.jobId} ${owner.occurrence}`;
+    const gang = isGang ? `${isTight} ${keys.length}` : "";
+    const places = JSON.stringify([owner.view.queue.service, dataRack, requiredLabel]);
+    return [milliCores, memoryMb, accelerators, gang, limit, places].join(";");
+};
--- a/packages/dispatch/src/reservations.ts
+++ b/packages/dispatch/src/reservations.ts
@@ -16,10 +16,10 @@
 /** Releases of each executor, by its index, in the order of time. */
 export type Releases = ReadonlyMap<number, readonly Release[]>;
 
-/** A time at which a unit fits, and where. */
+/** A time at which a unit fits, and what is then left of each executor for it. */
 export interface LaterFit {
     readonly inMs: Millis;
-    readonly seats: readonly Seat[];
+    readonly available: ReadonlyMap<ExecutorRoom, MutableDemand>;
 }
 
 /** When and where running work gives room back by itself. */
@@ -55,7 +55,6 @@
     unit: ReadyUnit,
     count: number,
     releases: Releases,
-    scarcity: Scarcity,
 ): LaterFit | undefined => {
     const available = new Map(rooms.map(room => [room, unreservedRoom(room)]));
     const seatsOf = (room: ExecutorRoom): number => seatsIn(room, unit, available.get(room) ?? noDemand());
@@ -73,11 +72,7 @@
         total += seatsOf(room);
         inMs = at;
     }
-    if (total < count) {
-        return undefined;
-    }
-    const { seats } = fillSeats(rooms, unit, count, room => available.get(room) ?? noDemand(), scarcity);
-    return { inMs, seats };
+    return total < count ? undefined : { inMs, available };
 };
 
 const releasedBy = (list: readonly Release[], timeMs: Millis): MutableDemand => {
@@ -90,8 +85,7 @@
     return released;
 };
 
-/** Keeps the room of a later fit: other work may use it only if it ends before, or in what is left. */
-export const reserve = ({ demand }: ReadyUnit, { inMs, seats }: LaterFit, releases: Releases): void => {
+const reserveSeats = ({ demand }: ReadyUnit, seats: readonly Seat[], inMs: Millis, releases: Releases): void => {
     for (const { room, count } of seats) {
         if (room.reservation === undefined) {
             const spare = laterRoom(room);
@@ -103,3 +97,16 @@
         room.reservation.fromMs = Math.min(room.reservation.fromMs, inMs);
     }
 };
+
+/** Keeps the room of a later fit: other work may use it only if it ends before, or in what is left. */
+export const reserve = (
+    unit: ReadyUnit,
+    count: number,
+    { inMs, available }: LaterFit,
+    releases: Releases,
+    scarcity: Scarcity,
+): void => {
+    const rooms = [...available.keys()];
+    const { seats } = fillSeats(rooms, unit, count, room => available.get(room) ?? noDemand(), scarcity);
+    reserveSeats(unit, seats, inMs, releases);
+};
--- a/packages/dispatch/src/runGroups.ts
+++ b/packages/dispatch/src/runGroups.ts
@@ -31,8 +31,10 @@
     readonly step: Step;
 }
 
-/** Finds the step of a run; undefined for a run of a job that the view does not hold. */
-export const findRunStep = (jobs: ReadonlyMap<string, JobView>, { jobId, key }: RunView): RunStep | undefined => {
+/** The step of each run; absent for a run of a job that the view does not hold. */
+export type RunSteps = ReadonlyMap<RunView, RunStep>;
+
+const findRunStep = (jobs: ReadonlyMap<string, JobView>, { jobId, key }: RunView): RunStep | undefined => {
     const view = jobs.get(jobId);
     const place = parseTaskName(taskName(jobId, key));
     const step = view?.job.steps[place?.step ?? -1];
@@ -41,6 +43,18 @@
         : { view, occurrence: place.occurrence, stepIndex: place.step, step };
 };
 
+/** Finds the steps of all runs of the executors. */
+export const findRunSteps = (executors: readonly ExecutorView[], jobs: ReadonlyMap<string, JobView>): RunSteps => {
+    const runSteps = new Map<RunView, RunStep>();
+    for (const run of executors.flatMap(({ runs }) => runs)) {
+        const runStep = findRunStep(jobs, run);
+        if (runStep !== undefined) {
+            runSteps.set(run, runStep);
+        }
+    }
+    return runSteps;
+};
+
 /** A run of an earlier number takes up room but is no longer what the task's progress names. */
 const isCurrent = ({ view }: RunStep, run: RunView): boolean => {
     const { placement, run: current } = progressOf(view, run.key);
@@ -63,14 +77,11 @@
 });
 
 /** Groups the runs of all executors that their jobs' progress names. */
-export const runGroups = (
-    executors: readonly ExecutorView[],
-    jobs: ReadonlyMap<string, JobView>,
-): readonly RunGroup[] => {
+export const runGroups = (executors: readonly ExecutorView[], runSteps: RunSteps): readonly RunGroup[] => {
     const found = new Map<string, { readonly runStep: RunStep; readonly members: GroupMember[]; }>();
     executors.forEach(({ runs }, executor) => {
         for (const run of runs) {
-            const runStep = findRunStep(jobs, run);
+            const runStep = runSteps.get(run);
             if (runStep === undefined || !isCurrent(runStep, run)) {
                 continue;
             }
--- a/packages/dispatch/src/runTimes.ts
+++ b/packages/dispatch/src/runTimes.ts
@@ -28,6 +28,8 @@
 export interface RunTimes {
     /** Time of one whole task of the step. */
     readonly stepMs: (view: JobView, stepIndex: number) => Millis;
+    /** The same without what runs of the step themselves show, to judge these runs by. */
+    readonly declaredMs: (view: JobView, stepIndex: number) => Millis;
     /** Time until the group ends by itself; infinite for long-running steps. */
     readonly remainingMs: (group: RunGroup) => Millis;
 }
@@ -102,11 +104,13 @@
     now: Millis,
 ): RunTimes => {
     const queues = new Map<string, Mean>();
+    const declared = new Map<string, Mean>();
     const siblings = new Map<string, Mean>();
     for (const { job, queue } of jobs) {
         job.steps.filter(isFinite).filter(({ declaredMs }) => declaredMs > 0)
             .forEach(({ declaredMs }) => {
                 addTime(queues, queue.name, declaredMs);
+                addTime(declared, queue.name, declaredMs);
             });
     }
     for (const { view, step, stepIndex, members, workingSince } of groups) {
@@ -118,6 +122,8 @@
             }
         }
     }
+    const declaredMs = (view: JobView, stepIndex: number): Millis =>
+        shrinkTo(view.job.steps[stepIndex]?.declaredMs ?? 0, declared.get(view.queue.name));
     const stepMs = (view: JobView, stepIndex: number): Millis => {
         const prior = shrinkTo(view.job.steps[stepIndex]?.declaredMs ?? 0, queues.get(view.queue.name));
         const measured = siblings.get(stepId(view, stepIndex));
@@ -135,5 +141,5 @@
             MIN_REMAINING_MS,
         );
     };
-    return { stepMs, remainingMs };
+    return { stepMs, declaredMs, remainingMs };
 };
--- a/packages/dispatch/src/seating.ts
+++ b/packages/dispatch/src/seating.ts
@@ -1,5 +1,6 @@
 import type { Demand } from "@persimmonpitch/workload/step.js";
-import { accepts, type ExecutorRoom, seatsIn } from "./executorRoom.js";
+import { accepts, capacitySeats, type ExecutorRoom, seatsIn } from "./executorRoom.js";
+import { groupBy } from "./groupBy.js";
 import type { ReadyUnit } from "./readyUnits.js";
 
 /** Tasks of a unit on one executor. */
@@ -141,26 +142,13 @@
 /** Scales the free accelerators of a rack, so that they only decide between racks of equal remainder. */
 const MAX_RACK_ACCELERATORS = 1_000;
 
-const byRack = (rooms: readonly ExecutorRoom[]): readonly (readonly ExecutorRoom[])[] => {
-    const racks = new Map<string, ExecutorRoom[]>();
-    for (const room of rooms) {
-        const rack = racks.get(room.rack);
-        if (rack === undefined) {
-            racks.set(room.rack, [room]);
-        }
-        else {
-            rack.push(room);
-        }
-    }
-    return [...racks.values()];
-};
+const byRack = (
+    rooms: readonly ExecutorRoom[],
+): readonly (readonly ExecutorRoom[])[] => [...groupBy(rooms, ({ rack }) => rack).values()];
 
-/** Number of tasks that empty executors would hold. */
-const capacitySeats = (rooms: readonly ExecutorRoom[], unit: ReadyUnit): number =>
-    rooms.reduce((sum, room) => {
-        const seats = seatsIn({ ...room, tasksOfStep: new Map(), taskCount: 0 }, unit, room.executor.capacity);
-        return sum + seats;
-    }, 0);
+/** Number of tasks that the executors would hold if they ran nothing else. */
+const totalSeats = (rooms: readonly ExecutorRoom[], unit: ReadyUnit): number =>
+    rooms.reduce((sum, room) => sum + capacitySeats(room, unit), 0);
 
 type SpanKind = "tight" | "data" | "plain";
 
@@ -177,7 +165,7 @@
 /** Sets of executors for a unit, by what its tasks run slower for. */
 const SPANS: { readonly [K in SpanKind]: (rooms: readonly ExecutorRoom[], unit: ReadyUnit) => Spans; } = {
     tight: (rooms, unit) => {
-        const racks = byRack(rooms).filter(rack => capacitySeats(rack, unit) >= unit.step.count);
+        const racks = byRack(rooms).filter(rack => totalSeats(rack, unit) >= unit.step.count);
         const dataRacks = racks.filter(rack => isDataRack(unit, rack));
         const preferred = dataRacks.length > 0 ? dataRacks : racks;
         return preferred.length > 0
@@ -187,7 +175,7 @@
     data: (rooms, unit) => {
         const needed = unit.step.isGang ? unit.step.count : 1;
         const preferred = byRack(rooms)
-            .filter(rack => isDataRack(unit, rack) && capacitySeats(rack, unit) >= needed);
+            .filter(rack => isDataRack(unit, rack) && totalSeats(rack, unit) >= needed);
         return preferred.length > 0
             ? { preferred, fallback: rooms }
             : { preferred: [rooms], fallback: undefined };
@@ -195,15 +183,15 @@
     plain: rooms => ({ preferred: [rooms], fallback: undefined }),
 };
 
-/** The executors that a unit can use and those it prefers; `isAvoided` excludes some if the others can ever hold it. */
+/** The executors that a unit can use and those it prefers; those to avoid are left out if the others can ever hold it. */
 export const spansOf = (
     rooms: readonly ExecutorRoom[],
     unit: ReadyUnit,
-    isAvoided: (room: ExecutorRoom) => boolean,
+    avoided: ReadonlySet<number>,
 ): Spans => {
     const accepting = rooms.filter(room => accepts(room, unit));
-    const others = accepting.filter(room => !isAvoided(room));
+    const others = accepting.filter(room => !avoided.has(room.index));
     const needed = unit.step.isGang ? unit.step.count : 1;
-    const usable = others.length < accepting.length && capacitySeats(others, unit) < needed ? accepting : others;
+    const usable = others.length < accepting.length && totalSeats(others, unit) < needed ? accepting : others;
     return SPANS[spanKind(unit)](usable, unit);
 };
--- a/packages/dispatch/src/unitOrder.ts
+++ b/packages/dispatch/src/unitOrder.ts
@@ -1,5 +1,6 @@
 import { byPriority, type DispatchOptions } from "./dispatchOptions.js";
 import type { JobView } from "./dispatchView.js";
+import { groupBy } from "./groupBy.js";
 import { byStart, isGuaranteedStart } from "./guarantees.js";
 import type { OpenOccurrence } from "./openOccurrences.js";
 import { occurrenceId, type Outlook, type Prospect } from "./prospects.js";
@@ -56,14 +57,12 @@
 
 /** For each queue, the accelerators from which a job counts as one of its largest. */
 const largeSizes = (jobs: readonly JobView[]): ReadonlyMap<string, number> => {
-    const sizes = new Map<string, number[]>();
-    for (const view of jobs) {
-        sizes.set(view.queue.name, [...sizes.get(view.queue.name) ?? [], acceleratorsOf(view)]);
-    }
-    return new Map([...sizes].map(([queue, all]) => {
-        const descending = all.sort((left, right) => right - left);
-        return [queue, descending[Math.floor(all.length * LARGE_SHARE)] ?? 0];
-    }));
+    const byQueue = groupBy(jobs, ({ queue }) => queue.name);
+    const largeSize = (views: readonly JobView[]): number => {
+        const descending = views.map(acceleratorsOf).sort((left, right) => right - left);
+        return descending[Math.floor(descending.length * LARGE_SHARE)] ?? 0;
+    };
+    return new Map([...byQueue].map(([queue, views]) => [queue, largeSize(views)]));
 };
 
 const compareUnits = (left: RankedUnit, right: RankedUnit): number =>
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -16,9 +16,11 @@
 /** Natural ends come later than estimated about as often as earlier, so a wait is taken as this much longer. */
 const WAIT_FACTOR = 1.2;
 
-/** A unit, the time of one of its tasks, and how many tasks have no place yet. */
+/** A unit with the time of one of its tasks and the executors that it can use. */
 interface Request {
     readonly ranked: RankedUnit;
+    /** Kind of the unit; undefined if it avoids some executors. */
+    readonly kind: string | undefined;
     readonly lengthMs: Millis;
     readonly spans: Spans;
 }
@@ -93,7 +95,7 @@
 
 const soonestFit = (state: PassState, { ranked, spans }: Request, count: number): LaterFit | undefined =>
     spans.preferred
-        .map(rooms => earliestFit(rooms, ranked.unit, count, state.releases, state.scarcity))
+        .map(rooms => earliestFit(rooms, ranked.unit, count, state.releases))
         .reduce((best, fit) => fit !== undefined && fit.inMs < (best?.inMs ?? Infinity) ? fit : best, undefined);
 
 /** Whether the worth that a preemption saves is clearly above its cost. */
@@ -123,16 +125,28 @@
 /** Whether room is kept for the unit: small tasks find room by themselves as others end. */
 const needsReservation = ({ unit: { step, demand } }: RankedUnit): boolean => step.isGang || demand.accelerators > 1;
 
+/** Whether an equal or smaller request did not fit before in this pass. */
+const isMisfit = ({ misfits }: PassState, { kind, lengthMs }: Request, count: number): boolean => {
+    const misfit = kind === undefined ? undefined : misfits.get(kind);
+    return misfit !== undefined && count >= misfit.count && lengthMs >= misfit.lengthMs;
+};
+
 /** Starts as many tasks as fit in the preferred executors; a gang whole or not at all. Returns the tasks left. */
 const startNow = (state: PassState, request: Request, keys: readonly string[]): readonly string[] => {
-    const { ranked, spans, lengthMs } = request;
-    const { unit } = ranked;
+    const { ranked: { unit }, ranked, spans, lengthMs, kind } = request;
+    const least = unit.step.isGang ? keys.length : 1;
+    if (isMisfit(state, request, least)) {
+        return keys;
+    }
     const available: Available = room => roomNow(room, lengthMs);
     const whole = fill(state, ranked, spans.preferred, keys.length, available);
     if (whole !== undefined) {
         start(state, request, keys, whole.seats);
         return [];
     }
+    if (kind !== undefined) {
+        state.misfits.set(kind, { count: least, lengthMs });
+    }
     if (unit.step.isGang) {
         return keys;
     }
@@ -207,28 +221,46 @@
     }
 };
 
-/** Places a unit: starts it, keeps coming room for it, frees room for it, or reserves room for later. True if it reserved. */
-export const placeUnit = (state: PassState, ranked: RankedUnit, spans: Spans, mayReserve: boolean): boolean => {
+/** Whether later room or victims for the unit are to be looked for. */
+const needsSearch = ({ options, reservationCount, searchCount }: PassState, { ranked, spans }: Request): boolean => {
+    const isUrgent = ranked.unit.owner.view.queue.priority === 0;
+    const mayReserve = needsReservation(ranked) && reservationCount < options.maxReservations;
+    return (isUrgent || mayReserve || spans.fallback !== undefined) && searchCount < options.maxSearches;
+};
+
+/** Finds the best way on for tasks that do not fit now: slower executors, victims, or room kept for later. */
+const placeBlocked = (state: PassState, request: Request, keys: readonly string[]): void => {
+    if (!needsSearch(state, request)) {
+        return;
+    }
+    state.searchCount += 1;
+    const { ranked } = request;
+    const fit = soonestFit(state, request, keys.length);
+    const waitMs = fit?.inMs ?? Infinity;
+    const blocked = startSlower(state, request, keys, waitMs);
+    if (blocked.length === 0 || tryPreempt(state, request, blocked.length, waitMs)) {
+        return;
+    }
+    if (fit !== undefined && needsReservation(ranked) && state.reservationCount < state.options.maxReservations) {
+        state.reservationCount += 1;
+        reserve(ranked.unit, blocked.length, fit, state.releases, state.scarcity);
+    }
+};
+
+/** Places a unit: starts it, keeps coming room for it, frees room for it, or reserves room for later. */
+export const placeUnit = (state: PassState, ranked: RankedUnit, spans: Spans, kind: string | undefined): void => {
     const { unit, isGuaranteed } = ranked;
     const isUrgent = unit.owner.view.queue.priority === 0;
-    const request = { ranked, spans, lengthMs: state.runTimes.stepMs(unit.owner.view, unit.stepIndex) };
+    const lengthMs = state.runTimes.stepMs(unit.owner.view, unit.stepIndex);
+    const request: Request = { ranked, spans, kind, lengthMs };
     const left = startNow(state, request, unit.keys);
     if (left.length === 0 || isUrgent && claimComing(state, request, spans.preferred, left.length)) {
-        return false;
+        return;
     }
     if (isGuaranteed) {
         enforceGuarantee(state, request, left);
-        return false;
     }
-    const fit = soonestFit(state, request, left.length);
-    const waitMs = fit?.inMs ?? Infinity;
-    const blocked = startSlower(state, request, left, waitMs);
-    if (blocked.length === 0 || tryPreempt(state, request, blocked.length, waitMs)) {
-        return false;
+    else {
+        placeBlocked(state, request, left);
     }
-    if (!mayReserve || fit === undefined || !needsReservation(ranked)) {
-        return false;
-    }
-    reserve(unit, fit, state.releases);
-    return true;
 };
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -1,5 +1,6 @@
 import { addTo, countedDemand, type MutableDemand, noDemand } from "./demand.js";
 import { type ExecutorRoom, laterRoom, seatsIn } from "./executorRoom.js";
+import { groupBy } from "./groupBy.js";
 import type { ReadyUnit } from "./readyUnits.js";
 import type { RunGroup } from "./runGroups.js";
 
@@ -29,13 +30,11 @@
 const byCost = (left: Victim, right: Victim): number => costPerAccelerator(left) - costPerAccelerator(right);
 
 const victimsByRoom = (victims: readonly Victim[]): ReadonlyMap<number, readonly Victim[]> => {
-    const found = new Map<number, Victim[]>();
-    for (const victim of [...victims].sort(byCost)) {
-        for (const executor of new Set(victim.group.members.map(member => member.executor))) {
-            found.set(executor, [...found.get(executor) ?? [], victim]);
-        }
-    }
-    return found;
+    const placed = [...victims].sort(byCost).flatMap(victim =>
+        [...new Set(victim.group.members.map(member => member.executor))].map(executor => ({ executor, victim }))
+    );
+    const byExecutor = groupBy(placed, ({ executor }) => executor);
+    return new Map([...byExecutor].map(([executor, all]) => [executor, all.map(({ victim }) => victim)]));
 };
 
 const giveBack = (victim: Victim, executor: number, available: MutableDemand, factor: number): void => {
--- /dev/null
+++ b/packages/dispatch/tests/dispatchRules.ts
@@ -0,0 +1,103 @@
+import { NO_TASK_PROGRESS } from "@persimmonpitch/workload/progress.js";
+import type { Demand } from "@persimmonpitch/workload/step.js";
+import { parseTaskName, taskKey, taskName } from "@persimmonpitch/workload/taskName.js";
+import type { DispatchDecision, DispatchView, JobView } from "../src/dispatchView.js";
+
+const stepOfKey = (view: JobView, key: string) => {
+    const place = parseTaskName(taskName(view.job.jobId, key));
+    const step = view.job.steps[place?.step ?? -1];
+    if (place === undefined || step === undefined) {
+        throw new Error(`no step for ${key}`);
+    }
+    return { ...place, step };
+};
+
+const keysOf = (occurrence: number, step: number, count: number): readonly string[] =>
+    Array.from({ length: count }, (_, index) => taskKey({ occurrence, step, index }));
+
+const progressOf = (view: JobView, key: string) => view.progress.tasks[key] ?? NO_TASK_PROGRESS;
+
+/** Resources that starts take beyond the capacity; a random view may exceed it before anything starts. */
+const roomBreaches = (
+    view: DispatchView,
+    starts: readonly { readonly jobId: string; readonly key: string; readonly vm: string; }[],
+) => view.executors.flatMap(({ vm, capacity, runs }) => {
+    const demandOf = ({ jobId, key }: { readonly jobId: string; readonly key: string; }): Demand => {
+        const job = view.jobs.find(one => one.job.jobId === jobId);
+        const step = job && stepOfKey(job, key).step;
+        return step === undefined ? capacity : { ...step.demand, ...step.usesIdleCores && { milliCores: 0 } };
+    };
+    const sum = (demands: readonly Demand[], resource: keyof Demand): number =>
+        demands.reduce((total, demand) => total + demand[resource], 0);
+    const added = starts.filter(start => start.vm === vm).map(demandOf);
+    const used = [...runs.map(demandOf), ...added];
+    return (["milliCores", "memoryMb", "accelerators"] as const)
+        .filter(resource => sum(added, resource) > 0 && sum(used, resource) > capacity[resource])
+        .map(resource => `${resource} of ${vm} exceeded`);
+});
+
+/** Breaches of the rules on room, readiness, choice of executors and whole gangs in the decisions of one pass. */
+export const ruleBreaches = (view: DispatchView, decisions: readonly DispatchDecision[]): readonly string[] => {
+    const jobs = new Map(view.jobs.map(job => [job.job.jobId, job]));
+    const starts = decisions.flatMap(one =>
+        one.kind === "start" ? one.tasks.map(task => ({ ...task, jobId: one.jobId })) : []
+    );
+    const breaches: string[] = [...roomBreaches(view, starts)];
+    const check = (isKept: boolean, breach: string): void => {
+        breaches.push(...isKept ? [] : [breach]);
+    };
+    for (const decision of decisions) {
+        const job = jobs.get(decision.jobId);
+        if (job === undefined) {
+            breaches.push(`${decision.jobId} is not open`);
+            continue;
+        }
+        const name = `${decision.kind} ${decision.jobId}`;
+        const keys = decision.kind === "start" ? decision.tasks.map(({ key }) => key) : [decision.key];
+        const { step, step: { after }, occurrence, step: { count } } = stepOfKey(job, keys[0] ?? "");
+        const stepIndex = job.job.steps.indexOf(step);
+        if (decision.kind === "stop") {
+            const placed = keysOf(occurrence, stepIndex, count).filter(key =>
+                progressOf(job, key).placement !== undefined
+            );
+            const stopped = decisions.filter(one =>
+                one.kind === "stop" && one.jobId === decision.jobId && placed.includes(one.key)
+            );
+            check(!step.isGang || stopped.length === placed.length, `${name} is not whole`);
+            check(progressOf(job, decision.key).run === decision.run, `${name} has another run number`);
+            continue;
+        }
+        const highest = Math.max(...keys.map(key => progressOf(job, key).run));
+        check(decision.run === highest + 1, `${name} has run ${decision.run} after ${highest}`);
+        check(!step.isGang || new Set(keys).size === count, `${name} is not whole`);
+        check(
+            keys.every(key => progressOf(job, key).placement === undefined && !progressOf(job, key).isDone),
+            `${name} has tasks that are placed or done`,
+        );
+        const areDone = (earlier: number): boolean => {
+            const { count: tasks = 0, isGang = false } = job.job.steps[earlier] ?? {};
+            const done = keysOf(occurrence, earlier, tasks).map(key => progressOf(job, key).isDone);
+            return isGang ? done.includes(true) : !done.includes(false);
+        };
+        check(after.every(areDone), `${name} comes before earlier steps`);
+        const { repetition } = job.job;
+        const dueAt = repetition === undefined ? 0 : repetition.firstDueAt + occurrence * repetition.intervalMs;
+        check(dueAt <= view.wallTime, `${name} is early`);
+        for (const { vm, executorId } of decision.tasks) {
+            const executor = view.executors.find(one => one.vm === vm && one.executorId === executorId);
+            check(
+                executor?.takesWork === true && executor.service === job.queue.service,
+                `${name} is on a wrong executor`,
+            );
+            check(
+                step.requiredLabel === undefined || executor?.labels.includes(step.requiredLabel) === true,
+                `${name} is on an executor without its label`,
+            );
+            const prefix = `${occurrence}.${stepIndex}.`;
+            const onExecutor = [...executor?.runs ?? [], ...starts.filter(one => one.vm === vm)]
+                .filter(one => one.jobId === decision.jobId && one.key.startsWith(prefix));
+            check(onExecutor.length <= (step.maxPerExecutor ?? Infinity), `${name} has too many tasks on ${vm}`);
+        }
+    }
+    return breaches;
+};
--- /dev/null
+++ b/packages/dispatch/tests/fakeCluster.ts
@@ -0,0 +1,208 @@
+import type { JobProgress, TaskProgress } from "@persimmonpitch/workload/progress.js";
+import { taskKey } from "@persimmonpitch/workload/taskName.js";
+import type { DispatchOptions } from "../src/dispatchOptions.js";
+import { dispatchPass } from "../src/dispatchPass.js";
+import type { DispatchDecision, EndView, ExecutorView, JobView, RunView } from "../src/dispatchView.js";
+import { executorsOf, viewOf } from "./dispatchFixture.js";
+
+const TICK_MS = 50;
+const STOP_MS = 300;
+const REPORT_MS = 500;
+
+/** Rate of an executor at a time; 0 stands still, -1 fails each task. */
+export type Rate = (executor: number, now: number) => number;
+
+interface FakeRun {
+    readonly view: JobView;
+    readonly key: string;
+    readonly step: number;
+    readonly run: number;
+    readonly executor: number;
+    readonly orderedAt: number;
+    readonly firstPercent: number;
+    percent: number;
+    reported: number;
+    progressAt: number;
+    stopsAt: number | undefined;
+}
+
+export interface JobRecord {
+    firstStepAt?: number;
+    endedAt?: number;
+    stops: number;
+}
+
+/** Executors that run what the decisions say, on a clock that is a number. */
+export class FakeCluster {
+    now = 0;
+    lostCoreSeconds = 0;
+    readonly records = new Map<string, JobRecord>();
+    readonly log: string[] = [];
+    private readonly progress = new Map<string, Record<string, TaskProgress>>();
+    private readonly saved = new Map<string, number>();
+    private readonly jobs = new Map<string, JobView>();
+    private runs: FakeRun[] = [];
+    private readonly ends: EndView[][];
+    private readonly executors: readonly ExecutorView[];
+
+    constructor(
+        size: number,
+        private readonly trueMs: (jobId: string, step: number) => number,
+        private readonly rate: Rate = () => 1,
+        private readonly options: Partial<DispatchOptions> = {},
+    ) {
+        this.executors = executorsOf(size);
+        this.ends = this.executors.map(() => []);
+    }
+
+    submit(view: JobView): void {
+        this.jobs.set(view.job.jobId, view);
+        this.progress.set(view.job.jobId, {});
+        this.records.set(view.job.jobId, { stops: 0 });
+    }
+
+    runUntil(time: number, onTick: (now: number) => void = () => undefined): void {
+        while (this.now < time) {
+            onTick(this.now);
+            this.work();
+            this.decide();
+            this.now += TICK_MS;
+        }
+    }
+
+    private viewOfJob(view: JobView): JobView {
+        const progress: JobProgress = { outcome: "open", tasks: this.progress.get(view.job.jobId) ?? {} };
+        return { ...view, progress };
+    }
+
+    private decide(): void {
+        const executors = this.executors.map((executor, index) => ({
+            ...executor,
+            runs: this.runs.filter(run => run.executor === index).map((run): RunView => ({
+                jobId: run.view.job.jobId,
+                key: run.key,
+                run: run.run,
+                orderedAt: run.orderedAt,
+                isStopping: run.stopsAt !== undefined,
+                percent: run.reported,
+                progressAt: run.progressAt,
+                firstPercent: run.firstPercent,
+                firstListedAt: run.orderedAt,
+            })),
+            recentEnds: this.ends[index] ?? [],
+        }));
+        const jobs = [...this.jobs.values()].map(view => this.viewOfJob(view));
+        const view = viewOf(jobs, executors, { now: this.now, wallTime: this.now });
+        dispatchPass(view, this.options).forEach(decision => {
+            this.carryOut(decision);
+        });
+    }
+
+    private carryOut(decision: DispatchDecision): void {
+        const { jobId } = decision;
+        const view = this.jobs.get(jobId);
+        const record = this.records.get(jobId);
+        if (view === undefined || record === undefined) {
+            throw new Error(`a decision on ${jobId}, which is not open`);
+        }
+        if (decision.kind === "stop") {
+            record.stops += 1;
+            this.log.push(`${this.now} stop ${jobId}.${decision.key} ${decision.reason}`);
+            this.runs.filter(run => run.view === view && run.key === decision.key)
+                .forEach(run => run.stopsAt = this.now + STOP_MS);
+            return;
+        }
+        for (const { key, vm, executorId } of decision.tasks) {
+            const executor = this.executors.findIndex(one => one.vm === vm);
+            const step = Number(key.split(".")[1]);
+            const percent = this.saved.get(`${jobId} ${key}`) ?? 0;
+            const { now } = this;
+            this.update(jobId, key, { run: decision.run, placement: { vm, executorId, born: 0 } });
+            this.runs.push({
+                view,
+                key,
+                step,
+                executor,
+                run: decision.run,
+                orderedAt: now,
+                firstPercent: percent,
+                percent,
+                reported: percent,
+                progressAt: now,
+                stopsAt: undefined,
+            });
+        }
+        const isFirstStepPlaced = Array.from(
+            { length: view.job.steps[0]?.count ?? 0 },
+            (_, index) => this.progress.get(jobId)?.[taskKey({ occurrence: 0, step: 0, index })],
+        ).every(task => (task?.run ?? 0) > 0);
+        if (isFirstStepPlaced) {
+            record.firstStepAt ??= this.now;
+        }
+    }
+
+    private update(jobId: string, key: string, change: Partial<TaskProgress>): void {
+        const tasks = this.progress.get(jobId) ?? {};
+        const { placement, ...rest } = { run: 0, failures: 0, isDone: false, ...tasks[key], ...change };
+        const isPlaced = change.placement !== undefined && placement !== undefined;
+        this.progress.set(jobId, { ...tasks, [key]: { ...rest, ...isPlaced && { placement } } });
+    }
+
+    /** Runs that work together at the rate of the slowest, and on several racks at a third of it. */
+    private gangOf(run: FakeRun): readonly FakeRun[] {
+        const isGang = run.view.job.steps[run.step]?.isGang === true;
+        return isGang ? this.runs.filter(other => other.view === run.view && other.step === run.step) : [run];
+    }
+
+    private work(): void {
+        for (const run of this.runs) {
+            const gang = this.gangOf(run);
+            const { isTight = false } = run.view.job.steps[run.step] ?? {};
+            const racks = new Set(gang.map(({ executor }) => this.executors[executor]?.rack));
+            const rates = gang.map(({ executor }) => this.rate(executor, this.now));
+            const rate = Math.max(0, Math.min(...rates)) / (isTight && racks.size > 1 ? 3 : 1);
+            run.percent += 100 * rate * TICK_MS / this.trueMs(run.view.job.jobId, run.step);
+            if (this.now % REPORT_MS === 0 && Math.floor(run.percent) > run.reported) {
+                run.reported = Math.floor(run.percent);
+                run.progressAt = this.now;
+            }
+        }
+        for (const run of [...this.runs]) {
+            if (!this.runs.includes(run)) {
+                continue;
+            }
+            if (this.rate(run.executor, this.now) < 0) {
+                this.end(run, "failed");
+            }
+            else if (run.percent >= 100) {
+                this.end(run, "done");
+            }
+            else if (run.stopsAt !== undefined && this.now >= run.stopsAt) {
+                this.end(run, "stopped");
+            }
+        }
+    }
+
+    private end(run: FakeRun, kind: "done" | "failed" | "stopped"): void {
+        const { jobId, steps } = run.view.job;
+        const step = steps[run.step];
+        for (const member of this.gangOf(run)) {
+            this.runs = this.runs.filter(other => other !== member);
+            this.ends[member.executor]?.push({ jobId, key: member.key, isFailure: kind === "failed", at: this.now });
+            this.update(jobId, member.key, { isDone: kind === "done" });
+            if (kind !== "done" && step !== undefined) {
+                const isSaved = step.hasCheckpoints;
+                this.saved.set(`${jobId} ${member.key}`, isSaved ? member.percent : 0);
+                const lostMs = isSaved ? 0 : this.now - member.orderedAt;
+                this.lostCoreSeconds += (8 * step.demand.accelerators + step.demand.milliCores / 1_000) * lostMs
+                    / 1_000;
+            }
+        }
+        const tasks = this.progress.get(jobId) ?? {};
+        const all = steps.reduce((sum, { count }) => sum + count, 0);
+        if (Object.values(tasks).filter(({ isDone }) => isDone).length === all) {
+            this.records.set(jobId, { stops: 0, ...this.records.get(jobId), endedAt: this.now });
+            this.jobs.delete(jobId);
+        }
+    }
+}
--- /dev/null
+++ b/packages/dispatch/tests/simulation.test.ts
@@ -0,0 +1,78 @@
+import t from "tap";
+import type { JobView } from "../src/dispatchView.js";
+import { jobOf } from "./dispatchFixture.js";
+import { FakeCluster } from "./fakeCluster.js";
+
+const TRUE_MS = 6_000;
+const RECLAIM_MS = 3_000;
+
+const smallJob = (id: string, acceptedAt: number): JobView =>
+    jobOf({ id, queue: "preview", acceptedAt, steps: [{ count: 9, declaredMs: 9_000 }] });
+
+/** Submits a small job every `everyMs`, so that the executors are never empty. */
+const flood = (cluster: FakeCluster, everyMs: number) => (now: number): void => {
+    if (now % everyMs === 0) {
+        cluster.submit(smallJob(`small${now}`, now));
+    }
+};
+
+void t.test("a guaranteed job starts in time on full executors", t => {
+    const cluster = new FakeCluster(6, () => 30_000);
+    const keepFull = flood(cluster, 200);
+    cluster.runUntil(10_000, keepFull);
+    cluster.submit(jobOf({
+        id: "urgent",
+        queue: "counter",
+        team: "weavers",
+        acceptedAt: cluster.now,
+        steps: [{ count: 3, isGang: true, isTight: true, demand: { accelerators: 8 } }],
+    }));
+    cluster.runUntil(14_000, keepFull);
+    const waitedMs = (cluster.records.get("urgent")?.firstStepAt ?? Infinity) - 10_000;
+    t.ok(waitedMs <= RECLAIM_MS, `started after ${waitedMs} ms`);
+    const stops = cluster.log.filter(line => line.endsWith("preempted"));
+    t.equal(stops.length, 24, "stops exactly the runs in the way, once");
+    t.end();
+});
+
+void t.test("a large gang is not starved by a flood of small tasks", t => {
+    const cluster = new FakeCluster(6, () => TRUE_MS);
+    const overload = flood(cluster, 1_000);
+    cluster.runUntil(20_000, overload);
+    cluster.submit(jobOf({
+        id: "large",
+        acceptedAt: cluster.now,
+        steps: [{ count: 3, isGang: true, isTight: true, demand: { accelerators: 8 }, declaredMs: TRUE_MS }],
+    }));
+    cluster.runUntil(60_000, overload);
+    const waitedMs = (cluster.records.get("large")?.firstStepAt ?? Infinity) - 20_000;
+    t.ok(waitedMs <= 2 * TRUE_MS, `started after ${waitedMs} ms`);
+    t.end();
+});
+
+void t.test("runs leave a stalled and a slow executor once, and nothing moves without a fault", t => {
+    const submitAll = (cluster: FakeCluster): void => {
+        for (let number = 0; number < 12; number += 1) {
+            // Declared times are off by up to 90%, which must not look like a slow executor.
+            const declaredMs = TRUE_MS * ([0.1, 0.5, 1, 1.9][number % 4] ?? 1);
+            cluster.submit(
+                jobOf({ id: `batch${number}`, acceptedAt: 0, steps: [{ count: 2, isGang: true, declaredMs }] }),
+            );
+        }
+    };
+    const healthy = new FakeCluster(6, () => TRUE_MS);
+    submitAll(healthy);
+    healthy.runUntil(20_000);
+    t.same(healthy.log, [], "no stops on healthy executors");
+    const faulty = new FakeCluster(6, () => TRUE_MS, (executor, now) => {
+        const isHit = now >= 2_000 && now < 15_000;
+        return isHit && executor === 0 ? 0 : 1;
+    });
+    submitAll(faulty);
+    faulty.runUntil(30_000);
+    const stops = faulty.log.filter(line => line.endsWith("stalled"));
+    t.ok(stops.length > 0, "stalled runs are stopped");
+    t.equal(new Set(stops.map(line => line.split(" ")[2])).size, stops.length, "no task is stopped twice");
+    t.ok([...faulty.records.values()].every(({ endedAt }) => endedAt !== undefined), "all jobs complete");
+    t.end();
+});
