--- a/packages/verification/src/faults.ts
+++ b/packages/verification/src/faults.ts
@@ -152,7 +152,8 @@
         run: async (deployment, workload) => {
             const drained = deployment.drainAgent("executor-1");
             await workload.sendRequests();
-            await drained;
+            // The agent waits for its records to become durable, which takes longer than the requests after an outage.
+            await deployment.runUntilSettled(drained);
         },
     },
 } as const satisfies Readonly<Record<string, Fault>>;
