--- a/packages/backing/tests/httpClients.test.ts
+++ b/packages/backing/tests/httpClients.test.ts
@@ -1,8 +1,8 @@
 import { systemClock } from "@persimmonpitch/clock/systemClock.js";
+import { formatSnapshot } from "@persimmonpitch/snapshots/formatSnapshot.js";
 import { createServer } from "node:http";
 import type { Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { inspect } from "node:util";
 import type { Test } from "tap";
 import t from "tap";
 import { HttpExecutor } from "../src/httpExecutor.js";
@@ -10,17 +10,7 @@
 import { HttpTable } from "../src/httpTable.js";
 import { HttpWorker } from "../src/httpWorker.js";
 
-const SNAPSHOT_FORMAT = {
-    depth: 10,
-    breakLength: 120,
-    compact: 6,
-    sorted: true,
-    maxArrayLength: Infinity,
-    maxStringLength: Infinity,
-};
-
-// Compact snapshots keep a case on a few lines, so that a change is seen at a glance.
-t.formatSnapshot = value => typeof value === "string" ? value : inspect(value, SNAPSHOT_FORMAT);
+t.formatSnapshot = formatSnapshot;
 
 const TIMEOUT_MS = 5_000;
 /** Longer than any run, so that the breaker stays as the first failures left it. */
--- a/packages/bench/tests/measures.test.ts
+++ b/packages/bench/tests/measures.test.ts
@@ -1,4 +1,4 @@
-import { inspect } from "node:util";
+import { formatSnapshot } from "@persimmonpitch/snapshots/formatSnapshot.js";
 import t from "tap";
 import { sampleFragmentation } from "../src/fragmentation.js";
 import { feasibleJobs, meanCompletionBound } from "../src/lowerBound.js";
@@ -11,17 +11,7 @@
 import { gangShape, makeDeployment } from "../src/traceDeployments.js";
 import { makeHandTrace, SECOND_MS } from "./handMadeTrace.js";
 
-const SNAPSHOT_FORMAT = {
-    depth: 10,
-    breakLength: 120,
-    compact: 6,
-    sorted: true,
-    maxArrayLength: Infinity,
-    maxStringLength: Infinity,
-};
-
-// Compact snapshots keep a case on a few lines, so that a change is seen at a glance.
-t.formatSnapshot = value => typeof value === "string" ? value : inspect(value, SNAPSHOT_FORMAT);
+t.formatSnapshot = formatSnapshot;
 
 const { vms } = makeDeployment("cooperative");
 const size = { cores: 128, memoryMb: 512 * 1_024 };
--- a/packages/bench/tests/replay.test.ts
+++ b/packages/bench/tests/replay.test.ts
@@ -1,7 +1,7 @@
 import type { ClusterView } from "@persimmonpitch/placement/clusterView.js";
 import type { PlacementDecisions } from "@persimmonpitch/placement/placementDecisions.js";
 import type { GangMember } from "@persimmonpitch/schema/job.js";
-import { inspect } from "node:util";
+import { formatSnapshot } from "@persimmonpitch/snapshots/formatSnapshot.js";
 import t from "tap";
 import { POLICIES } from "../src/policies.js";
 import { replay } from "../src/replay.js";
@@ -10,17 +10,7 @@
 import type { JobInput } from "./handMadeTrace.js";
 import { makeHandTrace, policyOf, SECOND_MS } from "./handMadeTrace.js";
 
-const SNAPSHOT_FORMAT = {
-    depth: 10,
-    breakLength: 120,
-    compact: 6,
-    sorted: true,
-    maxArrayLength: Infinity,
-    maxStringLength: Infinity,
-};
-
-// Compact snapshots keep a case on a few lines, so that a change is seen at a glance.
-t.formatSnapshot = value => typeof value === "string" ? value : inspect(value, SNAPSHOT_FORMAT);
+t.formatSnapshot = formatSnapshot;
 
 const on = (accelerators: number, ...vmIds: string[]): GangMember[] => vmIds.map(vmId => ({ vmId, accelerators }));
 
--- a/packages/history/tests/historyBatcher.test.ts
+++ b/packages/history/tests/historyBatcher.test.ts
@@ -1,26 +1,16 @@
 import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
 import { silentLogger } from "@persimmonpitch/logging/logger.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
+import { formatSnapshot } from "@persimmonpitch/snapshots/formatSnapshot.js";
 import type { TableFaults } from "@persimmonpitch/standins/memoryTable.js";
 import { MemoryTable } from "@persimmonpitch/standins/memoryTable.js";
 import fc from "fast-check";
-import { inspect } from "node:util";
 import t from "tap";
 import type { HistoryBatcherOptions } from "../src/historyBatcher.js";
 import { HistoryBatcher } from "../src/historyBatcher.js";
 import { historyRowSchema } from "../src/historyRow.js";
 
-const SNAPSHOT_FORMAT = {
-    depth: 10,
-    breakLength: 120,
-    compact: 6,
-    sorted: true,
-    maxArrayLength: Infinity,
-    maxStringLength: Infinity,
-};
-
-// Compact snapshots keep a case on a few lines, so that a change is seen at a glance.
-t.formatSnapshot = value => typeof value === "string" ? value : inspect(value, SNAPSHOT_FORMAT);
+t.formatSnapshot = formatSnapshot;
 
 const SEED = 20_261_204;
 
--- a/packages/verification/tests/apiCalls.test.ts
+++ b/packages/verification/tests/apiCalls.test.ts
@@ -1,4 +1,5 @@
 import { verifyHistory } from "@persimmonpitch/history/verifyHistory.js";
+import { formatSnapshot } from "@persimmonpitch/snapshots/formatSnapshot.js";
 import t from "tap";
 import { createSmallBody, TOKENS } from "../src/smallBody.js";
 import type { ApiAnswer, ApiCall } from "./apiFixture.js";
@@ -16,6 +17,8 @@
     startSmall,
 } from "./apiFixture.js";
 
+t.formatSnapshot = formatSnapshot;
+
 const idOf = ({ body }: ApiAnswer): string => (body as { readonly jobId: string; }).jobId;
 
 const TEAM_ROUTES: readonly (readonly [ApiCall["method"], string, (object | string)?])[] = [
--- a/packages/verification/tests/apiRequests.test.ts
+++ b/packages/verification/tests/apiRequests.test.ts
@@ -5,6 +5,7 @@
 import { digestOf } from "@persimmonpitch/protocol/digest.js";
 import { createMemoryLink } from "@persimmonpitch/protocol/memoryLink.js";
 import type { HandlerTable, ParamsOf, ResultOf } from "@persimmonpitch/protocol/method.js";
+import { formatSnapshot } from "@persimmonpitch/snapshots/formatSnapshot.js";
 import t from "tap";
 import type { InProcessDeployment } from "../src/inProcessDeployment.js";
 import { createSmallBody, SERVICE } from "../src/smallBody.js";
@@ -22,6 +23,8 @@
     startSmall,
 } from "./apiFixture.js";
 
+t.formatSnapshot = formatSnapshot;
+
 type RunParams = ParamsOf<EntryToAgentMethods["request.run"]>;
 type RunOutcome = ResultOf<EntryToAgentMethods["request.run"]>["outcome"];
 
--- a/tap-snapshots/packages/verification/dist/tests/apiCalls.test.js.test.cjs
+++ b/tap-snapshots/packages/verification/dist/tests/apiCalls.test.js.test.cjs
@@ -6,1691 +6,1142 @@
  */
 'use strict'
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > a full queue > entry-1 1`] = `
-Object {
-  "body": Object {
-    "code": "queueFull",
-    "detail": "The team has 1 jobs waiting, which is its limit.",
-    "ran": "no",
-    "retryAfterMs": 5000,
-    "status": 429,
-    "title": "Queue full",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-    "retry-after": "5",
-  },
-  "status": 429,
+{
+  body: {
+    code: 'queueFull',
+    detail: 'The team has 1 jobs waiting, which is its limit.',
+    ran: 'no',
+    retryAfterMs: 5000,
+    status: 429,
+    title: 'Queue full',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8', 'retry-after': '5' },
+  status: 429
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > a full queue > entry-2 1`] = `
-Object {
-  "body": Object {
-    "code": "queueFull",
-    "detail": "The team has 1 jobs waiting, which is its limit.",
-    "ran": "no",
-    "retryAfterMs": 5000,
-    "status": 429,
-    "title": "Queue full",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-    "retry-after": "5",
-  },
-  "status": 429,
+{
+  body: {
+    code: 'queueFull',
+    detail: 'The team has 1 jobs waiting, which is its limit.',
+    ran: 'no',
+    retryAfterMs: 5000,
+    status: 429,
+    title: 'Queue full',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8', 'retry-after': '5' },
+  status: 429
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /healthz while it shuts down 1`] = `
-Object {
-  "body": Object {
-    "status": "alive",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 200,
-}
+{ body: { status: 'alive' }, headers: { 'content-type': 'application/json; charset=utf-8' }, status: 200 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /healthz without a configuration 1`] = `
-Object {
-  "body": Object {
-    "status": "alive",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 200,
-}
+{ body: { status: 'alive' }, headers: { 'content-type': 'application/json; charset=utf-8' }, status: 200 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /readyz while it shuts down 1`] = `
-Object {
-  "body": Object {
-    "configVersion": 1,
-    "epoch": 1,
-    "holder": "entry-1",
-    "ready": false,
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 503,
+{
+  body: { configVersion: 1, epoch: 1, holder: 'entry-1', ready: false },
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 503
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /readyz without a configuration 1`] = `
-Object {
-  "body": Object {
-    "configVersion": 0,
-    "epoch": 2,
-    "holder": "entry-2",
-    "ready": false,
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 503,
+{
+  body: { configVersion: 0, epoch: 2, holder: 'entry-2', ready: false },
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 503
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /v1/admin/config while it shuts down 1`] = `
-Object {
-  "body": Object {
-    "body": Object {
-      "drained": Array [],
-      "guarantees": Array [
-        Object {
-          "count": 1,
-          "name": "gang",
-          "shape": Object {
-            "acceleratorsPerVm": 8,
-            "adjacency": "rack",
-            "coresPerVm": 0,
-            "memoryMbPerVm": 0,
-            "vms": 2,
-          },
-          "team": "alpha",
-        },
+{
+  body: {
+    body: {
+      drained: [],
+      guarantees: [
+        {
+          count: 1,
+          name: 'gang',
+          shape: { acceleratorsPerVm: 8, adjacency: 'rack', coresPerVm: 0, memoryMbPerVm: 0, vms: 2 },
+          team: 'alpha'
+        }
       ],
-      "operators": Array [
-        Object {
-          "id": "operator",
-          "tokenSha256": "af5bfcc34d20234ae0bc05473d87a67a477d51ce8ecac77a4fb895b9be222ede",
-        },
-      ],
-      "rules": Object {
-        "completionWeight": 0.5,
-        "connectionsPerExecutor": 64,
-        "fragmentationWeight": 0.5,
-        "preemptionGraceMs": 2000,
-        "queueLengthPerTeam": 1000,
-        "slotsPerExecutor": 8,
+      operators: [ { id: 'operator', tokenSha256: 'af5bfcc34d20234ae0bc05473d87a67a477d51ce8ecac77a4fb895b9be222ede' } ],
+      rules: {
+        completionWeight: 0.5,
+        connectionsPerExecutor: 64,
+        fragmentationWeight: 0.5,
+        preemptionGraceMs: 2000,
+        queueLengthPerTeam: 1000,
+        slotsPerExecutor: 8
       },
-      "teams": Array [
-        Object {
-          "id": "alpha",
-          "tokenSha256": "e16a717c1e4269239bda47d51630758b8ab40867b6d3a2e5f1a23f8e5bb0a8e1",
-          "weight": 1,
-        },
-        Object {
-          "id": "beta",
-          "tokenSha256": "38461323b18af64e0faee0530ed620b4d21760fd624227b7456c2e38be2c1e51",
-          "weight": 1,
+      teams: [
+        {
+          id: 'alpha',
+          tokenSha256: 'e16a717c1e4269239bda47d51630758b8ab40867b6d3a2e5f1a23f8e5bb0a8e1',
+          weight: 1
         },
+        {
+          id: 'beta',
+          tokenSha256: '38461323b18af64e0faee0530ed620b4d21760fd624227b7456c2e38be2c1e51',
+          weight: 1
+        }
       ],
-      "vms": Array [
-        Object {
-          "accelerators": 8,
-          "cores": 32,
-          "dataCentre": "east",
-          "id": "worker-1",
-          "kind": "worker",
-          "memoryMb": 65536,
-          "rack": "rack-1",
+      vms: [
+        {
+          accelerators: 8,
+          cores: 32,
+          dataCentre: 'east',
+          id: 'worker-1',
+          kind: 'worker',
+          memoryMb: 65536,
+          rack: 'rack-1'
         },
-        Object {
-          "accelerators": 8,
-          "cores": 32,
-          "dataCentre": "east",
-          "id": "worker-2",
-          "kind": "worker",
-          "memoryMb": 65536,
-          "rack": "rack-1",
+        {
+          accelerators: 8,
+          cores: 32,
+          dataCentre: 'east',
+          id: 'worker-2',
+          kind: 'worker',
+          memoryMb: 65536,
+          rack: 'rack-1'
         },
-        Object {
-          "accelerators": 8,
-          "cores": 32,
-          "dataCentre": "east",
-          "id": "worker-3",
-          "kind": "worker",
-          "memoryMb": 65536,
-          "rack": "rack-1",
+        {
+          accelerators: 8,
+          cores: 32,
+          dataCentre: 'east',
+          id: 'worker-3',
+          kind: 'worker',
+          memoryMb: 65536,
+          rack: 'rack-1'
         },
-        Object {
-          "accelerators": 8,
-          "cores": 32,
-          "dataCentre": "west",
-          "id": "worker-4",
-          "kind": "worker",
-          "memoryMb": 65536,
-          "rack": "rack-2",
+        {
+          accelerators: 8,
+          cores: 32,
+          dataCentre: 'west',
+          id: 'worker-4',
+          kind: 'worker',
+          memoryMb: 65536,
+          rack: 'rack-2'
         },
-        Object {
-          "accelerators": 8,
-          "cores": 32,
-          "dataCentre": "west",
-          "id": "worker-5",
-          "kind": "worker",
-          "memoryMb": 65536,
-          "rack": "rack-2",
+        {
+          accelerators: 8,
+          cores: 32,
+          dataCentre: 'west',
+          id: 'worker-5',
+          kind: 'worker',
+          memoryMb: 65536,
+          rack: 'rack-2'
         },
-        Object {
-          "accelerators": 8,
-          "cores": 32,
-          "dataCentre": "west",
-          "id": "worker-6",
-          "kind": "worker",
-          "memoryMb": 65536,
-          "rack": "rack-2",
+        {
+          accelerators: 8,
+          cores: 32,
+          dataCentre: 'west',
+          id: 'worker-6',
+          kind: 'worker',
+          memoryMb: 65536,
+          rack: 'rack-2'
         },
-        Object {
-          "accelerators": 0,
-          "cores": 8,
-          "dataCentre": "east",
-          "id": "executor-1",
-          "kind": "executor",
-          "memoryMb": 16384,
-          "rack": "rack-1",
-          "service": "sorting",
+        {
+          accelerators: 0,
+          cores: 8,
+          dataCentre: 'east',
+          id: 'executor-1',
+          kind: 'executor',
+          memoryMb: 16384,
+          rack: 'rack-1',
+          service: 'sorting'
         },
-        Object {
-          "accelerators": 0,
-          "cores": 8,
-          "dataCentre": "west",
-          "id": "executor-2",
-          "kind": "executor",
-          "memoryMb": 16384,
-          "rack": "rack-2",
-          "service": "sorting",
-        },
-      ],
+        {
+          accelerators: 0,
+          cores: 8,
+          dataCentre: 'west',
+          id: 'executor-2',
+          kind: 'executor',
+          memoryMb: 16384,
+          rack: 'rack-2',
+          service: 'sorting'
+        }
+      ]
     },
-    "loadedAt": "TIME",
-    "loadedBy": "operator",
-    "version": 1,
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-    "etag": "\\"1\\"",
+    loadedAt: 'TIME',
+    loadedBy: 'operator',
+    version: 1
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8', etag: '"1"' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /v1/admin/config without a configuration 1`] = `
-Object {
-  "body": Object {
-    "code": "unauthenticated",
-    "detail": "The bearer token is missing or unknown.",
-    "ran": "no",
-    "status": 401,
-    "title": "Unauthenticated",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-    "www-authenticate": "Bearer",
-  },
-  "status": 401,
+{
+  body: {
+    code: 'unauthenticated',
+    detail: 'The bearer token is missing or unknown.',
+    ran: 'no',
+    status: 401,
+    title: 'Unauthenticated',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8', 'www-authenticate': 'Bearer' },
+  status: 401
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /v1/jobs while it shuts down 1`] = `
-Object {
-  "body": Object {
-    "jobs": Array [],
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 200,
-}
+{ body: { jobs: [] }, headers: { 'content-type': 'application/json; charset=utf-8' }, status: 200 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > GET /v1/jobs without a configuration 1`] = `
-Object {
-  "body": Object {
-    "code": "noConfiguration",
-    "detail": "This process has no configuration yet and cannot check the request.",
-    "ran": "no",
-    "retryAfterMs": 1000,
-    "status": 503,
-    "title": "No configuration",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-    "retry-after": "1",
-  },
-  "status": 503,
+{
+  body: {
+    code: 'noConfiguration',
+    detail: 'This process has no configuration yet and cannot check the request.',
+    ran: 'no',
+    retryAfterMs: 1000,
+    status: 503,
+    title: 'No configuration',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8', 'retry-after': '1' },
+  status: 503
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > POST /v1/jobs while it shuts down 1`] = `
-Object {
-  "body": Object {
-    "code": "shuttingDown",
-    "detail": "This process takes no new requests.",
-    "ran": "no",
-    "retryAfterMs": 1000,
-    "status": 503,
-    "title": "Shutting down",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-    "retry-after": "1",
-  },
-  "status": 503,
+{
+  body: {
+    code: 'shuttingDown',
+    detail: 'This process takes no new requests.',
+    ran: 'no',
+    retryAfterMs: 1000,
+    status: 503,
+    title: 'Shutting down',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8', 'retry-after': '1' },
+  status: 503
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > an entry without a configuration, and one that shuts down > POST /v1/jobs without a configuration 1`] = `
-Object {
-  "body": Object {
-    "code": "noConfiguration",
-    "detail": "This process has no configuration yet and cannot check the request.",
-    "ran": "no",
-    "retryAfterMs": 1000,
-    "status": 503,
-    "title": "No configuration",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-    "retry-after": "1",
-  },
-  "status": 503,
+{
+  body: {
+    code: 'noConfiguration',
+    detail: 'This process has no configuration yet and cannot check the request.',
+    ran: 'no',
+    retryAfterMs: 1000,
+    status: 503,
+    title: 'No configuration',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8', 'retry-after': '1' },
+  status: 503
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > /v1/admin/teams/alpha/history 1`] = `
-Object {
-  "exportedAt": "TIME",
-  "jobs": 3,
-  "pages": 1,
-  "records": 10,
-  "requests": 1,
-  "sha256": "DIGEST",
-  "team": "alpha",
-}
+{ exportedAt: 'TIME', jobs: 3, pages: 1, records: 10, requests: 1, sha256: 'DIGEST', team: 'alpha' }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > /v1/history 1`] = `
-Object {
-  "exportedAt": "TIME",
-  "jobs": 3,
-  "pages": 1,
-  "records": 10,
-  "requests": 1,
-  "sha256": "DIGEST",
-  "team": "alpha",
-}
+{ exportedAt: 'TIME', jobs: 3, pages: 1, records: 10, requests: 1, sha256: 'DIGEST', team: 'alpha' }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > cancel after the end 1`] = `
-Object {
-  "body": Object {
-    "job": Object {
-      "attempt": Object {
-        "attemptId": "j-ID",
-        "claimedAt": "TIME",
-        "epoch": 1,
-        "members": Array [
-          Object {
-            "accelerators": 1,
-            "vmId": "worker-3",
-          },
-        ],
-      },
-      "attempts": 1,
-      "cancelRequested": false,
-      "failedOn": Array [],
-      "jobId": "j-ID",
-      "outcome": Object {
-        "at": "TIME",
-        "code": "finished",
-        "detail": "",
-        "ran": "yes",
-        "result": "",
+{
+  body: {
+    job: {
+      attempt: { attemptId: 'j-ID', claimedAt: 'TIME', epoch: 1, members: [ { accelerators: 1, vmId: 'worker-3' } ] },
+      attempts: 1,
+      cancelRequested: false,
+      failedOn: [],
+      jobId: 'j-ID',
+      outcome: { at: 'TIME', code: 'finished', detail: '', ran: 'yes', result: '' },
+      spec: {
+        checkpointable: false,
+        declaredRunMs: 5000,
+        gang: { acceleratorsPerVm: 1, adjacency: 'any', coresPerVm: 0, memoryMbPerVm: 0, vms: 1 },
+        idempotent: true,
+        payload: '{"runMs":5000}',
+        requestKey: 'ends',
+        team: 'alpha',
+        workClass: 'batch'
       },
-      "spec": Object {
-        "checkpointable": false,
-        "declaredRunMs": 5000,
-        "gang": Object {
-          "acceleratorsPerVm": 1,
-          "adjacency": "any",
-          "coresPerVm": 0,
-          "memoryMbPerVm": 0,
-          "vms": 1,
-        },
-        "idempotent": true,
-        "payload": "{\\"runMs\\":5000}",
-        "requestKey": "ends",
-        "team": "alpha",
-        "workClass": "batch",
-      },
-      "state": "finished",
-      "submittedAt": "TIME",
+      state: 'finished',
+      submittedAt: 'TIME'
     },
-    "result": "alreadyEnded",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
+    result: 'alreadyEnded'
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > cancel by the operator 1`] = `
-Object {
-  "body": Object {
-    "job": Object {
-      "attempt": Object {
-        "attemptId": "j-ID",
-        "claimedAt": "TIME",
-        "epoch": 1,
-        "members": Array [
-          Object {
-            "accelerators": 1,
-            "vmId": "worker-3",
-          },
-        ],
-      },
-      "attempts": 1,
-      "cancelRequested": false,
-      "failedOn": Array [],
-      "jobId": "j-ID",
-      "outcome": Object {
-        "at": "TIME",
-        "code": "finished",
-        "detail": "",
-        "ran": "yes",
-        "result": "",
+{
+  body: {
+    job: {
+      attempt: { attemptId: 'j-ID', claimedAt: 'TIME', epoch: 1, members: [ { accelerators: 1, vmId: 'worker-3' } ] },
+      attempts: 1,
+      cancelRequested: false,
+      failedOn: [],
+      jobId: 'j-ID',
+      outcome: { at: 'TIME', code: 'finished', detail: '', ran: 'yes', result: '' },
+      spec: {
+        checkpointable: false,
+        declaredRunMs: 5000,
+        gang: { acceleratorsPerVm: 1, adjacency: 'any', coresPerVm: 0, memoryMbPerVm: 0, vms: 1 },
+        idempotent: true,
+        payload: '{"runMs":5000}',
+        requestKey: 'ends',
+        team: 'alpha',
+        workClass: 'batch'
       },
-      "spec": Object {
-        "checkpointable": false,
-        "declaredRunMs": 5000,
-        "gang": Object {
-          "acceleratorsPerVm": 1,
-          "adjacency": "any",
-          "coresPerVm": 0,
-          "memoryMbPerVm": 0,
-          "vms": 1,
-        },
-        "idempotent": true,
-        "payload": "{\\"runMs\\":5000}",
-        "requestKey": "ends",
-        "team": "alpha",
-        "workClass": "batch",
-      },
-      "state": "finished",
-      "submittedAt": "TIME",
+      state: 'finished',
+      submittedAt: 'TIME'
     },
-    "result": "alreadyEnded",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
+    result: 'alreadyEnded'
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > cancel while it runs 1`] = `
-Object {
-  "body": Object {
-    "job": Object {
-      "attempt": Object {
-        "attemptId": "j-ID",
-        "claimedAt": "TIME",
-        "epoch": 1,
-        "members": Array [
-          Object {
-            "accelerators": 1,
-            "vmId": "worker-3",
-          },
-        ],
+{
+  body: {
+    job: {
+      attempt: { attemptId: 'j-ID', claimedAt: 'TIME', epoch: 1, members: [ { accelerators: 1, vmId: 'worker-3' } ] },
+      attempts: 1,
+      cancelRequested: true,
+      failedOn: [],
+      jobId: 'j-ID',
+      spec: {
+        checkpointable: false,
+        declaredRunMs: 5000,
+        gang: { acceleratorsPerVm: 1, adjacency: 'any', coresPerVm: 0, memoryMbPerVm: 0, vms: 1 },
+        idempotent: true,
+        payload: '{"runMs":1000000}',
+        requestKey: 'stops',
+        team: 'alpha',
+        workClass: 'batch'
       },
-      "attempts": 1,
-      "cancelRequested": true,
-      "failedOn": Array [],
-      "jobId": "j-ID",
-      "spec": Object {
-        "checkpointable": false,
-        "declaredRunMs": 5000,
-        "gang": Object {
-          "acceleratorsPerVm": 1,
-          "adjacency": "any",
-          "coresPerVm": 0,
-          "memoryMbPerVm": 0,
-          "vms": 1,
-        },
-        "idempotent": true,
-        "payload": "{\\"runMs\\":1000000}",
-        "requestKey": "stops",
-        "team": "alpha",
-        "workClass": "batch",
-      },
-      "state": "running",
-      "submittedAt": "TIME",
+      state: 'running',
+      submittedAt: 'TIME'
     },
-    "result": "stopping",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
+    result: 'stopping'
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > job that can never fit 1`] = `
-Object {
-  "body": Object {
-    "attempts": 0,
-    "cancelRequested": false,
-    "failedOn": Array [],
-    "jobId": "j-ID",
-    "outcome": Object {
-      "at": "TIME",
-      "code": "neverFits",
-      "detail": "The inventory has no VMs (count 7, adjacency any) with 8 accelerators, 0 cores and 0 MB each.",
-      "ran": "no",
+{
+  body: {
+    attempts: 0,
+    cancelRequested: false,
+    failedOn: [],
+    jobId: 'j-ID',
+    outcome: {
+      at: 'TIME',
+      code: 'neverFits',
+      detail: 'The inventory has no VMs (count 7, adjacency any) with 8 accelerators, 0 cores and 0 MB each.',
+      ran: 'no'
     },
-    "spec": Object {
-      "checkpointable": false,
-      "declaredRunMs": 5000,
-      "gang": Object {
-        "acceleratorsPerVm": 8,
-        "adjacency": "any",
-        "coresPerVm": 0,
-        "memoryMbPerVm": 0,
-        "vms": 7,
-      },
-      "idempotent": true,
-      "payload": "{\\"runMs\\":5000}",
-      "requestKey": "never",
-      "team": "alpha",
-      "workClass": "batch",
+    spec: {
+      checkpointable: false,
+      declaredRunMs: 5000,
+      gang: { acceleratorsPerVm: 8, adjacency: 'any', coresPerVm: 0, memoryMbPerVm: 0, vms: 7 },
+      idempotent: true,
+      payload: '{"runMs":5000}',
+      requestKey: 'never',
+      team: 'alpha',
+      workClass: 'batch'
     },
-    "state": "refused",
-    "submittedAt": "TIME",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
+    state: 'refused',
+    submittedAt: 'TIME'
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > wait for the cancelled job 1`] = `
-Object {
-  "body": Object {
-    "attempt": Object {
-      "attemptId": "j-ID",
-      "claimedAt": "TIME",
-      "epoch": 1,
-      "members": Array [
-        Object {
-          "accelerators": 1,
-          "vmId": "worker-3",
-        },
-      ],
-    },
-    "attempts": 1,
-    "cancelRequested": true,
-    "failedOn": Array [],
-    "jobId": "j-ID",
-    "outcome": Object {
-      "at": "TIME",
-      "code": "cancelled",
-      "detail": "Cancelled while running.",
-      "ran": "yes",
+{
+  body: {
+    attempt: { attemptId: 'j-ID', claimedAt: 'TIME', epoch: 1, members: [ { accelerators: 1, vmId: 'worker-3' } ] },
+    attempts: 1,
+    cancelRequested: true,
+    failedOn: [],
+    jobId: 'j-ID',
+    outcome: { at: 'TIME', code: 'cancelled', detail: 'Cancelled while running.', ran: 'yes' },
+    spec: {
+      checkpointable: false,
+      declaredRunMs: 5000,
+      gang: { acceleratorsPerVm: 1, adjacency: 'any', coresPerVm: 0, memoryMbPerVm: 0, vms: 1 },
+      idempotent: true,
+      payload: '{"runMs":1000000}',
+      requestKey: 'stops',
+      team: 'alpha',
+      workClass: 'batch'
     },
-    "spec": Object {
-      "checkpointable": false,
-      "declaredRunMs": 5000,
-      "gang": Object {
-        "acceleratorsPerVm": 1,
-        "adjacency": "any",
-        "coresPerVm": 0,
-        "memoryMbPerVm": 0,
-        "vms": 1,
-      },
-      "idempotent": true,
-      "payload": "{\\"runMs\\":1000000}",
-      "requestKey": "stops",
-      "team": "alpha",
-      "workClass": "batch",
-    },
-    "state": "cancelled",
-    "submittedAt": "TIME",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
+    state: 'cancelled',
+    submittedAt: 'TIME'
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > wait for the end 1`] = `
-Object {
-  "body": Object {
-    "attempt": Object {
-      "attemptId": "j-ID",
-      "claimedAt": "TIME",
-      "epoch": 1,
-      "members": Array [
-        Object {
-          "accelerators": 1,
-          "vmId": "worker-3",
-        },
-      ],
-    },
-    "attempts": 1,
-    "cancelRequested": false,
-    "failedOn": Array [],
-    "jobId": "j-ID",
-    "outcome": Object {
-      "at": "TIME",
-      "code": "finished",
-      "detail": "",
-      "ran": "yes",
-      "result": "",
+{
+  body: {
+    attempt: { attemptId: 'j-ID', claimedAt: 'TIME', epoch: 1, members: [ { accelerators: 1, vmId: 'worker-3' } ] },
+    attempts: 1,
+    cancelRequested: false,
+    failedOn: [],
+    jobId: 'j-ID',
+    outcome: { at: 'TIME', code: 'finished', detail: '', ran: 'yes', result: '' },
+    spec: {
+      checkpointable: false,
+      declaredRunMs: 5000,
+      gang: { acceleratorsPerVm: 1, adjacency: 'any', coresPerVm: 0, memoryMbPerVm: 0, vms: 1 },
+      idempotent: true,
+      payload: '{"runMs":5000}',
+      requestKey: 'ends',
+      team: 'alpha',
+      workClass: 'batch'
     },
-    "spec": Object {
-      "checkpointable": false,
-      "declaredRunMs": 5000,
-      "gang": Object {
-        "acceleratorsPerVm": 1,
-        "adjacency": "any",
-        "coresPerVm": 0,
-        "memoryMbPerVm": 0,
-        "vms": 1,
-      },
-      "idempotent": true,
-      "payload": "{\\"runMs\\":5000}",
-      "requestKey": "ends",
-      "team": "alpha",
-      "workClass": "batch",
-    },
-    "state": "finished",
-    "submittedAt": "TIME",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
+    state: 'finished',
+    submittedAt: 'TIME'
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > cancel, wait and history > wait that ends before the job 1`] = `
-Object {
-  "body": Object {
-    "attempt": Object {
-      "attemptId": "j-ID",
-      "claimedAt": "TIME",
-      "epoch": 1,
-      "members": Array [
-        Object {
-          "accelerators": 1,
-          "vmId": "worker-3",
-        },
-      ],
-    },
-    "attempts": 1,
-    "cancelRequested": false,
-    "failedOn": Array [],
-    "jobId": "j-ID",
-    "spec": Object {
-      "checkpointable": false,
-      "declaredRunMs": 5000,
-      "gang": Object {
-        "acceleratorsPerVm": 1,
-        "adjacency": "any",
-        "coresPerVm": 0,
-        "memoryMbPerVm": 0,
-        "vms": 1,
-      },
-      "idempotent": true,
-      "payload": "{\\"runMs\\":1000000}",
-      "requestKey": "stops",
-      "team": "alpha",
-      "workClass": "batch",
+{
+  body: {
+    attempt: { attemptId: 'j-ID', claimedAt: 'TIME', epoch: 1, members: [ { accelerators: 1, vmId: 'worker-3' } ] },
+    attempts: 1,
+    cancelRequested: false,
+    failedOn: [],
+    jobId: 'j-ID',
+    spec: {
+      checkpointable: false,
+      declaredRunMs: 5000,
+      gang: { acceleratorsPerVm: 1, adjacency: 'any', coresPerVm: 0, memoryMbPerVm: 0, vms: 1 },
+      idempotent: true,
+      payload: '{"runMs":1000000}',
+      requestKey: 'stops',
+      team: 'alpha',
+      workClass: 'batch'
     },
-    "state": "running",
-    "submittedAt": "TIME",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
+    state: 'running',
+    submittedAt: 'TIME'
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > cancellation with an empty JSON body 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "Body cannot be empty when content-type is set to 'application/json'",
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 400,
+{
+  body: {
+    code: 'invalidBody',
+    detail: "Body cannot be empty when content-type is set to 'application/json'",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > configuration that promises more than there is 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidConfiguration",
-    "detail": "The configuration has 5 findings.",
-    "findings": Array [
-      Object {
-        "message": "The guarantee \\"gamma/none\\" is given to the team \\"gamma\\", which is not listed.",
-        "messageId": "unknownTeam",
-        "place": Object {
-          "path": "guarantees[1]",
-        },
+{
+  body: {
+    code: 'invalidConfiguration',
+    detail: 'The configuration has 5 findings.',
+    findings: [
+      {
+        message: 'The guarantee "gamma/none" is given to the team "gamma", which is not listed.',
+        messageId: 'unknownTeam',
+        place: { path: 'guarantees[1]' }
       },
-      Object {
-        "message": "The guarantee \\"gamma/none\\" needs 1 VMs (9 accelerators, 0 cores and 0 MB each) with the adjacency \\"any\\", but at most 0 fit.",
-        "messageId": "shapeNeverFits",
-        "place": Object {
-          "path": "guarantees[1]",
-        },
+      {
+        message: 'The guarantee "gamma/none" needs 1 VMs (9 accelerators, 0 cores and 0 MB each) with the adjacency "any", but at most 0 fit.',
+        messageId: 'shapeNeverFits',
+        place: { path: 'guarantees[1]' }
       },
-      Object {
-        "message": "The guarantees promise 73 accelerators, but there are 48.",
-        "messageId": "guaranteesExceedTotal",
-        "place": Object {},
-      },
-      Object {
-        "message": "The instance 2 of the guarantee \\"alpha/gang\\" does not fit beside the other guarantees.",
-        "messageId": "guaranteeUnbound",
-        "place": Object {
-          "path": "guarantees[0]",
-        },
+      {
+        message: 'The guarantees promise 73 accelerators, but there are 48.',
+        messageId: 'guaranteesExceedTotal',
+        place: {}
       },
-      Object {
-        "message": "The instance 3 of the guarantee \\"alpha/gang\\" does not fit beside the other guarantees.",
-        "messageId": "guaranteeUnbound",
-        "place": Object {
-          "path": "guarantees[0]",
-        },
+      {
+        message: 'The instance 2 of the guarantee "alpha/gang" does not fit beside the other guarantees.',
+        messageId: 'guaranteeUnbound',
+        place: { path: 'guarantees[0]' }
       },
+      {
+        message: 'The instance 3 of the guarantee "alpha/gang" does not fit beside the other guarantees.',
+        messageId: 'guaranteeUnbound',
+        place: { path: 'guarantees[0]' }
+      }
     ],
-    "ran": "no",
-    "status": 422,
-    "title": "Invalid configuration",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    ran: 'no',
+    status: 422,
+    title: 'Invalid configuration',
+    type: 'about:blank'
   },
-  "status": 422,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 422
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > configuration with a weak version 1`] = `
-Object {
-  "body": Object {
-    "code": "versionRequired",
-    "detail": "Name the version that was read in an If-Match header.",
-    "ran": "no",
-    "status": 428,
-    "title": "Version required",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 428,
+{
+  body: {
+    code: 'versionRequired',
+    detail: 'Name the version that was read in an If-Match header.',
+    ran: 'no',
+    status: 428,
+    title: 'Version required',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 428
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > configuration with every part wrong 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "The body does not match its schema.",
-    "findings": Array [
-      Object {
-        "message": "Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/",
-        "messageId": "invalid_format",
-        "place": Object {
-          "path": "vms.0.id",
-        },
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'The body does not match its schema.',
+    findings: [
+      {
+        message: 'Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/',
+        messageId: 'invalid_format',
+        place: { path: 'vms.0.id' }
       },
-      Object {
-        "message": "Invalid input: expected string, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "vms.0.rack",
-        },
+      {
+        message: 'Invalid input: expected string, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'vms.0.rack' }
       },
-      Object {
-        "message": "Invalid input: expected string, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "vms.0.dataCentre",
-        },
+      {
+        message: 'Invalid input: expected string, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'vms.0.dataCentre' }
       },
-      Object {
-        "message": "Invalid option: expected one of \\"worker\\"|\\"executor\\"",
-        "messageId": "invalid_value",
-        "place": Object {
-          "path": "vms.0.kind",
-        },
+      {
+        message: 'Invalid option: expected one of "worker"|"executor"',
+        messageId: 'invalid_value',
+        place: { path: 'vms.0.kind' }
       },
-      Object {
-        "message": "Invalid input: expected number, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "vms.0.cores",
-        },
+      {
+        message: 'Invalid input: expected number, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'vms.0.cores' }
       },
-      Object {
-        "message": "Invalid input: expected number, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "vms.0.memoryMb",
-        },
+      {
+        message: 'Invalid input: expected number, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'vms.0.memoryMb' }
       },
-      Object {
-        "message": "Invalid input: expected number, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "vms.0.accelerators",
-        },
+      {
+        message: 'Invalid input: expected number, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'vms.0.accelerators' }
       },
-      Object {
-        "message": "Invalid input: expected array, received object",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "teams",
-        },
+      {
+        message: 'Invalid input: expected array, received object',
+        messageId: 'invalid_type',
+        place: { path: 'teams' }
       },
-      Object {
-        "message": "Invalid input: expected array, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "operators",
-        },
-      },
-      Object {
-        "message": "Too small: expected number to be >0",
-        "messageId": "too_small",
-        "place": Object {
-          "path": "guarantees.0.count",
-        },
+      {
+        message: 'Invalid input: expected array, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'operators' }
       },
-      Object {
-        "message": "Too big: expected number to be <=2500",
-        "messageId": "too_big",
-        "place": Object {
-          "path": "rules.preemptionGraceMs",
-        },
+      {
+        message: 'Too small: expected number to be >0',
+        messageId: 'too_small',
+        place: { path: 'guarantees.0.count' }
       },
+      {
+        message: 'Too big: expected number to be <=2500',
+        messageId: 'too_big',
+        place: { path: 'rules.preemptionGraceMs' }
+      }
     ],
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
   },
-  "status": 400,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > configuration without a version 1`] = `
-Object {
-  "body": Object {
-    "code": "versionRequired",
-    "detail": "Name the version that was read in an If-Match header.",
-    "ran": "no",
-    "status": 428,
-    "title": "Version required",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 428,
+{
+  body: {
+    code: 'versionRequired',
+    detail: 'Name the version that was read in an If-Match header.',
+    ran: 'no',
+    status: 428,
+    title: 'Version required',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 428
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > drain of a VM that is none 1`] = `
-Object {
-  "body": Object {
-    "code": "notFound",
-    "detail": "There is no VM worker-99.",
-    "ran": "no",
-    "status": 404,
-    "title": "Not found",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 404,
+{
+  body: {
+    code: 'notFound',
+    detail: 'There is no VM worker-99.',
+    ran: 'no',
+    status: 404,
+    title: 'Not found',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 404
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > head of a resource 1`] = `
-Object {
-  "body": "",
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 200,
-}
+{ body: '', headers: { 'content-type': 'application/json; charset=utf-8' }, status: 200 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job id that is none 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "The body does not match its schema.",
-    "findings": Array [
-      Object {
-        "message": "Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/",
-        "messageId": "invalid_format",
-        "place": Object {
-          "path": "jobId",
-        },
-      },
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'The body does not match its schema.',
+    findings: [
+      {
+        message: 'Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/',
+        messageId: 'invalid_format',
+        place: { path: 'jobId' }
+      }
     ],
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
   },
-  "status": 400,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job larger than 1 MiB 1`] = `
-Object {
-  "body": Object {
-    "code": "bodyTooLarge",
-    "detail": "The body is larger than 1 MiB.",
-    "ran": "no",
-    "status": 413,
-    "title": "Body too large",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 413,
+{
+  body: {
+    code: 'bodyTooLarge',
+    detail: 'The body is larger than 1 MiB.',
+    ran: 'no',
+    status: 413,
+    title: 'Body too large',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 413
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job of another content type 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "Unsupported Media Type",
-    "ran": "no",
-    "status": 415,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 415,
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'Unsupported Media Type',
+    ran: 'no',
+    status: 415,
+    title: 'Invalid body',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 415
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job that does not exist 1`] = `
-Object {
-  "body": Object {
-    "code": "notFound",
-    "detail": "There is no job j-none.",
-    "ran": "no",
-    "status": 404,
-    "title": "Not found",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 404,
+{
+  body: {
+    code: 'notFound',
+    detail: 'There is no job j-none.',
+    ran: 'no',
+    status: 404,
+    title: 'Not found',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 404
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job that is not JSON 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "Body is not valid JSON but content-type is set to 'application/json'",
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 400,
+{
+  body: {
+    code: 'invalidBody',
+    detail: "Body is not valid JSON but content-type is set to 'application/json'",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job with every field wrong 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "The body does not match its schema.",
-    "findings": Array [
-      Object {
-        "message": "Invalid option: expected one of \\"urgent\\"|\\"interactive\\"|\\"standard\\"|\\"batch\\"|\\"bestEffort\\"",
-        "messageId": "invalid_value",
-        "place": Object {
-          "path": "workClass",
-        },
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'The body does not match its schema.',
+    findings: [
+      {
+        message: 'Invalid option: expected one of "urgent"|"interactive"|"standard"|"batch"|"bestEffort"',
+        messageId: 'invalid_value',
+        place: { path: 'workClass' }
       },
-      Object {
-        "message": "Too small: expected number to be >=1",
-        "messageId": "too_small",
-        "place": Object {
-          "path": "gang.vms",
-        },
+      { message: 'Too small: expected number to be >=1', messageId: 'too_small', place: { path: 'gang.vms' } },
+      {
+        message: 'Too big: expected number to be <=64',
+        messageId: 'too_big',
+        place: { path: 'gang.acceleratorsPerVm' }
       },
-      Object {
-        "message": "Too big: expected number to be <=64",
-        "messageId": "too_big",
-        "place": Object {
-          "path": "gang.acceleratorsPerVm",
-        },
+      {
+        message: 'Invalid option: expected one of "vm"|"rack"|"dataCentre"|"any"',
+        messageId: 'invalid_value',
+        place: { path: 'gang.adjacency' }
       },
-      Object {
-        "message": "Invalid option: expected one of \\"vm\\"|\\"rack\\"|\\"dataCentre\\"|\\"any\\"",
-        "messageId": "invalid_value",
-        "place": Object {
-          "path": "gang.adjacency",
-        },
+      {
+        message: 'Too small: expected number to be >0',
+        messageId: 'too_small',
+        place: { path: 'declaredRunMs' }
       },
-      Object {
-        "message": "Too small: expected number to be >0",
-        "messageId": "too_small",
-        "place": Object {
-          "path": "declaredRunMs",
-        },
+      {
+        message: 'Invalid input: expected boolean, received string',
+        messageId: 'invalid_type',
+        place: { path: 'idempotent' }
       },
-      Object {
-        "message": "Invalid input: expected boolean, received string",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "idempotent",
-        },
+      {
+        message: 'Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/',
+        messageId: 'invalid_format',
+        place: { path: 'requestKey' }
       },
-      Object {
-        "message": "Invalid string: must match pattern /^[A-Za-z0-9][A-Za-z0-9._-]*$/",
-        "messageId": "invalid_format",
-        "place": Object {
-          "path": "requestKey",
-        },
-      },
-      Object {
-        "message": "Invalid input: expected string, received number",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "payload",
-        },
-      },
-      Object {
-        "message": "Unrecognized key: \\"team\\"",
-        "messageId": "unrecognized_keys",
-        "place": Object {
-          "path": "",
-        },
+      {
+        message: 'Invalid input: expected string, received number',
+        messageId: 'invalid_type',
+        place: { path: 'payload' }
       },
+      { message: 'Unrecognized key: "team"', messageId: 'unrecognized_keys', place: { path: '' } }
     ],
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
   },
-  "status": 400,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > job without a body 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "The body does not match its schema.",
-    "findings": Array [
-      Object {
-        "message": "Invalid input: expected object, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "",
-        },
-      },
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'The body does not match its schema.',
+    findings: [
+      {
+        message: 'Invalid input: expected object, received undefined',
+        messageId: 'invalid_type',
+        place: { path: '' }
+      }
     ],
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
   },
-  "status": 400,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > method that the path does not have 1`] = `
-Object {
-  "body": Object {
-    "code": "notFound",
-    "detail": "There is no resource /v1/jobs.",
-    "ran": "no",
-    "status": 404,
-    "title": "Not found",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 404,
+{
+  body: {
+    code: 'notFound',
+    detail: 'There is no resource /v1/jobs.',
+    ran: 'no',
+    status: 404,
+    title: 'Not found',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 404
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > operator as a team 1`] = `
-Object {
-  "body": Object {
-    "code": "forbidden",
-    "detail": "The token does not allow this call.",
-    "ran": "no",
-    "status": 403,
-    "title": "Forbidden",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 403,
+{
+  body: {
+    code: 'forbidden',
+    detail: 'The token does not allow this call.',
+    ran: 'no',
+    status: 403,
+    title: 'Forbidden',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 403
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > payload larger than 256 KiB 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "The body does not match its schema.",
-    "findings": Array [
-      Object {
-        "message": "Too big: expected string to have <=262144 characters",
-        "messageId": "too_big",
-        "place": Object {
-          "path": "payload",
-        },
-      },
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'The body does not match its schema.',
+    findings: [
+      {
+        message: 'Too big: expected string to have <=262144 characters',
+        messageId: 'too_big',
+        place: { path: 'payload' }
+      }
     ],
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
   },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 400,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > request to a service that is none 1`] = `
-Object {
-  "body": Object {
-    "code": "notFound",
-    "detail": "There is no service none.",
-    "ran": "no",
-    "status": 404,
-    "title": "Not found",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 404,
+{
+  body: {
+    code: 'notFound',
+    detail: 'There is no service none.',
+    ran: 'no',
+    status: 404,
+    title: 'Not found',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 404
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > request with every field wrong 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "The body does not match its schema.",
-    "findings": Array [
-      Object {
-        "message": "Invalid option: expected one of \\"urgent\\"|\\"interactive\\"|\\"standard\\"|\\"batch\\"|\\"bestEffort\\"",
-        "messageId": "invalid_value",
-        "place": Object {
-          "path": "workClass",
-        },
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'The body does not match its schema.',
+    findings: [
+      {
+        message: 'Invalid option: expected one of "urgent"|"interactive"|"standard"|"batch"|"bestEffort"',
+        messageId: 'invalid_value',
+        place: { path: 'workClass' }
       },
-      Object {
-        "message": "Invalid input: expected boolean, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "idempotent",
-        },
+      {
+        message: 'Invalid input: expected boolean, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'idempotent' }
       },
-      Object {
-        "message": "Invalid input: expected string, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "requestKey",
-        },
+      {
+        message: 'Invalid input: expected string, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'requestKey' }
       },
-      Object {
-        "message": "Too big: expected number to be <=600000",
-        "messageId": "too_big",
-        "place": Object {
-          "path": "timeoutMs",
-        },
+      {
+        message: 'Too big: expected number to be <=600000',
+        messageId: 'too_big',
+        place: { path: 'timeoutMs' }
       },
-      Object {
-        "message": "Invalid input: expected string, received undefined",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "body",
-        },
-      },
-      Object {
-        "message": "Unrecognized key: \\"extra\\"",
-        "messageId": "unrecognized_keys",
-        "place": Object {
-          "path": "",
-        },
+      {
+        message: 'Invalid input: expected string, received undefined',
+        messageId: 'invalid_type',
+        place: { path: 'body' }
       },
+      { message: 'Unrecognized key: "extra"', messageId: 'unrecognized_keys', place: { path: '' } }
     ],
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
   },
-  "status": 400,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > unknown path 1`] = `
-Object {
-  "body": Object {
-    "code": "notFound",
-    "detail": "There is no resource /v1/nothing.",
-    "ran": "no",
-    "status": 404,
-    "title": "Not found",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 404,
+{
+  body: {
+    code: 'notFound',
+    detail: 'There is no resource /v1/nothing.',
+    ran: 'no',
+    status: 404,
+    title: 'Not found',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 404
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > wait for a word 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "The body does not match its schema.",
-    "findings": Array [
-      Object {
-        "message": "Invalid input: expected number, received NaN",
-        "messageId": "invalid_type",
-        "place": Object {
-          "path": "timeoutMs",
-        },
-      },
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'The body does not match its schema.',
+    findings: [
+      {
+        message: 'Invalid input: expected number, received NaN',
+        messageId: 'invalid_type',
+        place: { path: 'timeoutMs' }
+      }
     ],
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
   },
-  "status": 400,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > wait longer than allowed 1`] = `
-Object {
-  "body": Object {
-    "code": "invalidBody",
-    "detail": "The body does not match its schema.",
-    "findings": Array [
-      Object {
-        "message": "Too big: expected number to be <=60000",
-        "messageId": "too_big",
-        "place": Object {
-          "path": "timeoutMs",
-        },
-      },
+{
+  body: {
+    code: 'invalidBody',
+    detail: 'The body does not match its schema.',
+    findings: [
+      { message: 'Too big: expected number to be <=60000', messageId: 'too_big', place: { path: 'timeoutMs' } }
     ],
-    "ran": "no",
-    "status": 400,
-    "title": "Invalid body",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
+    ran: 'no',
+    status: 400,
+    title: 'Invalid body',
+    type: 'about:blank'
   },
-  "status": 400,
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 400
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > faulty calls > without a token 1`] = `
-Object {
-  "body": Object {
-    "code": "unauthenticated",
-    "detail": "The bearer token is missing or unknown.",
-    "ran": "no",
-    "status": 401,
-    "title": "Unauthenticated",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-    "www-authenticate": "Bearer",
-  },
-  "status": 401,
+{
+  body: {
+    code: 'unauthenticated',
+    detail: 'The bearer token is missing or unknown.',
+    ran: 'no',
+    status: 401,
+    title: 'Unauthenticated',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8', 'www-authenticate': 'Bearer' },
+  status: 401
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > burn 1`] = `
-Object {
-  "body": Object {
-    "classes": Array [
-      Object {
-        "alert": "none",
-        "bad": 0,
-        "budgetSpent": 0,
-        "good": 0,
-        "latencyMs": Object {
-          "count": 0,
-          "max": 0,
-          "p50": 0,
-          "p95": 0,
-          "p99": 0,
-        },
-        "objective": Object {
-          "budgetDays": 30,
-          "goodShare": 0.99,
-          "withinMs": 2000,
-          "workClass": "interactive",
-        },
-        "windows": Array [
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "5m",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "1h",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "6h",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "3d",
-          },
-        ],
+{
+  body: {
+    classes: [
+      {
+        alert: 'none',
+        bad: 0,
+        budgetSpent: 0,
+        good: 0,
+        latencyMs: { count: 0, max: 0, p50: 0, p95: 0, p99: 0 },
+        objective: { budgetDays: 30, goodShare: 0.99, withinMs: 2000, workClass: 'interactive' },
+        windows: [
+          { bad: 0, burnRate: 0, good: 0, window: '5m' },
+          { bad: 0, burnRate: 0, good: 0, window: '1h' },
+          { bad: 0, burnRate: 0, good: 0, window: '6h' },
+          { bad: 0, burnRate: 0, good: 0, window: '3d' }
+        ]
       },
-      Object {
-        "alert": "none",
-        "bad": 0,
-        "budgetSpent": 0,
-        "good": 0,
-        "latencyMs": Object {
-          "count": 0,
-          "max": 0,
-          "p50": 0,
-          "p95": 0,
-          "p99": 0,
-        },
-        "objective": Object {
-          "budgetDays": 30,
-          "goodShare": 0.99,
-          "withinMs": 10000,
-          "workClass": "standard",
-        },
-        "windows": Array [
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "5m",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "1h",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "6h",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "3d",
-          },
-        ],
-      },
-      Object {
-        "alert": "none",
-        "bad": 0,
-        "budgetSpent": 0,
-        "good": 0,
-        "latencyMs": Object {
-          "count": 0,
-          "max": 0,
-          "p50": 0,
-          "p95": 0,
-          "p99": 0,
-        },
-        "objective": Object {
-          "budgetDays": 30,
-          "goodShare": 0.9,
-          "withinMs": 30000,
-          "workClass": "bestEffort",
-        },
-        "windows": Array [
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "5m",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "1h",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "6h",
-          },
-          Object {
-            "bad": 0,
-            "burnRate": 0,
-            "good": 0,
-            "window": "3d",
-          },
-        ],
+      {
+        alert: 'none',
+        bad: 0,
+        budgetSpent: 0,
+        good: 0,
+        latencyMs: { count: 0, max: 0, p50: 0, p95: 0, p99: 0 },
+        objective: { budgetDays: 30, goodShare: 0.99, withinMs: 10000, workClass: 'standard' },
+        windows: [
+          { bad: 0, burnRate: 0, good: 0, window: '5m' },
+          { bad: 0, burnRate: 0, good: 0, window: '1h' },
+          { bad: 0, burnRate: 0, good: 0, window: '6h' },
+          { bad: 0, burnRate: 0, good: 0, window: '3d' }
+        ]
       },
+      {
+        alert: 'none',
+        bad: 0,
+        budgetSpent: 0,
+        good: 0,
+        latencyMs: { count: 0, max: 0, p50: 0, p95: 0, p99: 0 },
+        objective: { budgetDays: 30, goodShare: 0.9, withinMs: 30000, workClass: 'bestEffort' },
+        windows: [
+          { bad: 0, burnRate: 0, good: 0, window: '5m' },
+          { bad: 0, burnRate: 0, good: 0, window: '1h' },
+          { bad: 0, burnRate: 0, good: 0, window: '6h' },
+          { bad: 0, burnRate: 0, good: 0, window: '3d' }
+        ]
+      }
     ],
-    "coveredMs": 11250,
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
+    coveredMs: 11250
   },
-  "status": 200,
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > drain 1`] = `
-Object {
-  "body": Object {
-    "configVersion": 3,
-    "vmId": "worker-6",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 200,
+{
+  body: { configVersion: 3, vmId: 'worker-6' },
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > drain again 1`] = `
-Object {
-  "body": Object {
-    "configVersion": 3,
-    "vmId": "worker-6",
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 200,
+{
+  body: { configVersion: 3, vmId: 'worker-6' },
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > status 1`] = `
-Object {
-  "body": Object {
-    "breaches": Object {
-      "I1": 0,
-      "I2": 0,
-      "I3": 0,
-      "I4": 0,
-      "I5": 0,
-      "I6": 0,
-      "I7": 0,
-      "I8": 0,
-    },
-    "configVersion": 3,
-    "jobs": Array [],
-    "region": "region-1",
-    "role": Object {
-      "epoch": 1,
-      "holder": "entry-1",
-    },
-    "teams": Array [
-      Object {
-        "acceleratorsInUse": 0,
-        "queued": 0,
-        "running": 0,
-        "team": "alpha",
-      },
-      Object {
-        "acceleratorsInUse": 0,
-        "queued": 0,
-        "running": 0,
-        "team": "beta",
-      },
+{
+  body: {
+    breaches: { I1: 0, I2: 0, I3: 0, I4: 0, I5: 0, I6: 0, I7: 0, I8: 0 },
+    configVersion: 3,
+    jobs: [],
+    region: 'region-1',
+    role: { epoch: 1, holder: 'entry-1' },
+    teams: [
+      { acceleratorsInUse: 0, queued: 0, running: 0, team: 'alpha' },
+      { acceleratorsInUse: 0, queued: 0, running: 0, team: 'beta' }
     ],
-    "unmetGuarantees": Array [],
-    "vms": Array [
-      Object {
-        "accelerators": 8,
-        "condition": "ready",
-        "freeAccelerators": 8,
-        "leaving": false,
-        "vmId": "worker-1",
-      },
-      Object {
-        "accelerators": 8,
-        "condition": "ready",
-        "freeAccelerators": 8,
-        "leaving": false,
-        "vmId": "worker-2",
-      },
-      Object {
-        "accelerators": 8,
-        "condition": "ready",
-        "freeAccelerators": 8,
-        "leaving": false,
-        "vmId": "worker-3",
-      },
-      Object {
-        "accelerators": 8,
-        "condition": "ready",
-        "freeAccelerators": 8,
-        "leaving": false,
-        "vmId": "worker-4",
-      },
-      Object {
-        "accelerators": 8,
-        "condition": "ready",
-        "freeAccelerators": 8,
-        "leaving": false,
-        "vmId": "worker-5",
-      },
-      Object {
-        "accelerators": 8,
-        "condition": "draining",
-        "freeAccelerators": 8,
-        "leaving": false,
-        "vmId": "worker-6",
-      },
-    ],
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 200,
+    unmetGuarantees: [],
+    vms: [
+      { accelerators: 8, condition: 'ready', freeAccelerators: 8, leaving: false, vmId: 'worker-1' },
+      { accelerators: 8, condition: 'ready', freeAccelerators: 8, leaving: false, vmId: 'worker-2' },
+      { accelerators: 8, condition: 'ready', freeAccelerators: 8, leaving: false, vmId: 'worker-3' },
+      { accelerators: 8, condition: 'ready', freeAccelerators: 8, leaving: false, vmId: 'worker-4' },
+      { accelerators: 8, condition: 'ready', freeAccelerators: 8, leaving: false, vmId: 'worker-5' },
+      { accelerators: 8, condition: 'draining', freeAccelerators: 8, leaving: false, vmId: 'worker-6' }
+    ]
+  },
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > the operator who lost 1`] = `
-Object {
-  "body": Object {
-    "code": "versionConflict",
-    "currentVersion": 2,
-    "detail": "The configuration is at version 2; the call was made for version 1.",
-    "ran": "no",
-    "readVersion": 1,
-    "status": 412,
-    "title": "Version conflict",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 412,
+{
+  body: {
+    code: 'versionConflict',
+    currentVersion: 2,
+    detail: 'The configuration is at version 2; the call was made for version 1.',
+    ran: 'no',
+    readVersion: 1,
+    status: 412,
+    title: 'Version conflict',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 412
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > operators race and drain > versions 1`] = `
-Object {
-  "body": Object {
-    "versions": Array [
-      Object {
-        "loadedAt": "TIME",
-        "loadedBy": "operator",
-        "version": 1,
-      },
-      Object {
-        "loadedAt": "TIME",
-        "loadedBy": "operator",
-        "version": 2,
-      },
-      Object {
-        "loadedAt": "TIME",
-        "loadedBy": "operator",
-        "version": 3,
-      },
-    ],
-  },
-  "headers": Object {
-    "content-type": "application/json; charset=utf-8",
-  },
-  "status": 200,
+{
+  body: {
+    versions: [
+      { loadedAt: 'TIME', loadedBy: 'operator', version: 1 },
+      { loadedAt: 'TIME', loadedBy: 'operator', version: 2 },
+      { loadedAt: 'TIME', loadedBy: 'operator', version: 3 }
+    ]
+  },
+  headers: { 'content-type': 'application/json; charset=utf-8' },
+  status: 200
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > repeated request keys > a job's key for a non-idempotent request 1`] = `
-Object {
-  "body": Object {
-    "code": "keyTaken",
-    "detail": "The request key key names another request.",
-    "ran": "no",
-    "status": 409,
-    "title": "Request key in use",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 409,
+{
+  body: {
+    code: 'keyTaken',
+    detail: 'The request key key names another request.',
+    ran: 'no',
+    status: 409,
+    title: 'Request key in use',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 409
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > repeated request keys > a non-idempotent request again 1`] = `
-Object {
-  "body": Object {
-    "code": "duplicateRequest",
-    "detail": "A non-idempotent request with the key once was claimed before as r-ID.",
-    "ran": "unknown",
-    "status": 409,
-    "title": "Duplicate request",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 409,
+{
+  body: {
+    code: 'duplicateRequest',
+    detail: 'A non-idempotent request with the key once was claimed before as r-ID.',
+    ran: 'unknown',
+    status: 409,
+    title: 'Duplicate request',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 409
 }
 `
 
 exports[`packages/verification/dist/tests/apiCalls.test.js > TAP > repeated request keys > a request's key for a job 1`] = `
-Object {
-  "body": Object {
-    "code": "keyTaken",
-    "detail": "The request key once names another request.",
-    "ran": "no",
-    "status": 409,
-    "title": "Request key in use",
-    "type": "about:blank",
-  },
-  "headers": Object {
-    "content-type": "application/problem+json; charset=utf-8",
-  },
-  "status": 409,
+{
+  body: {
+    code: 'keyTaken',
+    detail: 'The request key once names another request.',
+    ran: 'no',
+    status: 409,
+    title: 'Request key in use',
+    type: 'about:blank'
+  },
+  headers: { 'content-type': 'application/problem+json; charset=utf-8' },
+  status: 409
 }
 `
 
