--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -1,38 +1,16 @@
-import type { Table } from "@persimmonpitch/backing/table.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
-import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { AgentIdentity, ExecutorLimits } from "@persimmonpitch/protocol/agentMessages.js";
 import { agentToEntryMethods, entryToAgentMethods, PROTOCOL_VERSION } from "@persimmonpitch/protocol/agentMessages.js";
 import { Connection } from "@persimmonpitch/protocol/connection.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import { peerMethods } from "@persimmonpitch/protocol/peerMessages.js";
-import type { SchedulingRole } from "@persimmonpitch/scheduler/schedulingRole.js";
 import type { Configuration } from "@persimmonpitch/schema/configuration.js";
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
-import type { AgentLink, AgentRegistry } from "./agentRegistry.js";
-import type { ConfigWatch } from "./configWatch.js";
-import type { LeaseGranter } from "./leaseGranter.js";
+import type { AgentLink } from "./agentRegistry.js";
+import type { InnerServerContext } from "./innerServerContext.js";
 import { writeOrphans } from "./orphanRecords.js";
 import { createPeerHandlers } from "./peerHandlers.js";
 
-/** What the tasks of inbound connections share. */
-export interface InnerServerContext {
-    readonly entryId: string;
-    readonly instanceId: string;
-    readonly region: string;
-    readonly clock: Clock;
-    readonly logger: Logger;
-    readonly registry: AgentRegistry;
-    readonly granter: LeaseGranter;
-    readonly config: ConfigWatch;
-    readonly role: SchedulingRole;
-    readonly table: Table;
-    /** Names of the other entries; no other process may call the methods of peers. */
-    readonly peerIds: ReadonlySet<string>;
-    /** Called when a peer says that it has taken the scheduling role. */
-    readonly onNewHolder: () => void;
-}
-
 /** A worker reports what changed at once; the heartbeat only renews its lease. */
 const WORKER_HEARTBEAT_MS: Millis = 5_000;
 
--- a/packages/entry/src/peerHandlers.ts
+++ b/packages/entry/src/peerHandlers.ts
@@ -3,7 +3,7 @@
 import type { OrderMethods } from "@persimmonpitch/protocol/taskMessages.js";
 import { orderMethods } from "@persimmonpitch/protocol/taskMessages.js";
 import { explainRole } from "./explainRole.js";
-import type { InnerServerContext } from "./innerServer.js";
+import type { InnerServerContext } from "./innerServerContext.js";
 
 const isOrder = (method: string): method is keyof OrderMethods => Object.hasOwn(orderMethods, method);
 
