--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -36,6 +36,7 @@
         result: z.object({
             isHolder: z.boolean(),
             epoch: z.number().int().nonnegative(),
+            /** The sender may grant leases to its agents for this time; 0 when the receiver does not hold the role. */
             grantMs: millisSchema,
             configVersion: z.number().int().nonnegative(),
             /** Teams whose queue is at its limit. */
@@ -57,7 +58,6 @@
             z.object({ kind: z.literal("unclear"), detail: z.string() }),
         ]),
     },
-    /** The holder lives; the receiver may grant leases to its agents for this time. */
     /** What the holder knows of its jobs and guarantees, for operators who ask another entry. */
     "peer.explain": {
         params: z.object({}),
