--- a/packages/bench/src/eventQueue.ts
+++ b/packages/bench/src/eventQueue.ts
@@ -39,6 +39,12 @@
         return first;
     }
 
+    /** Removes and returns the earliest event if it is due at `end` or before. */
+    popUntil(end: number): { readonly at: number; readonly value: T; } | undefined {
+        const first = this.heap[0];
+        return first !== undefined && first.at <= end ? this.pop() : undefined;
+    }
+
     private sink(entry: Entry<T>): void {
         let index = 0;
         for (;;) {
--- a/packages/bench/tests/directReplay.test.ts
+++ b/packages/bench/tests/directReplay.test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { directRows } from "../src/directReplay.js";
+import { directRows } from "../src/directRows.js";
 
 const SEEDS = [1, 2];
 const DURATION_MS = 10_000;
--- a/packages/bench/tests/eventQueue.test.ts
+++ b/packages/bench/tests/eventQueue.test.ts
@@ -19,3 +19,13 @@
     );
     t.end();
 });
+
+// Guards against an event that is lost because it is due after the end of a run, or that runs too early.
+void t.test("an event after the end stays in the queue", t => {
+    const queue = new EventQueue<string>();
+    queue.push(20, "late");
+    queue.push(10, "due");
+    const popped = [10, 19, 20, Infinity].map(end => queue.popUntil(end)?.value);
+    t.same(popped, ["due", undefined, "late", undefined]);
+    t.end();
+});
