--- a/packages/control/src/agentTask.ts
+++ b/packages/control/src/agentTask.ts
@@ -1,6 +1,7 @@
 import type { BackoffOptions } from "@persimmonpitch/clock/backoff.js";
 import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { Connection } from "@persimmonpitch/protocol/connection.js";
 import type {
     AgentToControllerMethods,
@@ -41,13 +42,13 @@
     signal: AbortSignal,
 ): Promise<void> => {
     let failures = 0;
-    while (!signal.aborted) {
+    while (!isAborted(signal)) {
         const row = context.replica.agents.get(vm)?.value;
         if (row === undefined) {
             return;
         }
         const link = await context.connect(row, CONNECT_TIMEOUT_MS);
-        if (link.isOk && !signal.aborted) {
+        if (link.isOk && !isAborted(signal)) {
             const connection: AgentConnection = new Connection({
                 link: link.value,
                 clock: context.clock,
@@ -80,7 +81,7 @@
 ): Promise<boolean> => {
     const served = connection.run();
     const attached = await connection.call("agent.attach", { epoch }, ATTACH_TIMEOUT_MS);
-    if (attached.isErr || signal.aborted) {
+    if (attached.isErr || isAborted(signal)) {
         connection.close();
         await served;
         return false;
@@ -93,7 +94,7 @@
     }
     logger.log("info", "agent.attached", { vm, epoch });
     events.onAttached(vm, connection, attached.value.reports);
-    while (connection.isOpen && !signal.aborted && await events.renewLeases(vm, connection)) {
+    while (connection.isOpen && !isAborted(signal) && await events.renewLeases(vm, connection)) {
         const closed = new AbortController();
         void served.then(() => {
             closed.abort();
--- a/packages/control/src/jobBook.ts
+++ b/packages/control/src/jobBook.ts
@@ -44,7 +44,9 @@
 /** A short form of the steps for the log: tasks x accelerators, with a letter for each trait. */
 const describeSteps = ({ steps, repetition }: StepJob): string => {
     const texts = steps.map(({ count, demand, isGang, isTight, hasCheckpoints, declaredMs }) =>
-        `${count}x${demand.accelerators}${isGang ? "g" : ""}${isTight ? "t" : ""}${hasCheckpoints ? "c" : ""}~${declaredMs}`
+        `${count}x${demand.accelerators}${isGang ? "g" : ""}${isTight ? "t" : ""}${
+            hasCheckpoints ? "c" : ""
+        }~${declaredMs}`
     );
     return `${repetition === undefined ? "" : `${repetition.count}*`}${texts.join("+")}`;
 };
--- a/packages/control/src/progressWriter.ts
+++ b/packages/control/src/progressWriter.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import { encodeProgress } from "@persimmonpitch/workload/progressRow.js";
@@ -57,7 +58,7 @@
 
     /** Writes until `signal` aborts or the role is lost. */
     async run(signal: AbortSignal): Promise<void> {
-        while (!signal.aborted && !this.isStopped) {
+        while (!isAborted(signal) && !this.isStopped) {
             if (this.dirty.size === 0 && this.waiters.length === 0) {
                 await this.wake.wait(this.options.clock, 60_000, signal);
                 continue;
@@ -67,7 +68,7 @@
             const jobs = [...this.dirty];
             this.dirty = new Set();
             await this.writeAll(jobs, signal);
-            if (!signal.aborted) {
+            if (!isAborted(signal)) {
                 waiters.forEach(resolve => {
                     resolve();
                 });
--- a/packages/control/src/tableFollower.ts
+++ b/packages/control/src/tableFollower.ts
@@ -1,6 +1,7 @@
 import type { BackoffOptions } from "@persimmonpitch/clock/backoff.js";
 import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { ChangedRow, ReadError, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Result } from "true-myth";
@@ -47,7 +48,7 @@
     async run(signal: AbortSignal): Promise<void> {
         const { clock, logger, name, random } = this.options;
         let failures = 0;
-        while (!signal.aborted) {
+        while (!isAborted(signal)) {
             const outcome = this.version === undefined ? await this.scanAll() : await this.poll(this.version, signal);
             if (outcome.isOk) {
                 failures = 0;
@@ -56,7 +57,7 @@
                 logger.log("info", "follower.historyGone", { table: name });
                 this.version = undefined;
             }
-            else if (!signal.aborted) {
+            else if (!isAborted(signal)) {
                 failures += 1;
                 logger.log("debug", "follower.unavailable", { table: name, detail: outcome.error.detail });
                 await clock.sleep(backoffDelay(RETRY, failures, random), signal);
--- a/packages/control/src/termKeeper.ts
+++ b/packages/control/src/termKeeper.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { TakenRole } from "./controllerContext.js";
 import { rowKeys } from "./rows.js";
@@ -28,9 +29,9 @@
     /** Renews the term until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, store, role, onRoleLost } = this.options;
-        while (!signal.aborted) {
+        while (!isAborted(signal)) {
             await clock.sleep(RENEW_MS, signal);
-            if (signal.aborted) {
+            if (isAborted(signal)) {
                 return;
             }
             const sentAt = clock.now();
--- a/packages/dispatch/tests/dispatchFixture.ts
+++ b/packages/dispatch/tests/dispatchFixture.ts
@@ -1,6 +1,6 @@
 import { type Queue, queueSchema, type Team, teamSchema } from "@persimmonpitch/workload/clusterConfig.js";
-import type { JobProgress, TaskProgress } from "@persimmonpitch/workload/progress.js";
-import { jobProgressSchema } from "@persimmonpitch/workload/progress.js";
+import type { TaskProgress } from "@persimmonpitch/workload/progress.js";
+import { NO_TASK_PROGRESS } from "@persimmonpitch/workload/progress.js";
 import { type Step, stepSchema } from "@persimmonpitch/workload/step.js";
 import { type StepJob, stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import { timingsSchema } from "@persimmonpitch/workload/timings.js";
@@ -51,7 +51,12 @@
     { id, queue = "batch", team = "potters", acceptedAt = START, steps, repetition, tasks = {} }: JobInput,
 ): JobView => ({
     job: stepJobSchema.parse({ jobId: id, queue, team, acceptedAt, payload: "", steps: steps.map(stepOf), repetition }),
-    progress: jobProgressSchema.parse({ tasks }) satisfies JobProgress,
+    progress: {
+        outcome: "open",
+        tasks: Object.fromEntries(
+            Object.entries(tasks).map(([key, task]) => [key, { ...NO_TASK_PROGRESS, ...task }]),
+        ),
+    },
     queue: QUEUES[queue],
 });
 
--- a/packages/standins/tests/memoryRowStore.test.ts
+++ b/packages/standins/tests/memoryRowStore.test.ts
@@ -1,5 +1,6 @@
 import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
-import type { RowStore, RowTransaction } from "@persimmonpitch/control/rowStore.js";
+import type { RowStore } from "@persimmonpitch/control/rowStore.js";
+import type { RowTransaction } from "@persimmonpitch/workload/storedRow.js";
 import t from "tap";
 import { MemoryRowStore } from "../src/memoryRowStore.js";
 
