--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@persimmonpitch/clock/clock.js";
+import type { RunSample } from "@persimmonpitch/dispatch/dispatchView.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { EndKind, RunEnd, RunInProgress, RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { Placement } from "@persimmonpitch/workload/progress.js";
@@ -28,9 +29,15 @@
     readonly checkpoint: string;
 }
 
+/** A run that began after this share of the work was done says too little about the whole. */
+const MIN_SAMPLED_SHARE = 0.5;
+const REMEMBERED_SAMPLES = 300;
+
 /** All executors and what runs on them. */
 export class Fleet {
     readonly executors = new Map<string, ExecutorState>();
+    /** What tasks took that ended lately, to estimate others of their queues. */
+    readonly samples: RunSample[] = [];
 
     constructor(private readonly options: FleetOptions) {
         for (const open of options.jobs.jobs.values()) {
@@ -162,6 +169,9 @@
         if (open === undefined || held.isConcluded) {
             return;
         }
+        if (end.kind === "done") {
+            this.noteSample(open, held);
+        }
         if (end.kind === "done" || end.kind === "failed") {
             state.noteEnd({
                 jobId: held.jobId,
@@ -233,6 +243,21 @@
         }
     }
 
+    private noteSample(open: OpenJob, held: HeldRun): void {
+        const step = open.job.steps[parseTaskName(held.task)?.step ?? -1];
+        if (step === undefined || held.firstListedAt === undefined) {
+            return;
+        }
+        const share = 1 - (held.firstPercent ?? 0) / 100;
+        const actualMs = (this.options.clock.now() - held.firstListedAt) / Math.max(share, MIN_SAMPLED_SHARE);
+        if (actualMs > 0 && share >= MIN_SAMPLED_SHARE) {
+            this.samples.push({ queue: open.job.queue, declaredMs: step.declaredMs, actualMs });
+            if (this.samples.length > REMEMBERED_SAMPLES) {
+                this.samples.shift();
+            }
+        }
+    }
+
     private markConcluded(open: OpenJob, key: string, run: number): void {
         const task = open.task(key);
         const executorId = task.placement?.executorId;
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -27,6 +27,8 @@
 const CONNECT_TIMEOUT_MS: Millis = 700;
 const RETRY: BackoffOptions = { baseMs: 200, maxMs: 2_000 };
 const CHECK_MS: Millis = 1_000;
+const PING_MS: Millis = 1_000;
+const PING_TIMEOUT_MS: Millis = 600;
 
 /** Connections to the other entries: for forwarded store calls, and to see at once when one dies. */
 export class PeerLinks {
@@ -61,6 +63,19 @@
             .map(connection => new PeerStore(connection, table));
     }
 
+    /** Closes a connection whose other side no longer answers. */
+    private async keepAlive(connection: PeerConnection, signal: AbortSignal): Promise<void> {
+        const { clock } = this.options;
+        while (connection.isOpen && !signal.aborted) {
+            const answer = await connection.call("store.ping", {}, PING_TIMEOUT_MS);
+            if (answer.isErr) {
+                break;
+            }
+            await clock.sleep(PING_MS, signal);
+        }
+        connection.close();
+    }
+
     private async serve(peer: string, signal: AbortSignal): Promise<void> {
         const { replica, clock, connect, random, logger, onDown } = this.options;
         let failures = 0;
@@ -91,12 +106,7 @@
                 handlers: {},
             });
             this.connections.set(peer, connection);
-            const abort = () => {
-                connection.close();
-            };
-            signal.addEventListener("abort", abort);
-            await connection.run();
-            signal.removeEventListener("abort", abort);
+            await Promise.all([connection.run(), this.keepAlive(connection, signal)]);
             this.connections.delete(peer);
         }
     }
--- a/packages/control/src/peerServer.ts
+++ b/packages/control/src/peerServer.ts
@@ -16,6 +16,7 @@
     result.isOk ? { kind: "ok", value: result.value } : { kind: "error", error: result.error };
 
 const handlersFor = (stores: DirectStores): HandlerTable<StoreMethods> => ({
+    "store.ping": () => Promise.resolve({}),
     "store.commit": async ({ table, transaction }) => toAnswer(await stores[table].commit(transaction)),
     "store.scan": async ({ table, range }) => toAnswer(await stores[table].scan(range)),
     "store.follow": async ({ table, after, waitMs }) => toAnswer(await stores[table].follow(after, waitMs)),
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -68,7 +68,7 @@
     const occurrences = openOccurrences(view.jobs, view.wallTime);
     const runSteps = findRunSteps(view.executors, jobs);
     const groups = runGroups(view.executors, runSteps);
-    const runTimes = estimateRunTimes(view.jobs, groups, view.now);
+    const runTimes = estimateRunTimes(view.jobs, groups, view.samples, view.now);
     const moves = findMoves(view, groups, runTimes, options);
     const unhealthy = unhealthyExecutors(moves);
     const rooms = executorRooms(view, runSteps, index => {
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -55,6 +55,13 @@
     readonly queue: Queue;
 }
 
+/** What a task of a queue took in the end, against what was declared. */
+export interface RunSample {
+    readonly queue: string;
+    readonly declaredMs: Millis;
+    readonly actualMs: Millis;
+}
+
 /** Everything that one pass decides on. Times are on one clock; `wallTime` is for due times of repetitions. */
 export interface DispatchView {
     readonly now: Millis;
@@ -63,6 +70,8 @@
     readonly teams: readonly Team[];
     readonly jobs: readonly JobView[];
     readonly executors: readonly ExecutorView[];
+    /** Tasks that ended lately, of all queues. */
+    readonly samples: readonly RunSample[];
 }
 
 /** Tasks of one step that start together under one run number: a whole gang, or one task. */
--- a/packages/dispatch/src/runTimes.ts
+++ b/packages/dispatch/src/runTimes.ts
@@ -1,29 +1,18 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
-import type { JobView, RunView } from "./dispatchView.js";
+import type { JobView, RunSample, RunView } from "./dispatchView.js";
+import { expectedMs, queueModels } from "./queueModel.js";
 import type { RunGroup } from "./runGroups.js";
 
-/** A declared time is at most this many times the true one. */
-const MAX_OVERSTATEMENT = 1.9;
-
-/** The true time is at most this many times the declared one. */
-const MAX_UNDERSTATEMENT = 10;
-
 /** Share of progress from which a run's own rate counts as much as what was declared. */
 const TRUSTED_PERCENT = 5;
 
-/** Number of times in a queue from which their mean counts as much as one declared time. */
-const TRUSTED_TIMES = 4;
-
 /** Weight of measured tasks of the same step against the declared time. */
 const SIBLING_WEIGHT = 0.8;
 
 /** A run that is said to be at its end may still need this long. */
 const MIN_REMAINING_MS = 50;
 
-/** Time of a task about which nothing is known. */
-const UNKNOWN_MS = 5_000;
-
 /** Estimated run times on healthy executors. */
 export interface RunTimes {
     /** Time of one whole task of the step. */
@@ -70,19 +59,6 @@
 
 const stepId = ({ job }: JobView, stepIndex: number): string => `${job.jobId} ${stepIndex}`;
 
-const shrinkTo = (declaredMs: Millis, mean: Mean | undefined): Millis => {
-    if (mean === undefined) {
-        return declaredMs > 0 ? declaredMs : UNKNOWN_MS;
-    }
-    const queueMs = mean.sum / mean.count;
-    if (declaredMs <= 0) {
-        return queueMs;
-    }
-    const weight = mean.count / (mean.count + TRUSTED_TIMES) / 2;
-    const blended = (1 - weight) * declaredMs + weight * queueMs;
-    return Math.min(Math.max(blended, declaredMs / MAX_OVERSTATEMENT), declaredMs * MAX_UNDERSTATEMENT);
-};
-
 const remainingOf = (run: RunView, workingSince: Millis | undefined, stepMs: Millis, now: Millis): Millis => {
     const percent = run.percent ?? 0;
     const expected = stepMs * (1 - percent / 100);
@@ -97,35 +73,32 @@
 
 const isFinite = (step: Step | undefined): step is Step => step !== undefined && !step.isLongRunning;
 
-/** Estimates run times from declared times, the mean of the queue, measured siblings and progress. */
+/** Estimates run times from what the queue's tasks took, declared times, measured siblings and progress. */
 export const estimateRunTimes = (
     jobs: readonly JobView[],
     groups: readonly RunGroup[],
+    samples: readonly RunSample[],
     now: Millis,
 ): RunTimes => {
-    const queues = new Map<string, Mean>();
-    const declared = new Map<string, Mean>();
+    const declared = new Map<string, Millis[]>();
     const siblings = new Map<string, Mean>();
     for (const { job, queue } of jobs) {
-        job.steps.filter(isFinite).filter(({ declaredMs }) => declaredMs > 0)
-            .forEach(({ declaredMs }) => {
-                addTime(queues, queue.name, declaredMs);
-                addTime(declared, queue.name, declaredMs);
-            });
+        const times = job.steps.filter(isFinite).map(step => step.declaredMs).filter(time => time > 0);
+        declared.set(queue.name, [...declared.get(queue.name) ?? [], ...times]);
     }
     for (const { view, step, stepIndex, members, workingSince } of groups) {
         for (const { run } of members) {
             const measured = measuredRun(run, workingSince);
             if (isFinite(step) && measured !== undefined && measured.percent >= TRUSTED_PERCENT) {
-                addTime(queues, view.queue.name, measured.totalMs);
                 addTime(siblings, stepId(view, stepIndex), measured.totalMs);
             }
         }
     }
+    const models = queueModels(declared, samples);
     const declaredMs = (view: JobView, stepIndex: number): Millis =>
-        shrinkTo(view.job.steps[stepIndex]?.declaredMs ?? 0, declared.get(view.queue.name));
+        expectedMs(models.get(view.queue.name), view.job.steps[stepIndex]?.declaredMs ?? 0);
     const stepMs = (view: JobView, stepIndex: number): Millis => {
-        const prior = shrinkTo(view.job.steps[stepIndex]?.declaredMs ?? 0, queues.get(view.queue.name));
+        const prior = declaredMs(view, stepIndex);
         const measured = siblings.get(stepId(view, stepIndex));
         return measured === undefined
             ? prior
--- a/packages/dispatch/tests/dispatchFixture.ts
+++ b/packages/dispatch/tests/dispatchFixture.ts
@@ -116,6 +116,7 @@
     wallTime: START,
     timings: timingsSchema.parse({}),
     teams: TEAMS,
+    samples: [],
     jobs,
     executors,
     ...change,
--- a/packages/protocol/src/storeMessages.ts
+++ b/packages/protocol/src/storeMessages.ts
@@ -21,6 +21,8 @@
 
 /** Store calls that an entry makes for a peer that the store refuses. */
 export const storeMethods = {
+    /** Shows that the peer answers: a connection to a VM that is gone stays open without it. */
+    "store.ping": { params: z.object({}), result: z.object({}) },
     "store.commit": {
         params: z.object({ table: storeTableSchema, transaction: rowTransactionSchema }),
         result: resultSchema(committedSchema, commitErrorSchema),
