fix(executor): acknowledge ends only to an incarnation confirmed without a pause

An executor that starts again during the pause between two lists went unnoticed, and the next list acknowledged ends of its new incarnation. Found by random faults in orderInvariants.test.ts. The agent's stop also no longer waits for a report that is under way.

--- a/packages/executor/src/controllerConnection.ts
+++ b/packages/executor/src/controllerConnection.ts
@@ -117,7 +117,7 @@
 
 /** The task of one controller's connection: serves its calls and reports to it until the connection closes. */
 export const runControllerConnection = async (context: ControllerConnectionContext, link: Link): Promise<void> => {
-    const { clock, logger, connected } = context;
+    const { clock, logger, signal, connected } = context;
     const wake = new WakeSignal();
     const connection: ControllerLink = new Connection({
         link,
@@ -133,12 +133,18 @@
         },
     });
     const stream = new ReportStream(context, connection);
+    const close = () => {
+        connection.close();
+    };
+    // A report that is under way would otherwise hold up the agent's stop until its timeout.
+    signal.addEventListener("abort", close);
     connected.add(wake);
     const served = connection.run().finally(() => {
         wake.wake();
     });
     await stream.run(wake);
     connected.delete(wake);
-    connection.close();
+    signal.removeEventListener("abort", close);
+    close();
     await served;
 };
--- a/packages/executor/src/observedExecutor.ts
+++ b/packages/executor/src/observedExecutor.ts
@@ -48,7 +48,7 @@
     listedAt: Millis;
     /** Whether the list was requested after the last controller attached. */
     isListCurrent: boolean;
-    /** Whether the last call was answered by this incarnation, so that ends can be acknowledged to it. */
+    /** Whether this incarnation answered the last call, with no pause since, so that ends can be acknowledged to it. */
     isConfirmed: boolean;
     isGone: boolean;
     isLeaving: boolean;
@@ -187,6 +187,8 @@
             const pauseMs = authority.epoch === 0 ? IDLE_MS : await this.listOnce();
             if (pauseMs > 0) {
                 await this.wake.wait(clock, pauseMs, signal);
+                // Without an open call a restart of the executor goes unnoticed.
+                this.doubt();
             }
         }
     }
@@ -210,20 +212,25 @@
     }
 
     private nextRequest(): ListRequest {
-        const { isConfirmed, durableEnd, deadlineMs } = this.state;
+        const { isConfirmed, deadlineMs, durableEnd } = this.state;
         return {
             executorId: this.executorId,
             fence: this.context.authority.epoch,
             deadlineMs,
             // The call may reach a new incarnation, whose ends have the same numbers and were not reported yet.
-            acknowledgedEnd: isConfirmed ? durableEnd : 0,
+            // An end that was acknowledged is therefore not acknowledged again, and only a confirmed incarnation is.
+            acknowledgedEnd: isConfirmed && this.hasUnpassedEnd() ? durableEnd : 0,
             waitMs: this.isUrgent() ? 0 : LIST_WAIT_MS,
         };
     }
 
     private isUrgent(): boolean {
-        const { isConfirmed, durableEnd, passedEnd } = this.state;
-        return this.waiters.length > 0 || !isConfirmed || durableEnd > passedEnd;
+        const isUnknown = this.state.list === undefined || this.failures > 0;
+        return this.waiters.length > 0 || isUnknown || this.hasUnpassedEnd();
+    }
+
+    private hasUnpassedEnd(): boolean {
+        return this.state.durableEnd > this.state.passedEnd;
     }
 
     private async ask(request: ListRequest, interrupted: AbortSignal): Promise<Result<RunList, ExecutorFailure>> {
