--- a/packages/executor/tests/agentWorld.ts
+++ b/packages/executor/tests/agentWorld.ts
@@ -71,37 +71,34 @@
         this.world.trace(`c${this.epoch} < attach: ${text}`);
     }
 
-    lease(executor: MemoryStepExecutor, durableEnd: number, born = executor.born): Promise<void> {
+    lease(executor: MemoryStepExecutor, durableEnd: number, born = executor.born) {
         const { executorId } = executor;
         const deadlineMs = this.world.clock.now() + LEASE_MS;
         return this.call("agent.lease", { epoch: this.epoch, executorId, born, deadlineMs, durableEnd }, executorId);
     }
 
-    start(executor: MemoryStepExecutor, task: string, work: object = {}, leaseMs = LEASE_MS): Promise<void> {
+    start(executor: MemoryStepExecutor, task: string, work: object = {}, leaseMs = LEASE_MS, run = 1) {
         const { executorId, born } = executor;
         const deadlineMs = this.world.clock.now() + leaseMs;
         const payload = JSON.stringify(work);
-        return this.call(
-            "agent.start",
-            { epoch: this.epoch, executorId, born, task, run: 1, payload, deadlineMs },
-            `${executorId} ${task}#1`,
-        );
+        const params = { epoch: this.epoch, executorId, born, task, run, payload, deadlineMs };
+        return this.call("agent.start", params, `${executorId} ${task}#${run}`);
     }
 
-    stop(executor: MemoryStepExecutor, task: string): Promise<void> {
-        const { executorId } = executor;
-        return this.call("agent.stop", { epoch: this.epoch, executorId, task, run: 1 }, `${executorId} ${task}#1`);
+    stop({ executorId }: MemoryStepExecutor, task: string, run = 1) {
+        return this.call("agent.stop", { epoch: this.epoch, executorId, task, run }, `${executorId} ${task}#${run}`);
     }
 
     private async call<Name extends keyof ControllerToAgentMethods>(
         name: Name,
         params: Params<Name>,
         text: string,
-    ): Promise<void> {
+    ) {
         this.world.trace(`c${this.epoch} > ${name} ${text}`);
         const answer = await this.connection.call(name, params, CALL_TIMEOUT_MS);
         const result = answer.isOk ? JSON.stringify(answer.value) : answer.error.kind;
         this.world.trace(`c${this.epoch} < ${name} ${text}: ${result}`);
+        return answer;
     }
 }
 
@@ -112,6 +109,8 @@
     readonly requests: ListRequest[] = [];
     readonly executors: readonly MemoryStepExecutor[];
     agent: ExecutorAgent;
+    /** Called before each list. */
+    onList: (request: ListRequest) => void = () => undefined;
 
     constructor(...options: readonly Partial<StepExecutorOptions>[]) {
         this.executors = options.map(option =>
@@ -176,6 +175,7 @@
                 ),
             list: async (request, signal) => {
                 this.requests.push(request);
+                this.onList(request);
                 const { executorId, fence, acknowledgedEnd, waitMs } = request;
                 return answered(
                     `list ${executorId} fence=${fence} ack=${acknowledgedEnd} wait=${waitMs}`,
--- a/packages/executor/tests/orderInvariants.test.ts
+++ b/packages/executor/tests/orderInvariants.test.ts
@@ -1,16 +1,9 @@
-import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
-import { silentLogger } from "@persimmonpitch/logging/logger.js";
-import { Connection } from "@persimmonpitch/protocol/connection.js";
-import { agentToControllerMethods, controllerToAgentMethods } from "@persimmonpitch/protocol/executorMessages.js";
-import { createMemoryLink } from "@persimmonpitch/protocol/memoryLink.js";
-import { MemoryStepExecutor } from "@persimmonpitch/standins/memoryStepExecutor.js";
 import t from "tap";
-import { ExecutorAgent } from "../src/executorAgent.js";
-import type { ExecutorPort } from "../src/executorPort.js";
+import type { TestController } from "./agentWorld.js";
+import { AgentWorld } from "./agentWorld.js";
 
 const SEEDS = Number(process.env["AGENT_SEEDS"] ?? 12);
 const STEPS = 300;
-const CALL_TIMEOUT_MS = 60_000;
 
 /** A linear congruential generator: the same seed gives the same run. */
 const createRandom = (seed: number) => {
@@ -24,127 +17,90 @@
 /** Random orders under random faults; returns what broke a rule. */
 const runSeed = async (seed: number): Promise<readonly string[]> => {
     const random = createRandom(seed);
-    const clock = new FakeClock();
-    const executor = new MemoryStepExecutor({ clock, executorId: "e1", born: 1, clockOffsetMs: 777 });
+    const world = new AgentWorld({});
+    const [executor] = world.executors;
+    if (executor === undefined) {
+        return ["no executor"];
+    }
     const broken: string[] = [];
     /** For each run that was answered as stopped or refused the time of the answer. */
-    const excluded = new Map<string, number>();
-    /** For each incarnation the last end that a controller was told of, and the last that it made durable. */
-    const reported = new Map<number, number>();
+    const excluded = new Map<number, number>();
+    /** For each incarnation the last end that a controller made durable. */
     const durable = new Map<number, number>();
-    const port: ExecutorPort = {
-        start: order => executor.start(order),
-        stop: order => executor.stop(order),
-        list: (request, signal) => {
-            if (request.acknowledgedEnd > (durable.get(executor.born) ?? 0)) {
-                broken.push(`acknowledged end ${request.acknowledgedEnd} of ${executor.born} is not durable`);
-            }
-            return executor.list(request, signal);
-        },
-    };
-    const agent = new ExecutorAgent({ clock, logger: silentLogger, port, random });
-    let epoch = 0;
-    const connect = () => {
-        epoch += 1;
-        const [here, there] = createMemoryLink(clock, { delayMs: () => 1 + random() * 20, isCut: () => false });
-        const connection = new Connection({
-            link: here,
-            clock,
-            local: agentToControllerMethods,
-            remote: controllerToAgentMethods,
-            handlers: {
-                "agent.report": ({ list }) => {
-                    const last = list?.ends.at(-1)?.number ?? 0;
-                    if (list !== undefined && last > (reported.get(list.born) ?? 0)) {
-                        reported.set(list.born, last);
-                    }
-                    return Promise.resolve({});
-                },
-            },
-        });
-        void connection.run();
-        void agent.serve(there);
-        void connection.call("agent.attach", { epoch }, CALL_TIMEOUT_MS);
-        return { connection, epoch };
+    world.onList = ({ acknowledgedEnd }) => {
+        if (acknowledgedEnd > (durable.get(executor.born) ?? 0)) {
+            broken.push(`acknowledged end ${acknowledgedEnd} of ${executor.born} is not durable`);
+        }
     };
-    const heartbeat = () => {
-        const { info, sequence } = executor.heartbeat();
-        agent.onHeartbeat(info, sequence);
+    const controllers: TestController[] = [];
+    const connect = (): TestController => {
+        const controller = world.controller(controllers.length + 1);
+        controller.faults.delayMs = () => 1 + random() * 20;
+        controllers.push(controller);
+        void controller.attach();
+        return controller;
     };
-    heartbeat();
-    let controller = connect();
+    world.heartbeat(executor);
+    let current = connect();
     let run = 0;
-    const target = () => ({ epoch: controller.epoch, executorId: "e1" });
-    const deadline = (span: number) => clock.now() + 777 + random() * span;
-    const exclude = (key: string) => {
-        excluded.set(key, Math.min(excluded.get(key) ?? Infinity, clock.now()));
+    const exclude = (of: number) => {
+        excluded.set(of, Math.min(excluded.get(of) ?? Infinity, world.clock.now()));
     };
     const start = async () => {
         run += 1;
-        const key = `t#${run}`;
-        const payload = JSON.stringify({ runMs: random() * 1_500, demand: { accelerators: 5 } });
-        const order = { ...target(), born: executor.born, task: "t", run, payload, deadlineMs: deadline(2_500) };
-        const answer = await controller.connection.call("agent.start", order, CALL_TIMEOUT_MS);
+        const ordered = run;
+        const work = { runMs: random() * 1_500, demand: { accelerators: 5 } };
+        const answer = await current.start(executor, "t", work, random() * 2_500, ordered);
         // After a fence the older controller decides nothing any more; the newer one reads the lists.
         if (answer.isOk && answer.value.kind === "refused" && answer.value.reason !== "fence") {
-            exclude(key);
+            exclude(ordered);
         }
     };
     const stop = async () => {
         const stopped = Math.max(1, run - Math.floor(random() * 3));
-        const order = { ...target(), task: "t", run: stopped };
-        const answer = await controller.connection.call("agent.stop", order, CALL_TIMEOUT_MS);
+        const answer = await current.stop(executor, "t", stopped);
         if (answer.isOk && answer.value.kind === "stopped") {
-            exclude(`t#${stopped}`);
+            exclude(stopped);
         }
     };
     const lease = async () => {
-        const { born } = executor;
-        const durableEnd = reported.get(born) ?? 0;
-        durable.set(born, durableEnd);
-        const grant = { ...target(), born, deadlineMs: deadline(8_000), durableEnd };
-        await controller.connection.call("agent.lease", grant, CALL_TIMEOUT_MS);
+        const lists = controllers.flatMap(({ reports }) => reports).flatMap(({ list }) => list ?? []);
+        const ends = lists.filter(({ born }) => born === executor.born).flatMap(list => list.ends);
+        const durableEnd = Math.max(0, ...ends.map(({ number }) => number));
+        durable.set(executor.born, durableEnd);
+        await current.lease(executor, durableEnd);
+    };
+    const heartbeat = () => {
+        world.heartbeat(executor);
+    };
+    const delayOrders = () => {
+        executor.setFaults({ unansweredOrders: 1 + Math.floor(random() * 3), orderDelayMs: random() * 2_000 });
     };
-    const actions: readonly (() => unknown)[] = [
-        start,
-        start,
-        start,
-        stop,
-        lease,
-        lease,
-        heartbeat,
-        () => {
-            executor.setFaults({ unansweredOrders: 1 + Math.floor(random() * 3), orderDelayMs: random() * 2_000 });
-        },
-        () => {
-            executor.setFaults({ silent: random() < 0.1 });
-        },
-        () => {
-            if (random() < 0.2) {
-                executor.restart();
-            }
-            else if (random() < 0.1) {
-                executor.crash();
-            }
-        },
-        () => {
-            if (random() < 0.2) {
-                controller = connect();
-            }
-        },
-    ];
+    const silence = () => {
+        executor.setFaults({ silent: random() < 0.1 });
+    };
+    const endProcess = () => {
+        if (random() < 0.2) {
+            executor.restart();
+        }
+        else if (random() < 0.1) {
+            executor.crash();
+        }
+    };
+    const takeOver = () => {
+        current = random() < 0.2 ? connect() : current;
+    };
+    const faults = [delayOrders, silence, endProcess, takeOver];
+    const actions: readonly (() => unknown)[] = [start, start, start, stop, lease, lease, heartbeat, ...faults];
     for (let step = 0; step < STEPS; step += 1) {
         void actions[Math.floor(random() * actions.length)]?.();
-        await clock.advance(random() * 200);
+        await world.clock.advance(random() * 200);
     }
     executor.setFaults({ silent: false });
-    await clock.advance(10_000);
-    for (const { task, run: started, at } of executor.starts) {
-        if (at > (excluded.get(`${task}#${started}`) ?? Infinity)) {
-            broken.push(`${task}#${started} started after it was answered as stopped or refused`);
-        }
-    }
-    await agent.stop();
+    await world.clock.advance(10_000);
+    const late = executor.starts.filter(({ run: started, at }) => at > (excluded.get(started) ?? Infinity));
+    broken.push(...late.map(({ run: started }) => `run ${started} started after it was stopped or refused`));
+    await world.agent.stop();
     return executor.starts.length > 0 ? broken : ["nothing was started"];
 };
 
--- a/packages/standins/tests/memoryStepExecutor.test.ts
+++ b/packages/standins/tests/memoryStepExecutor.test.ts
@@ -47,147 +47,117 @@
     }
 }
 
-interface Case {
-    readonly name: string;
-    /** Calls, each followed by 1,000 ms of time. */
-    readonly steps: readonly ((world: ExecutorWorld) => unknown)[];
-}
+type Step = (world: ExecutorWorld) => unknown;
 
-const CASES: readonly Case[] = [
-    {
-        name: "progress, checkpoints and ends until they are acknowledged",
-        steps: [
-            w => [
-                w.start(w.e1, "j.0.0.0", 1, { runMs: 2_500, hasCheckpoints: true }),
-                w.start(w.e1, "j.0.1.0", 1, { fails: true }),
-            ],
-            w => w.list(w.e1),
-            w => w.list(w.e1, 1, { waitMs: 1_000 }),
-            w => w.list(w.e1, 2),
-        ],
-    },
-    {
-        name: "stop, and resumption from the checkpoint",
-        steps: [
-            w => w.start(w.e1, "j.0.0.0", 1, { runMs: 1_900, hasCheckpoints: true }),
-            w => [
-                w.stop(w.e1, "j.0.0.0", 1),
-                w.stop(w.e1, "j.0.0.1", 3),
-                w.list(w.e1),
-                w.list(w.e1, 0, { waitMs: 1_000 }),
-            ],
-            w => [
-                w.start(w.e1, "j.0.0.0", 1, {}),
-                w.start(w.e1, "j.0.0.1", 3, {}),
-                w.start(w.e1, "j.0.0.0", 2, { runMs: 1_900, hasCheckpoints: true }, {
-                    checkpoint: "{\"workMs\":1000}",
-                }),
-            ],
-            w => w.list(w.e1),
-        ],
-    },
-    {
-        name: "refusals, and a repeated start",
-        steps: [
-            w => w.start(w.e1, "j.0.0.0", 1, { isLongRunning: true, demand: { milliCores: 600 } }),
-            w => w.start(w.e1, "j.0.0.0", 1, {}, { deadlineMs: 0 }),
-            w => w.start(w.e1, "j.0.0.1", 1, { demand: { milliCores: 600 } }),
-            w => w.start(w.e1, "j.0.0.1", 1, {}, { deadlineMs: 3_000 }),
-            w => w.list(w.e1, 0, { fence: 2 }),
-            w => [w.start(w.e1, "j.0.0.1", 1, {}), w.stop(w.e1, "j.0.0.0", 1), w.list(w.e1)],
-        ],
-    },
-    {
-        name: "one lease for everything, which only extends",
-        steps: [
-            w => w.start(w.e2, "j.0.0.0", 1, { isLongRunning: true }, { deadlineMs: 3_000 }),
-            w => w.start(w.e2, "j.0.0.1", 1, { isLongRunning: true }, { deadlineMs: 2_000 }),
-            w => w.list(w.e2, 0, { deadlineMs: 0, waitMs: 5_000 }),
-        ],
-    },
-    {
-        name: "gang that ends together",
-        steps: [
-            w => w.start(w.e1, "j.0.0.0", 1, { runMs: 1_500, gangSize: 2 }),
-            w => [w.start(w.e2, "j.0.0.1", 1, { runMs: 1_500, gangSize: 2 }), w.list(w.e1)],
-            w => [w.list(w.e1, 0, { waitMs: 1_000 }), w.list(w.e2, 0, { waitMs: 1_000 })],
-        ],
-    },
-    {
-        name: "gang that breaks with a member's executor, and a member that stays alone",
-        steps: [
-            w => [
-                w.start(w.e1, "j.0.0.0", 1, { gangSize: 2 }),
-                w.start(w.e2, "j.0.0.1", 1, { gangSize: 2, isLongRunning: true }),
-            ],
-            w => w.start(w.e2, "j.0.0.1", 2, { gangSize: 2 }),
-            w => w.start(w.e1, "j.0.0.0", 3, { gangSize: 2, isLongRunning: true }),
-            w => w.start(w.e2, "j.0.0.1", 3, { gangSize: 2, isLongRunning: true }),
-            w => {
-                w.e1.crash();
-                return w.list(w.e2, 0, { waitMs: 1_000 });
-            },
+/** Calls, each followed by 1,000 ms of time. */
+const CASES: Readonly<Record<string, readonly Step[]>> = {
+    "progress, checkpoints and ends until they are acknowledged": [
+        w => [
+            w.start(w.e1, "j.0.0.0", 1, { runMs: 2_500, hasCheckpoints: true }),
+            w.start(w.e1, "j.0.1.0", 1, { fails: true }),
         ],
-    },
-    {
-        name: "new incarnation that knows nothing",
-        steps: [
-            w => [w.start(w.e1, "j.0.0.0", 2, {}, { fence: 5 }), w.list(w.e1, 0, { fence: 5, waitMs: 2_000 })],
-            w => {
-                w.e1.crash();
-                return w.list(w.e1);
-            },
-            w => {
-                w.e1.restart();
-                return [w.list(w.e1), w.start(w.e1, "j.0.0.0", 1, { runMs: 100 })];
-            },
-            w => w.list(w.e1),
+        w => w.list(w.e1),
+        w => w.list(w.e1, 1, { waitMs: 1_000 }),
+        w => w.list(w.e1, 2),
+    ],
+    "stop, and resumption from the checkpoint": [
+        w => w.start(w.e1, "j.0.0.0", 1, { runMs: 1_900, hasCheckpoints: true }),
+        w => [
+            w.stop(w.e1, "j.0.0.0", 1),
+            w.stop(w.e1, "j.0.0.1", 3),
+            w.list(w.e1),
+            w.list(w.e1, 0, { waitMs: 1_000 }),
         ],
-    },
-    {
-        name: "orders carried out later, but not by the next incarnation",
-        steps: [
-            w => {
-                w.e1.setFaults({ unansweredOrders: 2, orderDelayMs: 1_500 });
-                return w.start(w.e1, "j.0.0.0", 1, { isLongRunning: true });
-            },
-            w => w.start(w.e1, "j.0.0.1", 1, { isLongRunning: true }),
-            w => {
-                void w.list(w.e1);
-                w.e1.restart();
-            },
-            w => w.list(w.e1),
+        w => [
+            w.start(w.e1, "j.0.0.0", 1, {}),
+            w.start(w.e1, "j.0.0.1", 3, {}),
+            w.start(w.e1, "j.0.0.0", 2, { runMs: 1_900, hasCheckpoints: true }, {
+                checkpoint: "{\"workMs\":1000}",
+            }),
         ],
-    },
-    {
-        name: "fails all, stands still, slow, gone and silent",
-        steps: [
-            w => w.start(w.e1, "j.0.0.0", 1, { runMs: 4_000 }),
-            w => {
-                w.e1.setFaults({ standsStill: true });
-            },
-            w => {
-                w.e1.setFaults({ standsStill: false, slowFactor: 2 });
-            },
-            w => {
-                w.e1.setFaults({ failAll: true });
-                return [w.start(w.e1, "j.0.0.1", 1, {}), w.list(w.e1)];
-            },
-            w => {
-                w.e1.setFaults({ gone: true });
-                return w.list(w.e1);
-            },
-            w => {
-                w.e1.setFaults({ gone: false, silent: true });
-                return w.list(w.e1);
-            },
-            ...Array.from({ length: 4 }, () => () => undefined),
+        w => w.list(w.e1),
+    ],
+    "refusals, and a repeated start": [
+        w => w.start(w.e1, "j.0.0.0", 1, { isLongRunning: true, demand: { milliCores: 600 } }),
+        w => w.start(w.e1, "j.0.0.0", 1, {}, { deadlineMs: 0 }),
+        w => w.start(w.e1, "j.0.0.1", 1, { demand: { milliCores: 600 } }),
+        w => w.start(w.e1, "j.0.0.1", 1, {}, { deadlineMs: 3_000 }),
+        w => w.list(w.e1, 0, { fence: 2 }),
+        w => [w.start(w.e1, "j.0.0.1", 1, {}), w.stop(w.e1, "j.0.0.0", 1), w.list(w.e1)],
+    ],
+    "one lease for everything, which only extends": [
+        w => w.start(w.e2, "j.0.0.0", 1, { isLongRunning: true }, { deadlineMs: 3_000 }),
+        w => w.start(w.e2, "j.0.0.1", 1, { isLongRunning: true }, { deadlineMs: 2_000 }),
+        w => w.list(w.e2, 0, { deadlineMs: 0, waitMs: 5_000 }),
+    ],
+    "gang that ends together": [
+        w => w.start(w.e1, "j.0.0.0", 1, { runMs: 1_500, gangSize: 2 }),
+        w => [w.start(w.e2, "j.0.0.1", 1, { runMs: 1_500, gangSize: 2 }), w.list(w.e1)],
+        w => [w.list(w.e1, 0, { waitMs: 1_000 }), w.list(w.e2, 0, { waitMs: 1_000 })],
+    ],
+    "gang that breaks with a member's executor, and a member that stays alone": [
+        w => [
+            w.start(w.e1, "j.0.0.0", 1, { gangSize: 2 }),
+            w.start(w.e2, "j.0.0.1", 1, { gangSize: 2, isLongRunning: true }),
         ],
-    },
-];
+        w => w.start(w.e2, "j.0.0.1", 2, { gangSize: 2 }),
+        w => w.start(w.e1, "j.0.0.0", 3, { gangSize: 2, isLongRunning: true }),
+        w => w.start(w.e2, "j.0.0.1", 3, { gangSize: 2, isLongRunning: true }),
+        w => {
+            w.e1.crash();
+            return w.list(w.e2, 0, { waitMs: 1_000 });
+        },
+    ],
+    "new incarnation that knows nothing": [
+        w => [w.start(w.e1, "j.0.0.0", 2, {}, { fence: 5 }), w.list(w.e1, 0, { fence: 5, waitMs: 2_000 })],
+        w => {
+            w.e1.crash();
+            return w.list(w.e1);
+        },
+        w => {
+            w.e1.restart();
+            return [w.list(w.e1), w.start(w.e1, "j.0.0.0", 1, { runMs: 100 })];
+        },
+        w => w.list(w.e1),
+    ],
+    "orders carried out later, but not by the next incarnation": [
+        w => {
+            w.e1.setFaults({ unansweredOrders: 2, orderDelayMs: 1_500 });
+            return w.start(w.e1, "j.0.0.0", 1, { isLongRunning: true });
+        },
+        w => w.start(w.e1, "j.0.0.1", 1, { isLongRunning: true }),
+        w => {
+            void w.list(w.e1);
+            w.e1.restart();
+        },
+        w => w.list(w.e1),
+    ],
+    "fails all, stands still, slow, gone and silent": [
+        w => w.start(w.e1, "j.0.0.0", 1, { runMs: 4_000 }),
+        w => {
+            w.e1.setFaults({ standsStill: true });
+        },
+        w => {
+            w.e1.setFaults({ standsStill: false, slowFactor: 2 });
+        },
+        w => {
+            w.e1.setFaults({ failAll: true });
+            return [w.start(w.e1, "j.0.0.1", 1, {}), w.list(w.e1)];
+        },
+        w => {
+            w.e1.setFaults({ gone: true });
+            return w.list(w.e1);
+        },
+        w => {
+            w.e1.setFaults({ gone: false, silent: true });
+            return w.list(w.e1);
+        },
+        ...Array.from({ length: 4 }, () => () => undefined),
+    ],
+};
 
 // Tests of the agent and the controller take these answers for those of the platform's executors.
-for (const { name, steps } of CASES) {
+for (const [name, steps] of Object.entries(CASES)) {
     void t.test(name, async t => {
         const world = new ExecutorWorld();
         for (const step of steps) {
