--- a/packages/executor/src/observedExecutor.ts
+++ b/packages/executor/src/observedExecutor.ts
@@ -2,6 +2,7 @@
 import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
 import type { ExecutorInfo, RunList, StartRefusal } from "@persimmonpitch/workload/executorReport.js";
 import { Result } from "true-myth";
@@ -233,17 +234,12 @@
         return this.state.durableEnd > this.state.passedEnd;
     }
 
-    private async ask(request: ListRequest, interrupted: AbortSignal): Promise<Result<RunList, ExecutorFailure>> {
+    private ask(request: ListRequest, interrupted: AbortSignal): Promise<Result<RunList, ExecutorFailure>> {
         const { clock, port, signal } = this.context;
-        const finished = new AbortController();
-        const end = AbortSignal.any([interrupted, signal, finished.signal]);
-        const timeout = clock.sleep(request.waitMs + LIST_TIMEOUT_MS, end).then(() => TIMED_OUT);
-        try {
-            return await Promise.race([port.list(request, end), timeout]);
-        }
-        finally {
-            finished.abort();
-        }
+        return withAnySignal([interrupted, signal], end => {
+            const timeout = clock.sleep(request.waitMs + LIST_TIMEOUT_MS, end).then(() => TIMED_OUT);
+            return Promise.race([port.list(request, end), timeout]);
+        });
     }
 
     private onList(list: RunList, request: ListRequest, call: number, tookMs: Millis): Millis {
