--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -12,10 +12,16 @@
     readonly preemptionMargin: number;
     /** Slack at which the urgency of a job falls to 1/e. */
     readonly urgencyScaleMs: Millis;
+    /** How much negative slack still counts as on time, as a share of the estimated run time, which is often off. */
+    readonly outlookTolerance: number;
     /** Number of blocked units for which room is kept free; each of them idles some room. */
     readonly maxReservations: number;
     /** Number of blocked units for which later room and victims are looked for; it bounds the time of a pass. */
     readonly maxSearches: number;
+    /** Number of racks in which victims are looked for, those with the most room first. */
+    readonly maxVictimSpans: number;
+    /** Number of executors of one set in which victims are looked for first. */
+    readonly maxVictimExecutors: number;
     /** How long an executor that fails everything is left alone before it is tried again. */
     readonly probeAfterMs: Millis;
     /** How long an executor from which runs were moved is ranked behind others. */
@@ -38,8 +44,11 @@
     lostCoreSecondCost: 0.0022,
     preemptionMargin: 2,
     urgencyScaleMs: 4_000,
+    outlookTolerance: 0.6,
     maxReservations: 4,
-    maxSearches: 24,
+    maxSearches: 12,
+    maxVictimSpans: 8,
+    maxVictimExecutors: 32,
     probeAfterMs: 5_000,
     suspectMs: 10_000,
     avoidAfterEndMs: 5_000,
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -9,7 +9,7 @@
 import { prospectsOf } from "./prospects.js";
 import { type ReadyUnit, readyUnits, unitKind } from "./readyUnits.js";
 import { expectedReleases } from "./reservations.js";
-import { findRunSteps, runGroups } from "./runGroups.js";
+import { findRunSteps, groupsByExecutor, runGroups } from "./runGroups.js";
 import { estimateRunTimes } from "./runTimes.js";
 import { scarcityOf, type Spans, spansOf } from "./seating.js";
 import { orderUnits, type RankedUnit } from "./unitOrder.js";
@@ -84,6 +84,7 @@
         options,
         rooms,
         groups,
+        groupsByExecutor: groupsByExecutor(groups),
         runTimes,
         prospects,
         guaranteed,
--- a/packages/dispatch/src/passState.ts
+++ b/packages/dispatch/src/passState.ts
@@ -21,6 +21,7 @@
     readonly options: DispatchOptions;
     readonly rooms: readonly ExecutorRoom[];
     readonly groups: readonly RunGroup[];
+    readonly groupsByExecutor: ReadonlyMap<number, readonly RunGroup[]>;
     readonly runTimes: RunTimes;
     readonly prospects: ReadonlyMap<string, Prospect>;
     /** Ids of the occurrences that have a guarantee. */
@@ -29,7 +30,7 @@
     readonly scarcity: Scarcity;
     readonly stopped: Set<RunGroup>;
     readonly stopCosts: Map<RunGroup, number>;
-    /** Requests that did not fit; room only becomes less in a pass, so larger ones need not be tried. */
+    /** Requests that did not fit; between stops, room only becomes less, so larger ones need not be tried. */
     readonly misfits: Map<string, Misfit>;
     reservationCount: number;
     searchCount: number;
@@ -37,11 +38,16 @@
 }
 
 /** Stops a group whole; the room of its members is then to come. */
-export const stopGroup = ({ rooms, stopped, decisions }: PassState, group: RunGroup, reason: StopReason): void => {
+export const stopGroup = (
+    { rooms, stopped, misfits, decisions }: PassState,
+    group: RunGroup,
+    reason: StopReason,
+): void => {
     if (group.isStopping || stopped.has(group)) {
         return;
     }
     stopped.add(group);
+    misfits.clear();
     decisions.push(...stopDecisions(group, reason));
     for (const { executor } of group.members) {
         const room = rooms[executor];
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { coresOf } from "./demand.js";
 import { byPriority } from "./dispatchOptions.js";
+import type { ExecutorRoom } from "./executorRoom.js";
 import { progressOf, stepKeys } from "./openOccurrences.js";
 import type { PassState } from "./passState.js";
 import { occurrenceId, type Prospect } from "./prospects.js";
@@ -82,10 +83,16 @@
 };
 
 /** The groups that may be stopped for the unit; work with a guarantee never is. */
-export const victimsFor = (state: PassState, { unit }: RankedUnit, mayTakeUrgent: boolean): readonly Victim[] => {
+export const victimsFor = (
+    state: PassState,
+    { unit }: RankedUnit,
+    rooms: readonly ExecutorRoom[],
+    mayTakeUrgent: boolean,
+): readonly Victim[] => {
     const { priority } = unit.owner.view.queue;
     const isLower = ({ view }: RunGroup): boolean => view.queue.priority > priority || mayTakeUrgent;
-    const victims = state.groups
+    const groups = new Set(rooms.flatMap(({ index }) => state.groupsByExecutor.get(index) ?? []));
+    const victims = [...groups]
         .filter(group =>
             !group.isStopping
             && !state.stopped.has(group)
@@ -93,5 +100,6 @@
             && !state.guaranteed.has(occurrenceId(group))
         )
         .map(group => ({ group, cost: cachedStopCost(state, group) }));
-    return withinMissLimit(victims, awayTasks(state));
+    const areLimited = victims.some(({ group: { step } }) => step.mayMiss !== undefined);
+    return areLimited ? withinMissLimit(victims, awayTasks(state)) : victims;
 };
--- a/packages/dispatch/src/prospects.ts
+++ b/packages/dispatch/src/prospects.ts
@@ -58,11 +58,11 @@
     return new Map([...sums].map(([queue, { work, count }]) => [queue, work / count]));
 };
 
-const outlookOf = (slackMs: Millis, lateSlackMs: Millis): Outlook => {
-    if (slackMs >= 0) {
+const outlookOf = (slackMs: Millis, lateSlackMs: Millis, toleranceMs: Millis): Outlook => {
+    if (slackMs >= -toleranceMs) {
         return "onTime";
     }
-    return lateSlackMs >= 0 ? "late" : "hopeless";
+    return lateSlackMs >= -toleranceMs ? "late" : "hopeless";
 };
 
 /** Time until the last running group of a step ends, by occurrence and step. */
@@ -81,7 +81,7 @@
     groups: readonly RunGroup[],
     runTimes: RunTimes,
     wallTime: Millis,
-    { worthByPriority }: DispatchOptions,
+    { worthByPriority, outlookTolerance }: DispatchOptions,
 ): ReadonlyMap<string, Prospect> => {
     const means = meanWork(occurrences.map(({ view }) => view), runTimes);
     const running = runningSteps(groups, runTimes);
@@ -101,7 +101,7 @@
         const lateSlackMs = LATE_FACTOR * allowedMs - passedMs - openMs;
         const share = workOf(view, runTimes, () => true) / Math.max(1, means.get(queue.name) ?? 1);
         return {
-            outlook: outlookOf(slackMs, lateSlackMs),
+            outlook: outlookOf(slackMs, lateSlackMs, outlookTolerance * chainMs),
             worth: byPriority(worthByPriority, queue.priority) * (BASE_WORTH + (1 - BASE_WORTH) * share),
             slackMs,
             lateSlackMs,
--- a/packages/dispatch/src/runGroups.ts
+++ b/packages/dispatch/src/runGroups.ts
@@ -2,6 +2,7 @@
 import type { Step } from "@persimmonpitch/workload/step.js";
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { ExecutorView, JobView, RunView, StopDecision, StopReason } from "./dispatchView.js";
+import { groupBy } from "./groupBy.js";
 import { progressOf, stepKeys } from "./openOccurrences.js";
 
 /** A run on its executor, given by its index in the view. */
@@ -95,6 +96,15 @@
     return [...found.values()].map(({ runStep, members }) => groupOf(runStep, members));
 };
 
+/** The groups that have a member on each executor. */
+export const groupsByExecutor = (groups: readonly RunGroup[]): ReadonlyMap<number, readonly RunGroup[]> => {
+    const placed = groups.flatMap(group =>
+        [...new Set(group.members.map(({ executor }) => executor))].map(executor => ({ executor, group }))
+    );
+    const found = groupBy(placed, ({ executor }) => executor);
+    return new Map([...found].map(([executor, all]) => [executor, all.map(({ group }) => group)]));
+};
+
 /** Stops every member that still has a placement, also one on an executor that cannot be reached. */
 export const stopDecisions = (group: RunGroup, reason: StopReason): readonly StopDecision[] => {
     const { view, occurrence, stepIndex, step, members } = group;
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -55,6 +55,12 @@
     });
 };
 
+/** Whether an equal or smaller request of the kind did not fit before in this pass. */
+const isMisfit = ({ misfits }: PassState, kind: string | undefined, count: number, lengthMs: Millis): boolean => {
+    const misfit = kind === undefined ? undefined : misfits.get(kind);
+    return misfit !== undefined && count >= misfit.count && lengthMs >= misfit.lengthMs;
+};
+
 const fill = (
     state: PassState,
     { unit }: RankedUnit,
@@ -66,6 +72,18 @@
 const fallbackSpans = ({ fallback }: Spans): readonly (readonly ExecutorRoom[])[] =>
     fallback === undefined ? [] : [fallback];
 
+/** The items whose executors have the most room left. */
+const mostRoom = <Item>(
+    items: readonly Item[],
+    roomsOf: (item: Item) => readonly ExecutorRoom[],
+    count: number,
+): readonly Item[] =>
+    items
+        .map(item => ({ item, left: roomsOf(item).reduce((sum, room) => sum + laterRoom(room).accelerators, 0) }))
+        .sort((left, right) => right.left - left.left)
+        .slice(0, count)
+        .map(({ item }) => item);
+
 const cheapestVictims = (
     state: PassState,
     ranked: RankedUnit,
@@ -73,10 +91,21 @@
     count: number,
     mayTakeUrgent: boolean,
 ): VictimSet | undefined => {
-    const victims = victimsFor(state, ranked, mayTakeUrgent);
-    return spans
-        .map(rooms => chooseVictims(rooms, ranked.unit, count, victims))
-        .reduce((best, set) => set !== undefined && set.cost < (best?.cost ?? Infinity) ? set : best, undefined);
+    const { maxVictimSpans, maxVictimExecutors } = state.options;
+    const chooseIn = (rooms: readonly ExecutorRoom[]): VictimSet | undefined =>
+        chooseVictims(rooms, ranked.unit, count, victimsFor(state, ranked, rooms, mayTakeUrgent));
+    const chooseInSpan = (rooms: readonly ExecutorRoom[]): VictimSet | undefined =>
+        rooms.length <= maxVictimExecutors
+            ? chooseIn(rooms)
+            : chooseIn(mostRoom(rooms, room => [room], maxVictimExecutors)) ?? chooseIn(rooms);
+    const cheapest = (some: readonly (readonly ExecutorRoom[])[]): VictimSet | undefined =>
+        some
+            .map(chooseInSpan)
+            .reduce((best, set) => set !== undefined && set.cost < (best?.cost ?? Infinity) ? set : best, undefined);
+    return spans.length <= maxVictimSpans
+        ? cheapest(spans)
+        : cheapest(mostRoom(spans, rooms => rooms, maxVictimSpans))
+            ?? (ranked.isGuaranteed ? cheapest(spans) : undefined);
 };
 
 /** Stops the victims and keeps their room for the unit. */
@@ -125,17 +154,11 @@
 /** Whether room is kept for the unit: small tasks find room by themselves as others end. */
 const needsReservation = ({ unit: { step, demand } }: RankedUnit): boolean => step.isGang || demand.accelerators > 1;
 
-/** Whether an equal or smaller request did not fit before in this pass. */
-const isMisfit = ({ misfits }: PassState, { kind, lengthMs }: Request, count: number): boolean => {
-    const misfit = kind === undefined ? undefined : misfits.get(kind);
-    return misfit !== undefined && count >= misfit.count && lengthMs >= misfit.lengthMs;
-};
-
 /** Starts as many tasks as fit in the preferred executors; a gang whole or not at all. Returns the tasks left. */
 const startNow = (state: PassState, request: Request, keys: readonly string[]): readonly string[] => {
     const { ranked: { unit }, ranked, spans, lengthMs, kind } = request;
     const least = unit.step.isGang ? keys.length : 1;
-    if (isMisfit(state, request, least)) {
+    if (isMisfit(state, kind, least, lengthMs)) {
         return keys;
     }
     const available: Available = room => roomNow(room, lengthMs);
@@ -179,11 +202,18 @@
 /** Keeps room that is free or coming for tasks of the unit; false if they do not fit in it. */
 const claimComing = (
     state: PassState,
-    { ranked }: Request,
+    { ranked, kind, spans: { preferred } }: Request,
     spans: readonly (readonly ExecutorRoom[])[],
     count: number,
 ): boolean => {
+    const laterKind = kind === undefined ? undefined : `later ${kind}`;
+    if (spans === preferred && isMisfit(state, laterKind, count, 0)) {
+        return false;
+    }
     const seating = fill(state, ranked, spans, count, laterRoom);
+    if (seating === undefined && laterKind !== undefined && spans === preferred) {
+        state.misfits.set(laterKind, { count, lengthMs: 0 });
+    }
     claim(ranked, seating?.seats ?? []);
     return seating !== undefined;
 };
