--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -18,10 +18,10 @@
     readonly maxReservations: number;
     /** Number of blocked units for which later room and victims are looked for; it bounds the time of a pass. */
     readonly maxSearches: number;
-    /** Number of racks in which victims are looked for, those with the most room first. */
-    readonly maxVictimSpans: number;
-    /** Number of executors of one set in which victims are looked for first. */
-    readonly maxVictimExecutors: number;
+    /** Number of racks in which later room and victims are looked for, those with the most room first. */
+    readonly maxSearchedSpans: number;
+    /** Number of executors of one set in which later room and victims are looked for first. */
+    readonly maxSearchedExecutors: number;
     /** How long an executor that fails everything is left alone before it is tried again. */
     readonly probeAfterMs: Millis;
     /** How long an executor from which runs were moved is ranked behind others. */
@@ -47,8 +47,8 @@
     outlookTolerance: 0.6,
     maxReservations: 4,
     maxSearches: 12,
-    maxVictimSpans: 8,
-    maxVictimExecutors: 32,
+    maxSearchedSpans: 8,
+    maxSearchedExecutors: 32,
     probeAfterMs: 5_000,
     suspectMs: 10_000,
     avoidAfterEndMs: 5_000,
--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -18,7 +18,8 @@
     readonly runTimes: RunTimes;
     /** When a run on each executor last made progress. */
     readonly lastProgress: readonly (Millis | undefined)[];
-    readonly measured: readonly MeasuredOnExecutor[];
+    readonly measuredOfGroup: ReadonlyMap<RunGroup, readonly MeasuredOnExecutor[]>;
+    readonly measuredOfStep: ReadonlyMap<string, readonly MeasuredOnExecutor[]>;
     /** How much longer runs take than estimated, by executor; only where runs of different jobs agree. */
     readonly slowness: ReadonlyMap<number, number>;
     readonly usualSlowness: number;
@@ -53,6 +54,8 @@
 /** A draining run is stopped so long before the executor leaves, besides the time of the stop. */
 const DRAIN_MARGIN_MS = 500;
 
+const stepId = ({ view, stepIndex }: RunGroup): string => `${view.job.jobId} ${stepIndex}`;
+
 const median = (values: readonly number[]): number =>
     [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 1;
 
@@ -108,14 +111,10 @@
 
 /** The time that the task of a slow run is expected to take elsewhere; undefined without evidence that it is slow. */
 const usualTotalMs = (context: MoveContext, own: MeasuredOnExecutor): Millis | undefined => {
-    const { measured, slowness, usualSlowness, options, runTimes } = context;
+    const { measuredOfStep, slowness, usualSlowness, options, runTimes } = context;
     const { group, executor } = own;
-    const siblings = measured.filter(other =>
-        other.group !== group
-        && other.executor !== executor
-        && other.group.view === group.view
-        && other.group.stepIndex === group.stepIndex
-    );
+    const siblings = (measuredOfStep.get(stepId(group)) ?? [])
+        .filter(other => other.group !== group && other.executor !== executor);
     const siblingMs = median(siblings.map(other => other.measured.totalMs));
     if (siblings.length >= 2 && own.measured.totalMs > options.slowFactor * siblingMs) {
         return siblingMs;
@@ -128,8 +127,8 @@
 
 const isSlow = (context: MoveContext, group: RunGroup): boolean => {
     const { options, view: { timings } } = context;
-    return context.measured.some(own => {
-        const usualMs = own.group === group ? usualTotalMs(context, own) : undefined;
+    return (context.measuredOfGroup.get(group) ?? []).some(own => {
+        const usualMs = usualTotalMs(context, own);
         if (usualMs === undefined) {
             return false;
         }
@@ -187,7 +186,8 @@
         options,
         runTimes,
         lastProgress: lastProgressOf(view),
-        measured,
+        measuredOfGroup: groupBy(measured, ({ group }) => group),
+        measuredOfStep: groupBy(measured, ({ group }) => stepId(group)),
         slowness: slownessByExecutor(measured),
         usualSlowness: median(measured.map(({ slowness }) => slowness)),
     };
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -55,6 +55,18 @@
     });
 };
 
+/** The items whose executors have the most room left. */
+const mostRoom = <Item>(
+    items: readonly Item[],
+    roomsOf: (item: Item) => readonly ExecutorRoom[],
+    count: number,
+): readonly Item[] =>
+    items.length <= count ? items : items
+        .map(item => ({ item, left: roomsOf(item).reduce((sum, room) => sum + laterRoom(room).accelerators, 0) }))
+        .sort((left, right) => right.left - left.left)
+        .slice(0, count)
+        .map(({ item }) => item);
+
 /** Whether an equal or smaller request of the kind did not fit before in this pass. */
 const isMisfit = ({ misfits }: PassState, kind: string | undefined, count: number, lengthMs: Millis): boolean => {
     const misfit = kind === undefined ? undefined : misfits.get(kind);
@@ -72,18 +84,6 @@
 const fallbackSpans = ({ fallback }: Spans): readonly (readonly ExecutorRoom[])[] =>
     fallback === undefined ? [] : [fallback];
 
-/** The items whose executors have the most room left. */
-const mostRoom = <Item>(
-    items: readonly Item[],
-    roomsOf: (item: Item) => readonly ExecutorRoom[],
-    count: number,
-): readonly Item[] =>
-    items
-        .map(item => ({ item, left: roomsOf(item).reduce((sum, room) => sum + laterRoom(room).accelerators, 0) }))
-        .sort((left, right) => right.left - left.left)
-        .slice(0, count)
-        .map(({ item }) => item);
-
 const cheapestVictims = (
     state: PassState,
     ranked: RankedUnit,
@@ -91,20 +91,20 @@
     count: number,
     mayTakeUrgent: boolean,
 ): VictimSet | undefined => {
-    const { maxVictimSpans, maxVictimExecutors } = state.options;
+    const { maxSearchedSpans, maxSearchedExecutors } = state.options;
     const chooseIn = (rooms: readonly ExecutorRoom[]): VictimSet | undefined =>
         chooseVictims(rooms, ranked.unit, count, victimsFor(state, ranked, rooms, mayTakeUrgent));
     const chooseInSpan = (rooms: readonly ExecutorRoom[]): VictimSet | undefined =>
-        rooms.length <= maxVictimExecutors
+        rooms.length <= maxSearchedExecutors
             ? chooseIn(rooms)
-            : chooseIn(mostRoom(rooms, room => [room], maxVictimExecutors)) ?? chooseIn(rooms);
+            : chooseIn(mostRoom(rooms, room => [room], maxSearchedExecutors)) ?? chooseIn(rooms);
     const cheapest = (some: readonly (readonly ExecutorRoom[])[]): VictimSet | undefined =>
         some
             .map(chooseInSpan)
             .reduce((best, set) => set !== undefined && set.cost < (best?.cost ?? Infinity) ? set : best, undefined);
-    return spans.length <= maxVictimSpans
+    return spans.length <= maxSearchedSpans
         ? cheapest(spans)
-        : cheapest(mostRoom(spans, rooms => rooms, maxVictimSpans))
+        : cheapest(mostRoom(spans, rooms => rooms, maxSearchedSpans))
             ?? (ranked.isGuaranteed ? cheapest(spans) : undefined);
 };
 
@@ -122,10 +122,14 @@
     claim(ranked, fill(state, ranked, spans, count, laterRoom)?.seats ?? []);
 };
 
-const soonestFit = (state: PassState, { ranked, spans }: Request, count: number): LaterFit | undefined =>
-    spans.preferred
+/** The soonest fit that is found; on many executors only those with the most room left are searched. */
+const soonestFit = (state: PassState, { ranked, spans }: Request, count: number): LaterFit | undefined => {
+    const { maxSearchedSpans, maxSearchedExecutors } = state.options;
+    return mostRoom(spans.preferred, rooms => rooms, maxSearchedSpans)
+        .map(rooms => mostRoom(rooms, room => [room], maxSearchedExecutors))
         .map(rooms => earliestFit(rooms, ranked.unit, count, state.releases))
         .reduce((best, fit) => fit !== undefined && fit.inMs < (best?.inMs ?? Infinity) ? fit : best, undefined);
+};
 
 /** Whether the worth that a preemption saves is clearly above its cost. */
 const isWorthwhile = (
