--- a/packages/dispatch/tests/dispatchFixture.ts
+++ b/packages/dispatch/tests/dispatchFixture.ts
@@ -1,6 +1,5 @@
 import { type Queue, queueSchema, type Team, teamSchema } from "@persimmonpitch/workload/clusterConfig.js";
-import type { JobProgress, TaskProgress } from "@persimmonpitch/workload/progress.js";
-import { jobProgressSchema } from "@persimmonpitch/workload/progress.js";
+import { jobProgressSchema, type TaskProgress } from "@persimmonpitch/workload/progress.js";
 import { type Step, stepSchema } from "@persimmonpitch/workload/step.js";
 import { type StepJob, stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import { timingsSchema } from "@persimmonpitch/workload/timings.js";
@@ -8,17 +7,10 @@
 
 export const START = 1_000_000;
 
+const COMMON = { host: "", pathPrefix: "", service: "desk", maxAttempts: 3 };
+
 const queueOf = (name: string, priority: number, slackFactor: number, targetLatencyMs: number): Queue =>
-    queueSchema.parse({
-        name,
-        host: "",
-        pathPrefix: "",
-        service: "desk",
-        priority,
-        slackFactor,
-        targetLatencyMs,
-        maxAttempts: 3,
-    });
+    queueSchema.parse({ ...COMMON, name, priority, slackFactor, targetLatencyMs });
 
 export const QUEUES = {
     counter: queueOf("counter", 0, 1.5, 300),
@@ -51,7 +43,7 @@
     { id, queue = "batch", team = "potters", acceptedAt = START, steps, repetition, tasks = {} }: JobInput,
 ): JobView => ({
     job: stepJobSchema.parse({ jobId: id, queue, team, acceptedAt, payload: "", steps: steps.map(stepOf), repetition }),
-    progress: jobProgressSchema.parse({ tasks }) satisfies JobProgress,
+    progress: jobProgressSchema.parse({ tasks }),
     queue: QUEUES[queue],
 });
 
@@ -65,12 +57,8 @@
         executorId: `executor${index}`,
         service: "desk",
         rack: `rack${Math.floor(index / 3)}`,
-        labels: [],
         capacity: { accelerators: 8, milliCores: 32_000, memoryMb: 64_000 },
-        takesWork: true,
-        leavesInMs: undefined,
-        runs: [],
-        recentEnds: [],
+        ...{ labels: [], takesWork: true, leavesInMs: undefined, runs: [], recentEnds: [] },
         ...change(index),
     }));
 
@@ -107,13 +95,8 @@
     executors: readonly ExecutorView[],
     change: Partial<DispatchView> = {},
 ): DispatchView => ({
-    now: START,
-    wallTime: START,
-    timings: timingsSchema.parse({}),
-    teams: TEAMS,
-    jobs,
-    executors,
-    ...change,
+    ...{ now: START, wallTime: START, timings: timingsSchema.parse({}), teams: TEAMS },
+    ...{ jobs, executors, ...change },
 });
 
 /** One line for each decision. */
--- a/packages/dispatch/tests/dispatchProperties.test.ts
+++ b/packages/dispatch/tests/dispatchProperties.test.ts
@@ -3,7 +3,7 @@
 import t from "tap";
 import { dispatchPass } from "../src/dispatchPass.js";
 import type { DispatchView, JobView, RunView } from "../src/dispatchView.js";
-import { executorsOf, jobOf, QUEUES, runOf, START, stepOf, viewOf } from "./dispatchFixture.js";
+import { executorsOf, jobOf, placedOn, QUEUES, runOf, START, stepOf, viewOf } from "./dispatchFixture.js";
 import { ruleBreaches } from "./dispatchRules.js";
 
 const SEED = 20_251;
@@ -84,20 +84,10 @@
             runsOn[executor]?.push(
                 runOf(id, key, elapsedMs, percent, { percent, isStopping, progressAt: START - stoodMs }),
             );
-            return [key, {
-                run: 1,
-                placement: { vm: `vm${executor}`, executorId: `executor${executor}`, born: 0 },
-            }] as const;
-        });
-        return jobOf({
-            id,
-            queue,
-            team,
-            acceptedAt: START - age,
-            steps: chained,
-            repetition,
-            tasks: Object.fromEntries<Partial<TaskProgress>>(tasks),
+            return [key, placedOn(executor, key)[key] ?? {}] as const;
         });
+        const input = { id, queue, team, acceptedAt: START - age, steps: chained, repetition };
+        return jobOf({ ...input, tasks: Object.fromEntries<Partial<TaskProgress>>(tasks) });
     });
     return viewOf(
         views,
@@ -105,14 +95,8 @@
             const { takesWork = true, hasLabel = false, isDesk = true, leavesInMs, fails = false } = executors[index]
                 ?? {};
             const recentEnds = ["a", "b"].map(jobId => ({ jobId, key: "0.0.0", isFailure: fails, at: START - 1_000 }));
-            return {
-                takesWork,
-                leavesInMs,
-                recentEnds,
-                labels: hasLabel ? ["dye"] : [],
-                service: isDesk ? "desk" : "other",
-                runs: runsOn[index] ?? [],
-            };
+            const kind = { labels: hasLabel ? ["dye"] : [], service: isDesk ? "desk" : "other" };
+            return { ...kind, takesWork, leavesInMs, recentEnds, runs: runsOn[index] ?? [] };
         }),
     );
 };
--- a/packages/dispatch/tests/dispatchRules.ts
+++ b/packages/dispatch/tests/dispatchRules.ts
@@ -72,7 +72,7 @@
         const areDone = (earlier: number): boolean => {
             const { count: tasks = 0, isGang = false } = job.job.steps[earlier] ?? {};
             const done = Array.from({ length: tasks }, (_, index) => taskKey({ occurrence, step: earlier, index })).map(
-                key => progressOf(job, key).isDone
+                key => progressOf(job, key).isDone,
             );
             return isGang ? done.includes(true) : !done.includes(false);
         };
