--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -30,7 +30,8 @@
     const queues = new Map(config.queues.map(queue => [queue.name, queue]));
     return [...jobs.jobs.values()].flatMap(open => {
         const queue = queues.get(open.job.queue);
-        return queue === undefined || !open.isOpen ? [] : [{ job: open.job, progress: open.progress, queue }];
+        // Jobs that have ended stay in the view while something of them runs: their demand still counts.
+        return queue === undefined ? [] : [{ job: open.job, progress: open.progress, queue }];
     });
 };
 
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -9,7 +9,7 @@
 import { prospectsOf } from "./prospects.js";
 import { type ReadyUnit, readyUnits, unitKind } from "./readyUnits.js";
 import { expectedReleases } from "./reservations.js";
-import { findRunSteps, runGroups } from "./runGroups.js";
+import { findRunSteps, groupsByExecutor, runGroups } from "./runGroups.js";
 import { estimateRunTimes } from "./runTimes.js";
 import { scarcityOf, type Spans, spansOf } from "./seating.js";
 import { orderUnits, type RankedUnit } from "./unitOrder.js";
@@ -65,7 +65,7 @@
 ): readonly DispatchDecision[] => {
     const options = { ...DEFAULT_DISPATCH_OPTIONS, ...overrides };
     const jobs: ReadonlyMap<string, JobView> = new Map(view.jobs.map(job => [job.job.jobId, job]));
-    const occurrences = openOccurrences(view.jobs, view.wallTime);
+    const occurrences = openOccurrences(view.jobs, view.now, view.wallTime);
     const runSteps = findRunSteps(view.executors, jobs);
     const groups = runGroups(view.executors, runSteps);
     const runTimes = estimateRunTimes(view.jobs, groups, view.samples, view.now);
@@ -77,13 +77,14 @@
             ? "failing"
             : executorHealth(executor, jobs, unhealthy.has(index), view.now, options);
     });
-    const prospects = prospectsOf(occurrences, groups, runTimes, view.wallTime, options);
+    const prospects = prospectsOf(occurrences, groups, runTimes, view.now, options);
     const guaranteed = guaranteedOccurrences(view, occurrences);
     const state: PassState = {
         view,
         options,
         rooms,
         groups,
+        groupsByExecutor: groupsByExecutor(groups),
         runTimes,
         prospects,
         guaranteed,
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -62,7 +62,7 @@
     readonly actualMs: Millis;
 }
 
-/** Everything that one pass decides on. Times are on one clock; `wallTime` is for due times of repetitions. */
+/** Everything that one pass decides on. Times, `acceptedAt` of jobs included, are on the clock of `now`; `wallTime` is for due times of repetitions only. */
 export interface DispatchView {
     readonly now: Millis;
     readonly wallTime: Millis;
--- a/packages/dispatch/src/openOccurrences.ts
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -39,7 +39,8 @@
     doneSteps: view.job.steps.map((step, index) => isStepDone(view, occurrence, index, step)),
 });
 
-const dueOccurrences = (view: JobView, wallTime: Millis): readonly OpenOccurrence[] => {
+/** When an occurrence began to count, on the clock of `now`: due times are on the wall clock, acceptance is not. */
+const dueOccurrences = (view: JobView, now: Millis, wallTime: Millis): readonly OpenOccurrence[] => {
     const { acceptedAt, repetition } = view.job;
     if (repetition === undefined) {
         return [occurrenceOf(view, 0, acceptedAt)];
@@ -47,18 +48,22 @@
     const { count, firstDueAt, intervalMs } = repetition;
     const due: OpenOccurrence[] = [];
     for (let occurrence = 0; occurrence < count; occurrence += 1) {
-        const startAt = firstDueAt + occurrence * intervalMs;
-        if (startAt > wallTime) {
+        const dueAt = firstDueAt + occurrence * intervalMs;
+        if (dueAt > wallTime) {
             break;
         }
-        due.push(occurrenceOf(view, occurrence, startAt));
+        due.push(occurrenceOf(view, occurrence, now - (wallTime - dueAt)));
     }
     return due;
 };
 
 /** The occurrences of open jobs that are due and not done. */
-export const openOccurrences = (jobs: readonly JobView[], wallTime: Millis): readonly OpenOccurrence[] =>
+export const openOccurrences = (
+    jobs: readonly JobView[],
+    now: Millis,
+    wallTime: Millis,
+): readonly OpenOccurrence[] =>
     jobs
         .filter(({ progress }) => progress.outcome === "open")
-        .flatMap(view => dueOccurrences(view, wallTime))
+        .flatMap(view => dueOccurrences(view, now, wallTime))
         .filter(({ doneSteps }) => doneSteps.includes(false));
--- a/packages/dispatch/tests/dispatchFixture.ts
+++ b/packages/dispatch/tests/dispatchFixture.ts
@@ -8,17 +8,10 @@
 
 export const START = 1_000_000;
 
+const COMMON = { host: "", pathPrefix: "", service: "desk", maxAttempts: 3 };
+
 const queueOf = (name: string, priority: number, slackFactor: number, targetLatencyMs: number): Queue =>
-    queueSchema.parse({
-        name,
-        host: "",
-        pathPrefix: "",
-        service: "desk",
-        priority,
-        slackFactor,
-        targetLatencyMs,
-        maxAttempts: 3,
-    });
+    queueSchema.parse({ ...COMMON, name, priority, slackFactor, targetLatencyMs });
 
 export const QUEUES = {
     counter: queueOf("counter", 0, 1.5, 300),
@@ -70,12 +63,8 @@
         executorId: `executor${index}`,
         service: "desk",
         rack: `rack${Math.floor(index / 3)}`,
-        labels: [],
         capacity: { accelerators: 8, milliCores: 32_000, memoryMb: 64_000 },
-        takesWork: true,
-        leavesInMs: undefined,
-        runs: [],
-        recentEnds: [],
+        ...{ labels: [], takesWork: true, leavesInMs: undefined, runs: [], recentEnds: [] },
         ...change(index),
     }));
 
