fix(control): take work as lost when a newer executor listens at the same address

Ruled out: agents that attach late (all attached within 0.5 s). The address is kept with each placement, so that a new controller knows it too.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -99,7 +99,9 @@
     onReport(vm: string, report: ExecutorReport): void {
         const state = this.fleet.executor(vm, report.executor.executorId);
         state.info = report.executor;
+        state.address = report.executor.address;
         this.fleet.restart(state, report.executor.born);
+        this.fleet.loseReplaced(state);
         if (report.isGone) {
             state.isAttached = false;
             this.fleet.loseAll(state, "gone");
--- a/packages/control/src/executorState.ts
+++ b/packages/control/src/executorState.ts
@@ -56,6 +56,8 @@
     /** Number of the last end that is durable. */
     durableEnd = 0;
     born = 0;
+    /** Where it listens, or listened when an earlier controller placed work on it. */
+    address: string | undefined;
     /** New work waits until then after the executor refused some. */
     pausedUntil: Millis = 0;
 
--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -58,7 +58,8 @@
 
     /** Claims a run that a pass decided. */
     claim(open: OpenJob, key: string, run: number, state: ExecutorState): HeldRun {
-        const placement = { vm: state.vm, executorId: state.executorId, born: state.born };
+        const { vm, executorId, born, address } = state;
+        const placement = { vm, executorId, born, ...(address === undefined ? {} : { address }) };
         open.update(key, { run, placement });
         return this.hold(open, key, run, placement, false);
     }
@@ -73,6 +74,20 @@
         }
     }
 
+    /**
+     * A newer executor listens at the address of older ones, so their processes are gone. Without this, work of an
+     * executor that comes back under another id would wait for the longest lease.
+     */
+    loseReplaced(newer: ExecutorState): void {
+        for (const state of this.executors.values()) {
+            const isReplaced = state !== newer && state.vm === newer.vm && state.born < newer.born
+                && state.address !== undefined && state.address === newer.address;
+            if (isReplaced) {
+                this.loseAll(state, "replaced");
+            }
+        }
+    }
+
     /** Everything that ran on an incarnation of an executor is gone. */
     loseAll(state: ExecutorState, reason: string): void {
         for (const held of [...state.runs.values()]) {
@@ -126,6 +141,7 @@
         const state = this.executor(placement.vm, placement.executorId);
         if (isInherited && state.born === 0) {
             state.born = placement.born;
+            state.address = placement.address;
         }
         const held: HeldRun = {
             jobId: open.job.jobId,
--- a/packages/workload/src/executorReport.ts
+++ b/packages/workload/src/executorReport.ts
@@ -7,6 +7,8 @@
     /** Unix time of the start of this incarnation. */
     born: z.number(),
     service: z.string(),
+    /** Where it listens. */
+    address: z.string().optional(),
     dataCentre: z.string(),
     isDraining: z.boolean(),
     /** Least time left before a draining executor leaves. */
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -7,6 +7,8 @@
     executorId: z.string(),
     /** Incarnation of the executor: the time of its start. */
     born: z.number(),
+    /** Where it listened: one process at a time can listen there. */
+    address: z.string().optional(),
 });
 export type Placement = z.infer<typeof placementSchema>;
 
