--- /dev/null
+++ b/packages/control/tests/deploymentFixture.ts
@@ -0,0 +1,270 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
+import { ExecutorAgent } from "@persimmonpitch/executor/executorAgent.js";
+import type { ExecutorPort, ListRequest } from "@persimmonpitch/executor/executorPort.js";
+import { silentLogger } from "@persimmonpitch/logging/logger.js";
+import type { Link } from "@persimmonpitch/protocol/link.js";
+import { createMemoryLink } from "@persimmonpitch/protocol/memoryLink.js";
+import { routeToExecutors } from "@persimmonpitch/standins/executorRouter.js";
+import { MemoryGangs } from "@persimmonpitch/standins/memoryGangs.js";
+import { MemoryRowStore } from "@persimmonpitch/standins/memoryRowStore.js";
+import { MemoryStepExecutor } from "@persimmonpitch/standins/memoryStepExecutor.js";
+import type { RunEnd, RunList } from "@persimmonpitch/workload/executorReport.js";
+import { progressRowSchema } from "@persimmonpitch/workload/progressRow.js";
+import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
+import { submissionSchema } from "@persimmonpitch/workload/stepJob.js";
+import { parseTaskName } from "@persimmonpitch/workload/taskName.js";
+import { timingsSchema } from "@persimmonpitch/workload/timings.js";
+import { Result } from "true-myth";
+import { ConfigBook } from "../src/configBook.js";
+import type { ConnectLink } from "../src/controllerContext.js";
+import { ControlNode } from "../src/controlNode.js";
+import { parseRow } from "../src/parseRow.js";
+import { rowKeys } from "../src/rows.js";
+
+/** A run as the executors and their lists showed it. */
+export interface ObservedRun {
+    readonly task: string;
+    readonly run: number;
+    readonly executorId: string;
+    readonly born: number;
+    readonly startedAt: Millis;
+    endedAt: Millis | undefined;
+    kind: RunEnd["kind"] | "crashed" | undefined;
+    acknowledgedAt: Millis | undefined;
+}
+
+const QUEUE = { name: "q", host: "q.example", pathPrefix: "/", service: "steps", priority: 1, maxAttempts: 2 } as const;
+const CONFIG = {
+    version: 1,
+    queues: [{ ...QUEUE, slackFactor: 3, targetLatencyMs: 0, isPublic: true }],
+    teams: [],
+    services: [{ name: "steps", enforcesCapacity: true, isStandby: false, maxConnections: 64 }],
+    maxBodyBytes: 262_144,
+};
+const STEP_MS: Millis = 100;
+
+/** Control nodes, agents and executors on one fake clock and one store. */
+export class Deployment {
+    readonly clock = new FakeClock();
+    readonly store = new MemoryRowStore(this.clock);
+    readonly executors = new Map<string, MemoryStepExecutor>();
+    readonly nodes = new Map<string, ControlNode>();
+    readonly runs: ObservedRun[] = [];
+    /** Ends that were acknowledged before their row was in the store. */
+    readonly earlyAcknowledgements: string[] = [];
+    /** Hosts whose frames vanish. */
+    readonly cut = new Set<string>();
+    private readonly agents = new Map<string, ExecutorAgent>();
+    private readonly links = new Map<string, Set<Link>>();
+    private readonly noted = new Map<string, number>();
+    private instances = 0;
+
+    constructor(nodes: readonly string[], executors: readonly string[]) {
+        const gangs = new MemoryGangs();
+        executors.forEach(name => {
+            this.executors.set(
+                name,
+                new MemoryStepExecutor({ clock: this.clock, executorId: name, born: 1_000, gangs }),
+            );
+            this.startAgent(name);
+        });
+        nodes.forEach(name => {
+            this.startNode(name);
+        });
+    }
+
+    startNode(name: string): ControlNode {
+        this.instances += 1;
+        const config = new ConfigBook(silentLogger);
+        config.offer(CONFIG);
+        const store = this.store.client(name);
+        const node = new ControlNode({
+            self: { vm: name, host: name, port: 1, dataCentre: "dc1", instanceId: `${name}-${this.instances}` },
+            stores: { state: store, operator: store },
+            operatorRows: { reset: () => undefined, apply: () => undefined },
+            config,
+            timings: timingsSchema.parse({}),
+            clock: this.clock,
+            logger: silentLogger,
+            connect: this.connectFrom(name),
+            random: () => 0.5,
+        });
+        this.nodes.set(name, node);
+        void node.run();
+        return node;
+    }
+
+    /** Ends the process of an entry without notice: its connections are reset. */
+    killNode(name: string): void {
+        this.nodes.get(name)?.stop();
+        this.nodes.delete(name);
+        this.reset(name);
+    }
+
+    startAgent(name: string): void {
+        const agent = new ExecutorAgent({
+            clock: this.clock,
+            logger: silentLogger,
+            port: this.recordedPort(name),
+            random: () => 0.5,
+        });
+        this.agents.set(name, agent);
+        const row = { vm: name, host: name, port: 1, dataCentre: "dc1", instanceId: name };
+        void this.store.client(name).commit({ puts: [{ key: rowKeys.agent(name), value: JSON.stringify(row) }] });
+    }
+
+    async killAgent(name: string): Promise<void> {
+        const agent = this.agents.get(name);
+        this.agents.delete(name);
+        this.reset(name);
+        await agent?.stop();
+    }
+
+    crash(name: string): void {
+        this.noteStarts();
+        this.executor(name).crash();
+        this.runs.filter(run => run.executorId === name && run.endedAt === undefined).forEach(run => {
+            run.endedAt = this.clock.now();
+            run.kind = "crashed";
+        });
+    }
+
+    executor(name: string): MemoryStepExecutor {
+        const executor = this.executors.get(name);
+        if (executor === undefined) {
+            throw new Error(`no executor ${name}`);
+        }
+        return executor;
+    }
+
+    /** The entry that the role's row names. */
+    get controller(): string {
+        return [...this.nodes.values()].map(node => node.replica.role?.value.vm).find(vm => vm !== undefined) ?? "";
+    }
+
+    /** Writes a job as an entry does. */
+    async putJob(jobId: string, steps: readonly object[], work: object, client = "test"): Promise<void> {
+        const job: StepJob = {
+            ...submissionSchema.parse({ payload: JSON.stringify(work), steps }),
+            jobId,
+            queue: QUEUE.name,
+            acceptedAt: this.clock.now(),
+        };
+        const key = rowKeys.job(jobId);
+        await this.store.client(client).commit({ puts: [{ key, value: JSON.stringify(job) }] });
+    }
+
+    async putRow(key: string, value: string): Promise<void> {
+        await this.store.client("test").commit({ puts: [{ key, value }] });
+    }
+
+    /** Lets time pass; each executor announces itself and its starts are recorded on the way. */
+    async pass(duration: Millis): Promise<void> {
+        const end = this.clock.now() + duration;
+        while (this.clock.now() < end) {
+            for (const [name, agent] of this.agents) {
+                const { info, sequence } = this.executor(name).heartbeat();
+                agent.onHeartbeat(info, sequence);
+            }
+            await this.clock.advance(STEP_MS);
+            this.noteStarts();
+        }
+    }
+
+    outcome(jobId: string): string {
+        const row = this.store.snapshot().find(({ key }) => key === rowKeys.run(jobId));
+        return (row === undefined ? undefined : parseRow(progressRowSchema, row.value)?.outcome) ?? "none";
+    }
+
+    /** Rows and runs in a form to compare. */
+    trace(): string {
+        this.noteStarts();
+        return this.runs.map(({ task, run, executorId, startedAt, endedAt, kind }) =>
+            `${String(startedAt).padStart(6)} ${task}#${run} on ${executorId}: ${kind ?? "open"} ${endedAt ?? ""}`
+                .trimEnd()
+        ).join("\n");
+    }
+
+    private noteStarts(): void {
+        for (const [name, executor] of this.executors) {
+            const from = this.noted.get(name) ?? 0;
+            executor.starts.slice(from).forEach(({ task, run, born, at }) => {
+                const seen = { endedAt: undefined, kind: undefined, acknowledgedAt: undefined };
+                this.runs.push({ task, run, executorId: name, born, startedAt: at, ...seen });
+            });
+            this.noted.set(name, executor.starts.length);
+        }
+    }
+
+    private reset(host: string): void {
+        this.links.get(host)?.forEach(link => {
+            link.close();
+        });
+        this.links.delete(host);
+    }
+
+    private connectFrom(from: string): ConnectLink {
+        return async ({ host }, timeoutMs) => {
+            const isCut = () => this.cut.has(from) || this.cut.has(host);
+            if (isCut()) {
+                await this.clock.sleep(timeoutMs);
+                return Result.err({ isRefused: false, detail: "no answer" });
+            }
+            const agent = this.agents.get(host);
+            const node = this.nodes.get(host);
+            if (agent === undefined && node === undefined) {
+                return Result.err({ isRefused: true, detail: "refused" });
+            }
+            const [here, there] = createMemoryLink(this.clock, { delayMs: () => 1, isCut });
+            for (const name of [from, host]) {
+                this.links.set(name, (this.links.get(name) ?? new Set()).add(here));
+            }
+            void (agent?.serve(there) ?? node?.servePeer(there));
+            return Result.ok(here);
+        };
+    }
+
+    private recordedPort(name: string): ExecutorPort {
+        const port = routeToExecutors([this.executor(name)]);
+        return {
+            start: order => port.start(order),
+            stop: order => port.stop(order),
+            list: async (request, signal) => {
+                const listed = await port.list(request, signal);
+                if (listed.isOk) {
+                    this.noteList(name, request, listed.value);
+                }
+                return listed;
+            },
+        };
+    }
+
+    private noteList(name: string, request: ListRequest, { born, ends }: RunList): void {
+        this.noteStarts();
+        const own = this.runs.filter(run => run.executorId === name && run.born === born);
+        for (const { task, run, kind, number } of ends) {
+            const ended = own.find(other => other.task === task && other.run === run);
+            if (ended !== undefined && ended.kind === undefined) {
+                Object.assign(ended, { kind, endedAt: this.clock.now(), number });
+            }
+        }
+        for (const ended of own) {
+            const { number } = ended as ObservedRun & { number?: number; };
+            if (number !== undefined && number <= request.acknowledgedEnd && ended.acknowledgedAt === undefined) {
+                ended.acknowledgedAt = this.clock.now();
+                this.checkDurable(ended);
+            }
+        }
+    }
+
+    private checkDurable({ task, run, kind }: ObservedRun): void {
+        const { jobId = "", key = "" } = parseTaskName(task) ?? {};
+        const row = this.store.snapshot().find(other => other.key === rowKeys.run(jobId));
+        const progress = row === undefined ? undefined : parseRow(progressRowSchema, row.value);
+        const known = progress?.tasks[key];
+        if (known === undefined || (kind === "done" && !known.isDone && progress?.outcome === "open")) {
+            this.earlyAcknowledgements.push(`${task}#${run}`);
+        }
+    }
+}
