fix(control): cancel a job that arrives in one scan with its cancellation

A scan brings rows in the order of their keys, so a controller that scanned the table again saw cancel/ID while the job was unknown and then took up job/ID without looking at the cancellation. The test saw the cancelled job start and complete.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -153,6 +153,10 @@
             const [kind, jobId = ""] = key.split("/");
             if (kind === "job") {
                 this.jobs.take(jobId);
+                // A scan of the whole table brings the keys in order, so the cancellation comes before its job.
+                if (this.context.replica.cancels.has(jobId)) {
+                    this.cancel(jobId);
+                }
             }
             else if (kind === "cancel") {
                 this.cancel(jobId);
