fix(control): leave a job alone whose stored progress cannot be read

The controller took such a job up as if it had no progress, its next write met a conflict and it lost the role, as did every later controller: the test saw no other job complete. A task that names an executor that the row does not list was read as a task without a run in progress and was started a second time; such a row now counts as malformed.

--- a/packages/control/src/jobBook.ts
+++ b/packages/control/src/jobBook.ts
@@ -21,6 +21,11 @@
         if (row === undefined || this.jobs.has(jobId) || this.ended.has(jobId)) {
             return false;
         }
+        if (this.replica.isProgressUnreadable(jobId)) {
+            // Without its progress the job could run twice, and a write of it would fail and cost the role.
+            this.logger.log("error", "job.unreadable", { job: jobId });
+            return false;
+        }
         const progress = this.replica.progress.get(jobId);
         const open = new OpenJob(row.value, progress?.value ?? NO_PROGRESS, progress?.version ?? 0);
         if (!open.isOpen) {
--- a/packages/control/src/replica.ts
+++ b/packages/control/src/replica.ts
@@ -20,9 +20,11 @@
 interface Shelf<T> {
     readonly schema: z.ZodType<T>;
     readonly rows: Map<string, Versioned<T>>;
+    /** Names of the rows whose newest value cannot be read. */
+    readonly unreadable: Set<string>;
 }
 
-const createShelf = <T>(schema: z.ZodType<T>): Shelf<T> => ({ schema, rows: new Map() });
+const createShelf = <T>(schema: z.ZodType<T>): Shelf<T> => ({ schema, rows: new Map(), unreadable: new Set() });
 
 /** Kinds of rows, by the part of the key before the slash. */
 interface Shelves {
@@ -69,6 +71,11 @@
         return this.shelves.run.rows;
     }
 
+    /** Whether the progress of a job is stored in a form that this process cannot read. */
+    isProgressUnreadable(jobId: string): boolean {
+        return this.shelves.run.unreadable.has(jobId);
+    }
+
     get agents(): ReadonlyMap<string, Versioned<ProcessRow>> {
         return this.shelves.agent.rows;
     }
@@ -128,6 +135,7 @@
         if ((shelf.rows.get(name)?.version ?? 0) > version) {
             return;
         }
+        shelf.unreadable.delete(name);
         if (value === undefined) {
             shelf.rows.delete(name);
             return;
@@ -135,6 +143,7 @@
         const parsed = parseRow(shelf.schema, value);
         if (parsed === undefined) {
             this.logger.log("warn", "replica.malformedRow", { key });
+            shelf.unreadable.add(name);
             return;
         }
         shelf.rows.set(name, { value: parsed, version });
--- a/packages/workload/src/progressRow.ts
+++ b/packages/workload/src/progressRow.ts
@@ -41,7 +41,11 @@
     outcome: outcomeSchema,
     executors: z.array(placementSchema),
     tasks: z.record(z.string(), taskTupleSchema),
-}).transform(({ outcome, executors, tasks }): JobProgress => ({
+}).refine(
+    ({ executors, tasks }) =>
+        Object.values(tasks).every(([, executor]) => executor >= -1 && executor < executors.length),
+    "A task names an executor that the row does not list.",
+).transform(({ outcome, executors, tasks }): JobProgress => ({
     outcome,
     tasks: Object.fromEntries(Object.entries(tasks).map(([key, tuple]) => [key, progressOfTuple(tuple, executors)])),
 }));
