fix(control): give back a role that was taken while the process is released

release() saw no controller while the election's commit was under way, so the process held the role after it. The test saw the row without isReleased for releases 300 to 700 ms after the start on a store that takes 300 ms a call.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -4,7 +4,7 @@
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 import type { ConfigBook } from "./configBook.js";
 import { Controller } from "./controller.js";
-import type { ConnectLink } from "./controllerContext.js";
+import type { ConnectLink, TakenRole } from "./controllerContext.js";
 import { Election } from "./election.js";
 import { ForwardingStore } from "./forwardingStore.js";
 import { PeerLinks } from "./peerLinks.js";
@@ -44,6 +44,7 @@
     private readonly peers: PeerLinks;
     private readonly election: Election;
     private controller: Controller | undefined;
+    private taking: Promise<TakenRole | undefined> | undefined;
     private readonly stopped = new AbortController();
     private readonly released = new AbortController();
 
@@ -120,6 +121,7 @@
     /** Gives the role away if it is held, and takes it no more. */
     async release(): Promise<void> {
         this.released.abort();
+        await this.taking;
         await this.controller?.release();
     }
 
@@ -131,7 +133,8 @@
     private async runElection(signal: AbortSignal): Promise<void> {
         const electing = AbortSignal.any([signal, this.released.signal]);
         while (!electing.aborted) {
-            const role = await this.election.take(electing);
+            this.taking = this.election.take(electing);
+            const role = await this.taking;
             if (role === undefined) {
                 return;
             }
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { TakenRole } from "./controllerContext.js";
@@ -58,7 +59,7 @@
         try {
             while (!signal.aborted) {
                 this.observe();
-                if (this.mayTake() && await this.isTermStill()) {
+                if (this.mayTake() && await this.isTermStill() && !isAborted(signal)) {
                     const taken = await this.tryTake(signal);
                     if (taken !== undefined) {
                         return taken;
@@ -137,11 +138,21 @@
             ],
         });
         const rowVersion = outcome.isOk ? outcome.value.version : await this.readBack(row);
-        if (rowVersion === undefined || !await this.isSynced(rowVersion, signal)) {
+        const released: RoleRow = { ...row, isReleased: true };
+        const isSynced = rowVersion !== undefined && await this.isSynced(rowVersion, signal);
+        if (rowVersion !== undefined && isAborted(signal)) {
+            // Nobody works under a role that was taken while the process leaves; the next entry need not wait for it.
+            await store.commit({
+                expected: [{ key: rowKeys.role, version: rowVersion }],
+                puts: [{ key: rowKeys.role, value: JSON.stringify(released) }],
+            });
+            return undefined;
+        }
+        if (rowVersion === undefined || !isSynced) {
             return undefined;
         }
         logger.log("info", "role.taken", { epoch: row.epoch, from: known?.value.vm });
-        return { epoch: row.epoch, rowVersion, takenAt, released: { ...row, isReleased: true } };
+        return { epoch: row.epoch, rowVersion, takenAt, released };
     }
 
     /** Version of the role's row if it is the one that we wrote, after an answer that did not say so. */
