--- a/packages/control/tests/faults.ts
+++ b/packages/control/tests/faults.ts
@@ -101,4 +101,38 @@
             });
         },
     },
+    {
+        name: "an executor drains and leaves",
+        cause: async d => {
+            d.executor("x1").drain(2_000);
+            await d.pass(2_500);
+            d.crash("x1");
+        },
+    },
+    {
+        name: "an entry starts while the store is down",
+        cause: async d => {
+            d.store.setFaults({ down: true });
+            d.startNode("n4");
+            await d.pass(3_000);
+            d.store.setFaults({ down: false });
+        },
+    },
+    {
+        name: "a peer vanishes while the store refuses the controller",
+        cause: async d => {
+            const { controller } = d;
+            d.store.setFaults({ refused: [controller] });
+            await d.pass(500);
+            const [peer = ""] = [...d.nodes.keys()].filter(name => name !== controller);
+            d.cut.add(peer);
+        },
+    },
+    {
+        name: "the controller's VM vanishes",
+        cause: d => {
+            d.cut.add(d.controller);
+            d.store.setFaults({ refused: [d.controller] });
+        },
+    },
 ];
--- a/tap-snapshots/packages/control/dist/tests/deployment.test.js.test.cjs
+++ b/tap-snapshots/packages/control/dist/tests/deployment.test.js.test.cjs
@@ -5,6 +5,15 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`packages/control/dist/tests/deployment.test.js > TAP > a peer vanishes while the store refuses the controller > must match snapshot 1`] = `
+  3006 a.0.0.0#1 on x1: done 5006
+  3006 a.0.0.1#1 on x1: done 5206
+  3006 f.0.0.0#1 on x2: failed 3506
+  5713 f.0.0.0#2 on x1: failed 6213
+  5713 a.0.1.0#1 on x1: done 7713
+  5713 a.0.1.1#1 on x2: done 7713
+`
+
 exports[`packages/control/dist/tests/deployment.test.js > TAP > a VM is cut off for 15000 ms > must match snapshot 1`] = `
   3006 a.0.0.0#1 on x1: done 5006
   3006 a.0.0.1#1 on x1: done 5206
@@ -34,6 +43,15 @@
   5013 a.0.1.1#1 on x1: done 7015
 `
 
+exports[`packages/control/dist/tests/deployment.test.js > TAP > an entry starts while the store is down > must match snapshot 1`] = `
+  3006 a.0.0.0#1 on x1: done 5006
+  3006 a.0.0.1#1 on x1: done 5206
+  3006 f.0.0.0#1 on x2: failed 3506
+  7048 f.0.0.0#2 on x1: failed 7548
+  7048 a.0.1.0#1 on x1: done 9048
+  7048 a.0.1.1#1 on x2: done 9048
+`
+
 exports[`packages/control/dist/tests/deployment.test.js > TAP > an executor crashes and restarts > must match snapshot 1`] = `
   3006 a.0.0.0#1 on x1: crashed 4000
   3006 a.0.0.1#1 on x1: crashed 4000
@@ -45,6 +63,15 @@
   6014 a.0.1.1#1 on x1: done 8016
 `
 
+exports[`packages/control/dist/tests/deployment.test.js > TAP > an executor drains and leaves > must match snapshot 1`] = `
+  3006 a.0.0.0#1 on x1: done 5006
+  3006 a.0.0.1#1 on x1: done 5008
+  3006 f.0.0.0#1 on x2: failed 3506
+  4007 f.0.0.0#2 on x2: failed 4507
+  5013 a.0.1.0#1 on x2: done 7013
+  5013 a.0.1.1#1 on x2: done 7015
+`
+
 exports[`packages/control/dist/tests/deployment.test.js > TAP > an executor is gone for good > must match snapshot 1`] = `
   3006 a.0.0.0#1 on x1: crashed 4000
   3006 a.0.0.1#1 on x1: crashed 4000
@@ -119,6 +146,15 @@
   5013 a.0.1.1#1 on x1: done 7015
 `
 
+exports[`packages/control/dist/tests/deployment.test.js > TAP > the controller's VM vanishes > must match snapshot 1`] = `
+  3006 a.0.0.0#1 on x1: done 5006
+  3006 a.0.0.1#1 on x1: done 5206
+  3006 f.0.0.0#1 on x2: failed 3506
+  5886 a.0.1.0#1 on x1: done 7886
+  5886 a.0.1.1#1 on x1: done 7888
+  5886 f.0.0.0#2 on x2: failed 6386
+`
+
 exports[`packages/control/dist/tests/deployment.test.js > TAP > the store drops its history > must match snapshot 1`] = `
   3006 a.0.0.0#1 on x1: done 5006
   3006 a.0.0.1#1 on x1: done 5008
