--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -18,7 +18,11 @@
 
 await build({
     absWorkingDir: fileURLToPath(root),
-    entryPoints: { entry: "platform/src/entryMain.ts", agent: "platform/src/agentMain.ts" },
+    entryPoints: {
+        entry: "platform/src/entryMain.ts",
+        agent: "platform/src/agentMain.ts",
+        export: "platform/src/exportMain.ts",
+    },
     outdir: "target",
     outExtension: { ".js": ".mjs" },
     bundle: true,
