--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default defineConfig(
-    { ignores: ["**/dist/**", "**/node_modules/**", ".tap/**", "tap-snapshots/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "target/**", "journal/**", ".tap/**", "tap-snapshots/**"] },
     tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
