--- a/packages/dispatch/src/unitOrder.ts
+++ b/packages/dispatch/src/unitOrder.ts
@@ -24,6 +24,8 @@
 
 const GUARANTEED_TIER = 0;
 const URGENT_TIER = 1;
+const ORDINARY_TIER = 2;
+const HOPELESS_TIER = 3;
 
 interface Rank {
     readonly tier: number;
@@ -31,26 +33,35 @@
 }
 
 /** Worth per core-second, discounted by the slack: the apparent-tardiness-cost rule for weighted tardiness. */
-const tardinessIndex = ({ worth, openWork, slackMs }: Prospect, factor: number, options: DispatchOptions): number =>
-    factor * worth / Math.max(1, openWork) * Math.exp(-Math.max(0, slackMs) / options.urgencyScaleMs);
+const tardinessIndex = (
+    worth: number,
+    openWork: number,
+    slackMs: number,
+    { urgencyScaleMs }: DispatchOptions,
+): number => worth / Math.max(1, openWork) * Math.exp(-Math.max(0, slackMs) / urgencyScaleMs);
 
 type RankHandler = (prospect: Prospect, priority: number, factor: number, options: DispatchOptions) => Rank;
 
 /** Rank of a unit by the outlook of its occurrence. */
 const RANKS: { readonly [K in Outlook]: RankHandler; } = {
-    onTime: (prospect, priority, factor, options) =>
+    onTime: ({ worth, openWork, slackMs }, priority, factor, options) =>
         priority === 0
-            ? { tier: URGENT_TIER, rank: prospect.slackMs }
-            : { tier: 2, rank: -tardinessIndex(prospect, factor, options) },
-    late: ({ lateSlackMs, worth }, priority, factor, { lateShareByPriority }) => ({
-        tier: 3,
-        rank: lateSlackMs / (factor * worth * byPriority(lateShareByPriority, priority)),
-    }),
-    hopeless: ({ lateSlackMs }) => ({ tier: 4, rank: -lateSlackMs }),
+            ? { tier: URGENT_TIER, rank: slackMs }
+            : { tier: ORDINARY_TIER, rank: -tardinessIndex(factor * worth, openWork, slackMs, options) },
+    // Late work competes with work that can be on time by what it still earns: an urgent job that lost its
+    // executors would otherwise wait until it is worth nothing.
+    late: ({ worth, openWork, lateSlackMs }, priority, factor, options) => {
+        const lateWorth = factor * worth * byPriority(options.lateShareByPriority, priority);
+        return { tier: ORDINARY_TIER, rank: -tardinessIndex(lateWorth, openWork, lateSlackMs, options) };
+    },
+    hopeless: ({ lateSlackMs }) => ({ tier: HOPELESS_TIER, rank: -lateSlackMs }),
 };
 
 /** Long-running work has no end to be late for, so only its priority counts. */
-const longRunningRank = (priority: number): Rank => ({ tier: priority === 0 ? URGENT_TIER : 2, rank: priority });
+const longRunningRank = (priority: number): Rank => ({
+    tier: priority === 0 ? URGENT_TIER : ORDINARY_TIER,
+    rank: priority,
+});
 
 const acceleratorsOf = ({ job }: JobView): number =>
     job.steps.reduce((most, { count, demand }) => Math.max(most, count * demand.accelerators), 0);
@@ -71,7 +82,7 @@
     || byStart(left.unit.owner, right.unit.owner)
     || left.unit.stepIndex - right.unit.stepIndex;
 
-/** Orders the units: guaranteed starts, other urgent work, then work that can be on time, late work, hopeless work. */
+/** Orders the units: guaranteed starts, other urgent work, then other work by what it earns, hopeless work last. */
 export const orderUnits = (
     units: readonly ReadyUnit[],
     occurrences: readonly OpenOccurrence[],
