--- a/tap-snapshots/platform/dist/tests/translations.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/translations.test.js.test.cjs
@@ -431,6 +431,7 @@
     {
       address: '127.0.0.1:9',
       info: {
+        address: '127.0.0.1:9',
         born: 5,
         capacity: { accelerators: 8, memoryMb: 100, milliCores: 8000 },
         dataCentre: 'z',
@@ -471,6 +472,7 @@
     {
       address: '127.0.0.1:9',
       info: {
+        address: '127.0.0.1:9',
         born: 5,
         capacity: { accelerators: 8, memoryMb: 100, milliCores: 8000 },
         dataCentre: 'z',
@@ -498,6 +500,7 @@
     {
       address: '127.0.0.1:9',
       info: {
+        address: '127.0.0.1:9',
         born: 5,
         capacity: { accelerators: 8, memoryMb: 100, milliCores: 8000 },
         dataCentre: 'z',
