--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -12,6 +12,7 @@
 import { findRunSteps, groupsByExecutor, runGroups } from "./runGroups.js";
 import { estimateRunTimes } from "./runTimes.js";
 import { scarcityOf, type Spans, spansOf } from "./seating.js";
+import { stepWaves } from "./stepWaves.js";
 import { orderUnits, type RankedUnit } from "./unitOrder.js";
 import { placeUnit } from "./unitPlacement.js";
 
@@ -77,7 +78,7 @@
             ? "failing"
             : executorHealth(executor, jobs, unhealthy.has(index), view.now, options);
     });
-    const prospects = prospectsOf(occurrences, groups, runTimes, view.now, options);
+    const prospects = prospectsOf(occurrences, groups, runTimes, stepWaves(view.executors), view.now, options);
     const guaranteed = guaranteedOccurrences(view, occurrences);
     const state: PassState = {
         view,
--- a/packages/dispatch/src/prospects.ts
+++ b/packages/dispatch/src/prospects.ts
@@ -2,9 +2,10 @@
 import { coresOf } from "./demand.js";
 import { byPriority, type DispatchOptions } from "./dispatchOptions.js";
 import type { JobView } from "./dispatchView.js";
-import type { OpenOccurrence } from "./openOccurrences.js";
+import { type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
 import type { RunGroup } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
+import type { StepWaves } from "./stepWaves.js";
 
 /** Whether an occurrence can still complete on time, or late but for a part of its worth, or for nothing. */
 export type Outlook = "onTime" | "late" | "hopeless";
@@ -75,11 +76,21 @@
     return remaining;
 };
 
+/** Number of tasks of a step that neither run nor are done. */
+const freeTasks = ({ view, occurrence }: OpenOccurrence, stepIndex: number): number => {
+    const step = view.job.steps[stepIndex];
+    return step === undefined ? 0 : stepKeys(occurrence, stepIndex, step).filter(key => {
+        const { placement, isDone } = progressOf(view, key);
+        return placement === undefined && !isDone;
+    }).length;
+};
+
 /** Judges each occurrence by its deadlines and the work that is left. */
 export const prospectsOf = (
     occurrences: readonly OpenOccurrence[],
     groups: readonly RunGroup[],
     runTimes: RunTimes,
+    waves: StepWaves,
     now: Millis,
     { worthByPriority, outlookTolerance }: DispatchOptions,
 ): ReadonlyMap<string, Prospect> => {
@@ -90,11 +101,18 @@
         const { queue, job } = view;
         const isFinite = (index: number): boolean => job.steps[index]?.isLongRunning !== true;
         const isOpen = (index: number): boolean => isFinite(index) && doneSteps[index] === false;
-        const chainMs = longestChain(view, index => isFinite(index) ? runTimes.stepMs(view, index) : 0);
-        const openMs = longestChain(view, index =>
-            isOpen(index)
-                ? running.get(`${occurrenceId(owner)} ${index}`) ?? runTimes.stepMs(view, index)
-                : 0);
+        const chainMs = longestChain(
+            view,
+            index => isFinite(index) ? waves.allowed(view, index) * runTimes.stepMs(view, index) : 0,
+        );
+        const restMs = (index: number): Millis => {
+            const runningMs = running.get(`${occurrenceId(owner)} ${index}`) ?? 0;
+            const free = freeTasks(owner, index);
+            return free === 0
+                ? runningMs
+                : Math.max(runningMs, waves.needed(view, index, free) * runTimes.stepMs(view, index));
+        };
+        const openMs = longestChain(view, index => isOpen(index) ? restMs(index) : 0);
         const allowedMs = queue.slackFactor * chainMs + queue.targetLatencyMs;
         const passedMs = now - startAt;
         const slackMs = allowedMs - passedMs - openMs;
--- /dev/null
+++ b/packages/dispatch/src/stepWaves.ts
@@ -0,0 +1,47 @@
+import type { Step } from "@persimmonpitch/workload/step.js";
+import { countedDemand, slotsIn } from "./demand.js";
+import type { ExecutorView, JobView } from "./dispatchView.js";
+
+/** A step wider than this share of the room of its service is judged as running in waves of that width. */
+const WAVE_SHARE = 0.25;
+
+/** How many times the length of one task a step takes. */
+export interface StepWaves {
+    /** Waves that the objective of the job allows for the step. */
+    readonly allowed: (view: JobView, stepIndex: number) => number;
+    /** Waves that `count` tasks of the step need if they get all room of the service. */
+    readonly needed: (view: JobView, stepIndex: number, count: number) => number;
+}
+
+const seatsOn = ({ capacity, labels }: ExecutorView, step: Step): number =>
+    step.requiredLabel === undefined || labels.includes(step.requiredLabel)
+        ? Math.min(slotsIn(capacity, countedDemand(step)), step.maxPerExecutor ?? Infinity)
+        : 0;
+
+/** Counts waves by the room of the empty executors of each service. */
+export const stepWaves = (executors: readonly ExecutorView[]): StepWaves => {
+    const seatsOfStep = new Map<Step, number>();
+    const seatsFor = ({ queue, job }: JobView, stepIndex: number): number => {
+        const step = job.steps[stepIndex];
+        if (step === undefined) {
+            return 0;
+        }
+        const known = seatsOfStep.get(step);
+        const seats = known ?? executors
+            .filter(({ service, takesWork }) => takesWork && service === queue.service)
+            .reduce((sum, executor) => sum + seatsOn(executor, step), 0);
+        seatsOfStep.set(step, seats);
+        return seats;
+    };
+    return {
+        allowed: (view, stepIndex) => {
+            const seats = seatsFor(view, stepIndex);
+            const count = view.job.steps[stepIndex]?.count ?? 0;
+            return seats === 0 ? 1 : Math.max(1, count / (WAVE_SHARE * seats));
+        },
+        needed: (view, stepIndex, count) => {
+            const seats = seatsFor(view, stepIndex);
+            return seats === 0 ? 1 : Math.max(1, Math.ceil(count / seats));
+        },
+    };
+};
--- a/packages/dispatch/tests/dispatchPass.test.ts
+++ b/packages/dispatch/tests/dispatchPass.test.ts
@@ -196,3 +196,17 @@
     t.same(far, near);
     t.end();
 });
+
+// Guards against steps wider than the service that are judged by one wave, and so given up while they can earn all.
+void t.test("a step that needs several waves keeps its place when one wave would be hopelessly late", t => {
+    const wide = jobOf({
+        id: "wide",
+        queue: "counter",
+        acceptedAt: START - 30_000,
+        steps: [{ count: 4, demand: { accelerators: 8 } }],
+    });
+    const batch = jobOf({ id: "batch", steps: [{ count: 1, demand: { accelerators: 8 } }] });
+    const [first] = dispatchPass(viewOf([batch, wide], executorsOf(1)));
+    t.equal(first?.jobId, "wide");
+    t.end();
+});
