--- a/packages/control/src/agentTask.ts
+++ b/packages/control/src/agentTask.ts
@@ -2,6 +2,7 @@
 import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { isAborted } from "@persimmonpitch/clock/isAborted.js";
+import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import { Connection } from "@persimmonpitch/protocol/connection.js";
 import type {
     AgentToControllerMethods,
@@ -9,7 +10,10 @@
     ExecutorReport,
 } from "@persimmonpitch/protocol/executorMessages.js";
 import { agentToControllerMethods, controllerToAgentMethods } from "@persimmonpitch/protocol/executorMessages.js";
+import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { ControllerContext } from "./controllerContext.js";
+import type { ProcessRow } from "./rows.js";
+import { rowKeys } from "./rows.js";
 
 /** A connection to an agent, as the controller uses it. */
 export type AgentConnection = Connection<AgentToControllerMethods, ControllerToAgentMethods>;
@@ -33,6 +37,53 @@
 /** Time between two extensions of the leases of an agent's executors. */
 const LEASE_INTERVAL_MS: Millis = 1_000;
 
+/**
+ * Works until the row of the agent changes: a process that registers listens already, so neither a connection to the
+ * address of its predecessor nor a pause is waited for.
+ */
+const whileRowStays = async <T>(
+    { replica }: ControllerContext,
+    vm: string,
+    signal: AbortSignal,
+    work: (signal: AbortSignal) => Promise<T>,
+): Promise<T> => {
+    const changed = new AbortController();
+    const stopListening = replica.listen(keys => {
+        if (keys.includes(rowKeys.agent(vm))) {
+            changed.abort();
+        }
+    });
+    try {
+        return await withAnySignal([signal, changed.signal], work);
+    }
+    finally {
+        stopListening();
+    }
+};
+
+/** Opens a link to the agent; undefined when that fails or `signal` aborts before. */
+const openLink = async (
+    { connect }: ControllerContext,
+    row: ProcessRow,
+    signal: AbortSignal,
+): Promise<Link | undefined> => {
+    const connecting = connect(row, CONNECT_TIMEOUT_MS);
+    const aborted = new Promise<undefined>(resolve => {
+        signal.addEventListener("abort", () => {
+            resolve(undefined);
+        }, { once: true });
+    });
+    const link = await Promise.race([connecting, aborted]);
+    if (link === undefined) {
+        void connecting.then(late => {
+            late.map(opened => {
+                opened.close();
+            });
+        });
+    }
+    return link?.unwrapOr(undefined);
+};
+
 /** Connects to one agent, again and again, and serves the connection while it is open. */
 export const runAgentTask = async (
     context: ControllerContext,
@@ -47,10 +98,10 @@
         if (row === undefined) {
             return;
         }
-        const link = await context.connect(row, CONNECT_TIMEOUT_MS);
-        if (link.isOk && !isAborted(signal)) {
+        const link = await whileRowStays(context, vm, signal, stays => openLink(context, row, stays));
+        if (link !== undefined && !isAborted(signal)) {
             const connection: AgentConnection = new Connection({
-                link: link.value,
+                link,
                 clock: context.clock,
                 local: agentToControllerMethods,
                 remote: controllerToAgentMethods,
@@ -67,7 +118,11 @@
         else {
             failures += 1;
         }
-        await context.clock.sleep(backoffDelay(RETRY, failures, context.random), signal);
+        if (context.replica.agents.get(vm)?.value === row) {
+            await whileRowStays(context, vm, signal, async stays => {
+                await context.clock.sleep(backoffDelay(RETRY, failures, context.random), stays);
+            });
+        }
     }
 };
 
