--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -1,6 +1,7 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
+import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 import type { ConfigBook } from "./configBook.js";
 import { Controller } from "./controller.js";
@@ -102,7 +103,18 @@
 
     /** Serves a link that another entry opened. */
     async servePeer(link: Link): Promise<void> {
-        await servePeer(link, this.options.clock, this.options.stores);
+        await servePeer(link, this.options.clock, this.options.stores, rows => {
+            this.replica.apply(rows);
+        });
+    }
+
+    /**
+     * Makes rows known that were just written. Without it a job reaches the controller, and its end the requester,
+     * only with the next answer to a poll, which comes a second later while the store drops its history.
+     */
+    announce(rows: readonly StoredRow[]): void {
+        this.replica.apply(rows);
+        this.peers.announce(rows);
     }
 
     /** Runs until `stop`. */
@@ -149,6 +161,9 @@
                 connect,
                 random,
                 storeOffsetMs: () => this.follower.storeOffsetMs,
+                announce: rows => {
+                    this.announce(rows);
+                },
             }, role);
             await this.controller.run(signal);
             this.controller = undefined;
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -37,7 +37,7 @@
     private readonly wake = new WakeSignal();
 
     constructor(private readonly context: ControllerContext, private readonly role: TakenRole) {
-        const { replica, clock, logger, store } = context;
+        const { replica, clock, logger, store, announce } = context;
         this.jobs = new JobBook(replica, logger);
         this.fleet = new Fleet({
             jobs: this.jobs,
@@ -52,7 +52,7 @@
         const onRoleLost = (detail: string) => {
             this.loseRole(detail);
         };
-        this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost });
+        this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost, announce });
         this.term = new TermKeeper({ store, clock, logger, role, onRoleLost });
         this.orders = new OrderSender({
             fleet: this.fleet,
--- a/packages/control/src/controllerContext.ts
+++ b/packages/control/src/controllerContext.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { ConnectFailure } from "@persimmonpitch/protocol/plainTransport.js";
+import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 import type { Result } from "true-myth";
 import type { ConfigBook } from "./configBook.js";
@@ -27,6 +28,8 @@
     readonly random: () => number;
     /** The store's steady clock less our own; acceptance times are on the store's clock. */
     readonly storeOffsetMs: () => Millis;
+    /** Makes rows known to all entries that were just written. */
+    readonly announce: (rows: readonly StoredRow[]) => void;
 }
 
 /** The role as the controller took it. */
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -5,6 +5,7 @@
 import { Connection } from "@persimmonpitch/protocol/connection.js";
 import type { StoreMethods, StoreTable } from "@persimmonpitch/protocol/storeMessages.js";
 import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
+import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { ConnectLink } from "./controllerContext.js";
 import { PeerStore } from "./peerStore.js";
 import type { Replica } from "./replica.js";
@@ -29,6 +30,7 @@
 const CHECK_MS: Millis = 1_000;
 const PING_MS: Millis = 1_000;
 const PING_TIMEOUT_MS: Millis = 600;
+const CHANGED_TIMEOUT_MS: Millis = 600;
 
 /** Connections to the other entries: for forwarded store calls, and to see at once when one dies. */
 export class PeerLinks {
@@ -63,6 +65,16 @@
             .map(connection => new PeerStore(connection, table));
     }
 
+    /**
+     * Tells the connected peers what was written. An answer is not awaited: a peer that misses the call takes the
+     * rows from the store.
+     */
+    announce(rows: readonly StoredRow[]): void {
+        for (const connection of this.connections.values()) {
+            void connection.call("store.changed", { rows: [...rows] }, CHANGED_TIMEOUT_MS);
+        }
+    }
+
     /** Closes a connection whose other side no longer answers. */
     private async keepAlive(connection: PeerConnection, signal: AbortSignal): Promise<void> {
         const { clock } = this.options;
--- a/packages/control/src/peerServer.ts
+++ b/packages/control/src/peerServer.ts
@@ -4,6 +4,7 @@
 import type { HandlerTable } from "@persimmonpitch/protocol/method.js";
 import type { StoreMethods, StoreTable } from "@persimmonpitch/protocol/storeMessages.js";
 import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
+import type { ChangedRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Result } from "true-myth";
 import type { RowStore } from "./rowStore.js";
 
@@ -15,21 +16,33 @@
 const toAnswer = <T extends object, E extends object>(result: Result<T, E>): Answer<T, E> =>
     result.isOk ? { kind: "ok", value: result.value } : { kind: "error", error: result.error };
 
-const handlersFor = (stores: DirectStores): HandlerTable<StoreMethods> => ({
+/** Receives rows that a peer has written. */
+export type OnRowsChanged = (rows: readonly ChangedRow[]) => void;
+
+const handlersFor = (stores: DirectStores, onChanged: OnRowsChanged): HandlerTable<StoreMethods> => ({
     "store.ping": () => Promise.resolve({}),
+    "store.changed": ({ rows }) => {
+        onChanged(rows);
+        return Promise.resolve({});
+    },
     "store.commit": async ({ table, transaction }) => toAnswer(await stores[table].commit(transaction)),
     "store.scan": async ({ table, range }) => toAnswer(await stores[table].scan(range)),
     "store.follow": async ({ table, after, waitMs }) => toAnswer(await stores[table].follow(after, waitMs)),
 });
 
 /** Serves one peer until its link closes. */
-export const servePeer = async (link: Link, clock: Clock, stores: DirectStores): Promise<void> => {
+export const servePeer = async (
+    link: Link,
+    clock: Clock,
+    stores: DirectStores,
+    onChanged: OnRowsChanged,
+): Promise<void> => {
     const connection = new Connection({
         link,
         clock,
         local: storeMethods,
         remote: {},
-        handlers: handlersFor(stores),
+        handlers: handlersFor(stores, onChanged),
     });
     await connection.run();
 };
--- a/packages/control/src/progressWriter.ts
+++ b/packages/control/src/progressWriter.ts
@@ -22,6 +22,8 @@
     readonly roleVersion: number;
     /** Called once the role is known to be lost. */
     readonly onRoleLost: (detail: string) => void;
+    /** Makes rows known to all entries that were just written. */
+    readonly announce: (rows: readonly StoredRow[]) => void;
 }
 
 interface PendingRow {
@@ -29,6 +31,8 @@
     readonly key: string;
     readonly value: string;
     readonly expectedVersion: number;
+    /** Whether the job has ended with this row. */
+    readonly isEnd: boolean;
 }
 
 /** Writes the progress of jobs, many changes in one transaction, one transaction at a time. */
@@ -94,7 +98,8 @@
 
     private pendingRow(open: OpenJob): PendingRow {
         const value = encodeProgress(open.progress);
-        return { open, key: rowKeys.run(open.job.jobId), value, expectedVersion: open.rowVersion };
+        const key = rowKeys.run(open.job.jobId);
+        return { open, key, value, expectedVersion: open.rowVersion, isEnd: !open.isOpen };
     }
 
     private async writeChunk(chunk: readonly PendingRow[], signal: AbortSignal): Promise<void> {
@@ -111,9 +116,7 @@
         while (!signal.aborted && !this.isStopped) {
             const outcome = await store.commit(transaction);
             if (outcome.isOk) {
-                chunk.forEach(({ open }) => {
-                    open.rowVersion = outcome.value.version;
-                });
+                this.noteWritten(chunk, () => outcome.value.version);
                 return;
             }
             if (this.settle(chunk, outcome.error)) {
@@ -150,12 +153,21 @@
             this.loseRole("A condition of a write of progress does not hold.");
             return true;
         }
-        chunk.forEach(({ open, key }) => {
-            open.rowVersion = byKey.get(key)?.version ?? open.rowVersion;
-        });
+        this.noteWritten(chunk, ({ open, key }) => byKey.get(key)?.version ?? open.rowVersion);
         return true;
     }
 
+    /** Requesters wait for the ends of jobs, so these do not wait for the entries' next polls. */
+    private noteWritten(chunk: readonly PendingRow[], versionOf: (row: PendingRow) => number): void {
+        chunk.forEach(row => {
+            row.open.rowVersion = versionOf(row);
+        });
+        const ended = chunk.filter(({ isEnd }) => isEnd);
+        if (ended.length > 0) {
+            this.options.announce(ended.map(({ open, key, value }) => ({ key, value, version: open.rowVersion })));
+        }
+    }
+
     private loseRole(detail: string): void {
         this.isStopped = true;
         this.options.onRoleLost(detail);
--- a/packages/control/src/replica.ts
+++ b/packages/control/src/replica.ts
@@ -100,8 +100,17 @@
         };
     }
 
-    reset(rows: readonly StoredRow[]): void {
+    /** Rows that a peer announced are newer than the scan and stay. */
+    reset(rows: readonly StoredRow[], version: number): void {
+        const before = Object.values(this.shelves).map((shelf: Shelf<unknown>) => shelf.rows);
         this.shelves = createShelves();
+        Object.values(this.shelves).forEach((shelf: Shelf<unknown>, index) => {
+            before[index]?.forEach((row, name) => {
+                if (row.version > version) {
+                    shelf.rows.set(name, row);
+                }
+            });
+        });
         this.apply(rows);
     }
 
@@ -132,7 +141,8 @@
         shelf: Shelf<T>,
         { key, name, value, version }: ChangedRow & { readonly name: string; },
     ): void {
-        if ((shelf.rows.get(name)?.version ?? 0) > version) {
+        // The same version comes twice: from the peer that wrote it and from the store.
+        if ((shelf.rows.get(name)?.version ?? 0) >= version) {
             return;
         }
         shelf.unreadable.delete(name);
--- a/packages/control/src/tableFollower.ts
+++ b/packages/control/src/tableFollower.ts
@@ -10,8 +10,8 @@
 
 /** What receives the rows of a table. */
 export interface RowSink {
-    /** All rows of the table; others no longer exist. */
-    reset(rows: readonly StoredRow[]): void;
+    /** All rows of the table as of the version; others no longer exist. */
+    reset(rows: readonly StoredRow[], version: number): void;
     apply(rows: readonly ChangedRow[]): void;
 }
 
@@ -84,7 +84,7 @@
             }
             from = `${last.key}\u0000`;
         }
-        this.options.sink.reset(rows);
+        this.options.sink.reset(rows, version);
         this.version = version;
         return ok(undefined);
     }
--- /dev/null
+++ b/packages/control/tests/announcedRows.test.ts
@@ -0,0 +1,43 @@
+import { silentLogger } from "@persimmonpitch/logging/logger.js";
+import { submissionSchema } from "@persimmonpitch/workload/stepJob.js";
+import t from "tap";
+import { Replica } from "../src/replica.js";
+import { rowKeys } from "../src/rows.js";
+import { Deployment } from "./deploymentFixture.js";
+
+const jobValue = (jobId: string, acceptedAt: number): string => {
+    const payload = JSON.stringify({ runMs: 500 });
+    return JSON.stringify({
+        ...submissionSchema.parse({ payload, steps: [{ count: 1, demand: { milliCores: 1 } }] }),
+        jobId,
+        queue: "q",
+        acceptedAt,
+    });
+};
+
+// Guards against jobs that wait, and ends that are shown late, while the store's changes do not come.
+void t.test("a job runs and its end is shown while followers of the store hear nothing", async t => {
+    const d = new Deployment(["n1", "n2"], ["x1"]);
+    await d.pass(3_000);
+    const other = [...d.nodes.values()].find(({ replica }) => replica.role?.value.vm !== d.controller)
+        ?? d.nodes.get(d.controller === "n1" ? "n2" : "n1");
+    d.store.setFaults({ quietFollows: true });
+    const key = rowKeys.job("a");
+    const value = jobValue("a", d.clock.now());
+    const written = await other?.store.commit({ puts: [{ key, value }] });
+    const version = written?.isOk === true ? written.value.version : 0;
+    other?.announce([{ key, value, version }]);
+    await d.pass(1_500);
+    t.equal(d.outcome("a"), "completed");
+    t.equal(other?.replica.progress.get("a")?.value.outcome, "completed");
+});
+
+// Guards against a job that is forgotten because it was announced while the table was scanned.
+void t.test("rows that are newer than a scan stay known", t => {
+    const replica = new Replica(silentLogger);
+    replica.apply([{ key: rowKeys.job("new"), value: jobValue("new", 0), version: 9 }]);
+    replica.apply([{ key: rowKeys.job("old"), value: jobValue("old", 0), version: 3 }]);
+    replica.reset([], 5);
+    t.same([...replica.jobs.keys()], ["new"]);
+    t.end();
+});
--- a/packages/control/tests/store.test.ts
+++ b/packages/control/tests/store.test.ts
@@ -79,6 +79,7 @@
             logger: silentLogger,
             roleVersion: isRoleTaken ? 7 : 1,
             onRoleLost: detail => lost.push(detail),
+            announce: () => undefined,
         });
         const stop = new AbortController();
         const running = writer.run(stop.signal);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type { Queue } from "@persimmonpitch/workload/clusterConfig.js";
 import type { JobState, StepJob, Submission } from "@persimmonpitch/workload/stepJob.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
-import type { RowTransaction } from "@persimmonpitch/workload/storedRow.js";
+import type { RowTransaction, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import { err, ok } from "true-myth/result";
 import type { Result } from "true-myth/result";
 import { jobStateOf } from "./jobState.js";
@@ -48,6 +48,8 @@
     readonly clock: Clock;
     readonly isReady: () => boolean;
     readonly storeOffsetMs: () => Millis;
+    /** Makes rows known, here and to the other entries, that were just written. */
+    readonly announce: (rows: readonly StoredRow[]) => void;
 }
 
 /** How long an unclear write is repeated before the caller hears that it is unclear. */
@@ -77,7 +79,7 @@
 
     /** Accepts a job once it is stored; a repeated submission of the same id is the same job. */
     async submit(call: AllowedCall, submission: Submission): Promise<Result<void, GatewayError>> {
-        const { replica, isReady, clock, storeOffsetMs } = this.options;
+        const { replica, isReady, clock, storeOffsetMs, announce } = this.options;
         if (!isReady()) {
             return err("unavailable");
         }
@@ -97,7 +99,7 @@
         written.match({
             Ok: version => {
                 if (version !== undefined) {
-                    replica.apply([{ key, value, version }]);
+                    announce([{ key, value, version }]);
                 }
             },
             Err: () => undefined,
@@ -118,7 +120,7 @@
 
     /** Cancels a job. */
     async cancel(call: AllowedCall): Promise<Result<void, GatewayError>> {
-        const { replica, clock } = this.options;
+        const { replica, clock, announce } = this.options;
         const found = await this.findJob(call);
         if (found.isErr) {
             return err(found.error);
@@ -131,7 +133,7 @@
         const value = JSON.stringify({ at: clock.wallTime() });
         const written = await this.write({ expected: [], puts: [{ key, value }] });
         if (written.isOk && written.value !== undefined) {
-            replica.apply([{ key, value, version: written.value }]);
+            announce([{ key, value, version: written.value }]);
         }
         return written.map(() => undefined);
     }
--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -25,13 +25,17 @@
     const store = new MemoryRowStore(clock);
     const config = new ConfigBook(silentLogger);
     config.offer(configOf(1, ["k1", "k2"]));
+    const replica = new Replica(silentLogger);
     const gateway = new Gateway({
         store: store.client("n1"),
-        replica: new Replica(silentLogger),
+        replica,
         config,
         clock,
         isReady: () => true,
         storeOffsetMs: () => 0,
+        announce: rows => {
+            replica.apply(rows);
+        },
     });
     return { clock, store, config, gateway };
 };
--- a/packages/protocol/src/storeMessages.ts
+++ b/packages/protocol/src/storeMessages.ts
@@ -1,4 +1,5 @@
 import {
+    changedRowSchema,
     commitErrorSchema,
     committedSchema,
     readErrorSchema,
@@ -19,10 +20,12 @@
         z.object({ kind: z.literal("error"), error }),
     ]);
 
-/** Store calls that an entry makes for a peer that the store refuses. */
+/** Calls between entries: store calls for a peer that the store refuses, and rows that were just written. */
 export const storeMethods = {
     /** Shows that the peer answers: a connection to a VM that is gone stays open without it. */
     "store.ping": { params: z.object({}), result: z.object({}) },
+    /** Rows that the caller has written, so that the receiver need not wait for them to come from the store. */
+    "store.changed": { params: z.object({ rows: z.array(changedRowSchema) }), result: z.object({}) },
     "store.commit": {
         params: z.object({ table: storeTableSchema, transaction: rowTransactionSchema }),
         result: resultSchema(committedSchema, commitErrorSchema),
--- a/packages/standins/src/memoryRowStore.ts
+++ b/packages/standins/src/memoryRowStore.ts
@@ -29,6 +29,8 @@
     delayCommits: z.number().int().nonnegative(),
     /** How much later, in milliseconds. */
     commitDelayMs: z.number().nonnegative(),
+    /** Followers hear of no changes. */
+    quietFollows: z.boolean(),
 });
 export type RowStoreFaults = z.infer<typeof rowStoreFaultsSchema>;
 
@@ -39,6 +41,7 @@
     loseAnswers: 0,
     delayCommits: 0,
     commitDelayMs: 2_000,
+    quietFollows: false,
 };
 
 /** Calls that the store has answered without a fault. */
@@ -142,7 +145,8 @@
     }
 
     private hasNothing(client: string, after: number): boolean {
-        return after >= this.compactedVersion && this.version <= after && this.faultOf(client) === undefined;
+        const isUpToDate = this.version <= after || this.faults.quietFollows;
+        return after >= this.compactedVersion && isUpToDate && this.faultOf(client) === undefined;
     }
 
     private changesAfter(client: string, after: number): Result<RowChanges, ReadError> {
@@ -154,6 +158,9 @@
             return Result.err({ kind: "compacted" });
         }
         this.counts.follows += 1;
+        if (this.faults.quietFollows) {
+            return Result.ok({ rows: [], version: after, nowMs: this.clock.now() });
+        }
         const rows = [...this.changes.values()]
             .filter(({ version }) => version > after)
             .sort((a, b) => a.version - b.version || (a.key < b.key ? -1 : 1));
