--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -16,6 +16,42 @@
     },
 };
 
+/** Modules in place of those of which a program uses a small part; they are the most of its memory and start-up time. */
+const SMALL_MODULES = {
+    // The rest of the library is fetch, WebSocket, caches and mocks; its main module adds the methods as here.
+    undici: `
+        import api from "undici/lib/api/index.js";
+        import Dispatcher from "undici/lib/dispatcher/dispatcher.js";
+        import Pool from "undici/lib/dispatcher/pool.js";
+        Object.assign(Dispatcher.prototype, api);
+        export { Pool };
+    `,
+    // Routes have no schemas: bodies are checked by zod, and JSON.stringify writes the answers.
+    "@fastify/ajv-compiler":
+        "module.exports = () => () => { throw new Error(\"Routes with schemas need a compiler.\"); };",
+    "@fastify/fast-json-stringify-compiler":
+        "module.exports = () => () => { throw new Error(\"Routes with schemas need a compiler.\"); };",
+};
+
+const smallModules = {
+    name: "small-modules",
+    setup: ({ onLoad, onResolve }) => {
+        onResolve({ filter: /^(undici|@fastify\/(ajv|fast-json-stringify)-compiler)$/ }, ({ path, resolveDir }) => ({
+            path,
+            namespace: "small",
+            pluginData: resolveDir,
+        }));
+        onLoad({ filter: /.*/, namespace: "small" }, ({ path, pluginData }) => ({
+            contents: SMALL_MODULES[path],
+            resolveDir: pluginData,
+        }));
+        // Messages of validation are not shown in other languages.
+        onLoad({ filter: /zod\/v4\/locales\/index\.js$/ }, () => ({
+            contents: "export { default as en } from \"./en.js\";",
+        }));
+    },
+};
+
 await build({
     absWorkingDir: fileURLToPath(root),
     entryPoints: {
@@ -31,7 +67,7 @@
     format: "esm",
     minify: true,
     logLevel: "warning",
-    plugins: [workspaceSources],
+    plugins: [workspaceSources, smallModules],
     banner: {
         js: "import { createRequire as nodeCreateRequire } from \"node:module\"; const require = nodeCreateRequire(import.meta.url);",
     },
