--- a/packages/control/src/executorState.ts
+++ b/packages/control/src/executorState.ts
@@ -53,6 +53,8 @@
     deadlineMs = 0;
     /** Last reading of the executor's clock, and when it arrived. */
     clock: { readonly readingMs: number; readonly at: Millis; } | undefined;
+    /** Number of the last end that was taken in. */
+    appliedEnd = 0;
     /** Number of the last end that is durable. */
     durableEnd = 0;
     born = 0;
--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -22,10 +22,12 @@
     readonly onChanged: (open: OpenJob) => void;
 }
 
-/** A run that ended or was lost. */
+/** A run that ended or was lost; a late end is of a run that is no longer held. */
 interface EndedRun {
     readonly open: OpenJob;
-    readonly held: HeldRun;
+    readonly task: string;
+    readonly key: string;
+    readonly run: number;
     readonly checkpoint: string;
 }
 
@@ -70,7 +72,7 @@
         this.options.logger.log("info", "run.lost", { task: held.task, run: held.run, reason });
         this.drop(held);
         if (open !== undefined) {
-            this.clearPlacement({ open, held, checkpoint: "" });
+            this.clearPlacement({ ...held, open, checkpoint: "" });
         }
     }
 
@@ -105,7 +107,9 @@
         state.clock = { readingMs: list.clockMs, at: now };
         const listed = new Map(list.running.map(run => [run.task, run]));
         for (const end of list.ends) {
-            if (end.number > state.durableEnd) {
+            // An end is listed until it is acknowledged, but a failure counts once.
+            if (end.number > state.appliedEnd) {
+                state.appliedEnd = end.number;
                 this.applyEnd(state, end);
             }
         }
@@ -124,6 +128,7 @@
             state.strays.clear();
             state.born = born;
             state.durableEnd = 0;
+            state.appliedEnd = 0;
             state.deadlineMs = 0;
             state.clock = undefined;
         }
@@ -169,87 +174,105 @@
         }
     }
 
+    /**
+     * Takes in an end before it is acknowledged. It counts even when the run was taken for lost and its task was
+     * started again, because the executor forgets an end that is acknowledged.
+     */
     private applyEnd(state: ExecutorState, end: RunEnd): void {
         const held = state.runs.get(end.task);
-        if (held === undefined || held.run !== end.run) {
-            return;
+        const isHeld = held?.run === end.run;
+        if (isHeld) {
+            this.drop(held);
         }
-        this.drop(held);
-        const open = this.options.jobs.jobs.get(held.jobId);
         this.options.logger.log("info", "run.ended", {
-            task: held.task,
-            run: held.run,
+            task: end.task,
+            run: end.run,
             executor: state.executorId,
             how: end.kind,
+            isLate: !isHeld,
         });
-        if (open === undefined || held.isConcluded) {
+        const ended = this.endedRun(end);
+        if (ended === undefined) {
             return;
         }
-        if (end.kind === "done") {
-            this.noteSample(open, held);
+        if (end.kind === "done" && isHeld) {
+            this.noteSample(ended.open, held);
         }
         if (end.kind === "done" || end.kind === "failed") {
             state.noteEnd({
-                jobId: held.jobId,
-                key: held.key,
+                jobId: ended.open.job.jobId,
+                key: ended.key,
                 isFailure: end.kind === "failed",
                 at: this.options.clock.now(),
             });
         }
-        endHandlers[end.kind](this, { open, held, checkpoint: end.checkpoint });
+        endHandlers[end.kind](this, ended);
+    }
+
+    /** The run that ended, unless its task is done or the run was never claimed. */
+    private endedRun({ task, run, checkpoint }: RunEnd): EndedRun | undefined {
+        const place = parseTaskName(task);
+        const open = place === undefined ? undefined : this.options.jobs.jobs.get(place.jobId);
+        if (place === undefined || open === undefined) {
+            return undefined;
+        }
+        const { isDone, run: lastRun } = open.task(place.key);
+        return isDone || run > lastRun ? undefined : { open, task, key: place.key, run, checkpoint };
     }
 
     /** The task is done; a gang is done as a whole, though its other members may be listed a little longer. */
-    conclude({ open, held }: EndedRun): void {
-        const place = parseTaskName(held.task);
+    conclude(ended: EndedRun): void {
+        const { open, task, key } = ended;
+        const place = parseTaskName(task);
         const step = place === undefined ? undefined : open.job.steps[place.step];
         if (place === undefined || step === undefined || step.isLongRunning) {
-            this.clearPlacement({ open, held, checkpoint: "" });
+            this.clearPlacement(ended);
             return;
         }
-        const keys = step.isGang ? stepKeys(step, place.occurrence, place.step) : [held.key];
-        for (const key of keys) {
-            this.markConcluded(open, key, held.run);
-            open.update(key, { isDone: true, placement: undefined, checkpoint: undefined });
+        const keys = step.isGang ? stepKeys(step, place.occurrence, place.step) : [key];
+        for (const member of keys) {
+            this.markConcluded(open, member);
+            open.update(member, { isDone: true, placement: undefined, checkpoint: undefined });
         }
         this.options.onChanged(open);
     }
 
     /** The run failed by its own or the executor's fault; a gang counts one failure a run. */
     fail(ended: EndedRun): void {
-        const { open, held } = ended;
-        const place = parseTaskName(held.task);
+        const { open, task, key, run } = ended;
+        const place = parseTaskName(task);
         const step = place === undefined ? undefined : open.job.steps[place.step];
         const countedKey = step?.isGang === true && place !== undefined
             ? taskKey({ ...place, index: 0 })
-            : held.key;
+            : key;
         const counted = open.task(countedKey);
-        if (counted.failedRun !== held.run) {
-            open.update(countedKey, { failures: counted.failures + 1, failedRun: held.run });
+        if (counted.failedRun !== run) {
+            open.update(countedKey, { failures: counted.failures + 1, failedRun: run });
         }
         this.clearPlacement(ended);
         const isHopeless = open.task(countedKey).failures >= this.options.maxAttempts(open);
         if (isHopeless && step?.isLongRunning !== true) {
             open.conclude("failed");
         }
+        this.options.onChanged(open);
     }
 
-    /** The run is over, and its task has to run again. */
-    clearPlacement({ open, held, checkpoint }: EndedRun): void {
-        const task = open.task(held.key);
-        if (task.run !== held.run || task.isDone) {
+    /** The run is over, and its task has to run again, unless a later run of it was started already. */
+    clearPlacement({ open, task, key, run, checkpoint }: EndedRun): void {
+        const progress = open.task(key);
+        if (progress.run !== run || progress.isDone) {
             return;
         }
-        open.update(held.key, { placement: undefined, ...(checkpoint === "" ? {} : { checkpoint }) });
+        open.update(key, { placement: undefined, ...(checkpoint === "" ? {} : { checkpoint }) });
         if (checkpoint !== "") {
-            this.shareCheckpoint(open, held, checkpoint);
+            this.shareCheckpoint(open, task, checkpoint);
         }
         this.options.onChanged(open);
     }
 
     /** A checkpoint of one member is good for the whole gang, and all members have to carry the same one. */
-    private shareCheckpoint(open: OpenJob, held: HeldRun, checkpoint: string): void {
-        const place = parseTaskName(held.task);
+    private shareCheckpoint(open: OpenJob, task: string, checkpoint: string): void {
+        const place = parseTaskName(task);
         const step = place === undefined ? undefined : open.job.steps[place.step];
         if (place === undefined || step?.isGang !== true) {
             return;
@@ -274,13 +297,12 @@
         }
     }
 
-    private markConcluded(open: OpenJob, key: string, run: number): void {
-        const task = open.task(key);
-        const executorId = task.placement?.executorId;
+    private markConcluded(open: OpenJob, key: string): void {
+        const executorId = open.task(key).placement?.executorId;
         const held = executorId === undefined
             ? undefined
             : this.executors.get(executorId)?.runs.get(taskName(open.job.jobId, key));
-        if (held?.run === run) {
+        if (held !== undefined) {
             held.isConcluded = true;
         }
     }
@@ -313,7 +335,7 @@
         // Kept in memory and written with the next change: a run that is lost then continues from it.
         if (open !== undefined && listed.checkpoint !== "" && open.task(held.key).checkpoint !== listed.checkpoint) {
             open.update(held.key, { checkpoint: listed.checkpoint });
-            this.shareCheckpoint(open, held, listed.checkpoint);
+            this.shareCheckpoint(open, held.task, listed.checkpoint);
         }
     }
 
--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -46,7 +46,7 @@
         if (state === undefined) {
             return;
         }
-        const isStale = held.isStopping || !state.isAttached || state.born !== held.born
+        const isStale = held.isStopping || held.isConcluded || !state.isAttached || state.born !== held.born
             || state.info?.isDraining === true;
         if (isStale) {
             // Nothing was sent, so nothing can run.
@@ -60,7 +60,8 @@
     /** Sends again the orders of runs that an executor does not list after the connection to its agent broke. */
     resumeStarts(state: ExecutorState): void {
         for (const held of state.runs.values()) {
-            if (held.isClaimed && !held.isInherited && held.firstListedAt === undefined && !held.isStopping) {
+            const isUnlisted = held.isClaimed && !held.isInherited && held.firstListedAt === undefined;
+            if (isUnlisted && !held.isStopping && !held.isConcluded) {
                 void this.sendStart(state, held);
             }
             if (held.isStopping) {
--- /dev/null
+++ b/packages/control/tests/fleetFixture.ts
@@ -0,0 +1,42 @@
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
+import { silentLogger } from "@persimmonpitch/logging/logger.js";
+import type { JobProgress } from "@persimmonpitch/workload/progress.js";
+import { encodeProgress } from "@persimmonpitch/workload/progressRow.js";
+import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
+import { Fleet } from "../src/fleet.js";
+import { JobBook } from "../src/jobBook.js";
+import type { OpenJob } from "../src/openJob.js";
+import { Replica } from "../src/replica.js";
+
+/** A fleet, and its only job, "a", as a new controller finds them in the rows. */
+export interface FoundFleet {
+    readonly fleet: Fleet;
+    readonly open: OpenJob;
+}
+
+/** The fleet of a new controller that finds job "a" with these steps and this progress. */
+export const findFleet = (
+    steps: readonly object[],
+    tasks: JobProgress["tasks"],
+    maxAttempts = 1,
+): FoundFleet => {
+    const job = stepJobSchema.parse({ jobId: "a", queue: "batch", payload: "", steps, acceptedAt: 0 });
+    const replica = new Replica(silentLogger);
+    replica.apply([
+        { key: "job/a", value: JSON.stringify(job), version: 1 },
+        { key: "run/a", value: encodeProgress({ outcome: "open", tasks }), version: 2 },
+    ]);
+    const jobs = new JobBook(replica, silentLogger);
+    const open = jobs.jobs.get("a");
+    if (open === undefined) {
+        throw new Error("The job is not open.");
+    }
+    const fleet = new Fleet({
+        jobs,
+        clock: new FakeClock(),
+        logger: silentLogger,
+        maxAttempts: () => maxAttempts,
+        onChanged: () => undefined,
+    });
+    return { fleet, open };
+};
--- /dev/null
+++ b/packages/control/tests/lateEnds.test.ts
@@ -0,0 +1,69 @@
+import type { EndKind } from "@persimmonpitch/workload/executorReport.js";
+import t from "tap";
+import { findFleet } from "./fleetFixture.js";
+
+t.formatSnapshot = value => String(value);
+
+interface Case {
+    readonly name: string;
+    readonly step?: object;
+    /** How run 1 of each task is listed to have ended, after it was taken for lost. */
+    readonly ends: readonly EndKind[];
+    /** Whether run 2 is claimed elsewhere when the list arrives. */
+    readonly isRestarted?: boolean;
+}
+
+const GANG = { count: 2, isGang: true };
+
+const CASES: readonly Case[] = [
+    { name: "done, not started again", ends: ["done"] },
+    { name: "done, started again", ends: ["done"], isRestarted: true },
+    { name: "failed, not started again", ends: ["failed"] },
+    { name: "failed, started again", ends: ["failed"], isRestarted: true },
+    { name: "stopped with a checkpoint, not started again", ends: ["stopped"] },
+    { name: "stopped with a checkpoint, started again", ends: ["stopped"], isRestarted: true },
+    { name: "one member of a gang done, started again", step: GANG, ends: ["done"], isRestarted: true },
+    { name: "two members of a gang failed", step: GANG, ends: ["failed", "failed"] },
+    { name: "done, but runs until it is cancelled", step: { isLongRunning: true }, ends: ["done"], isRestarted: true },
+];
+
+// Guards against an end that is acknowledged without being recorded: the task of a done run was started again, and
+// failures did not count. Found in the deployment test, seed 17, when a VM was cut off for longer than its lease.
+for (const { name, step = {}, ends, isRestarted = false } of CASES) {
+    void t.test(`late end: ${name}`, t => {
+        const placement = { vm: "worker-1", executorId: "x1", born: 100 };
+        const task = { run: 1, placement, failures: 0, isDone: false };
+        const keys = ["0.0.0", "0.0.1"].slice(0, "count" in step ? 2 : 1);
+        const tasks = Object.fromEntries(keys.map(key => [key, task]));
+        const { fleet, open } = findFleet([{ count: 1, demand: {}, ...step }], tasks, 3);
+        const lost = fleet.executor("worker-1", "x1");
+        fleet.loseAll(lost, "lapsed");
+        const other = fleet.executor("worker-2", "x2");
+        if (isRestarted) {
+            keys.forEach(key => fleet.claim(open, key, 2, other));
+        }
+        const list = {
+            born: 100,
+            clockMs: 1,
+            running: [],
+            ends: ends.map((kind, index) => ({
+                number: index + 1,
+                task: `a.0.0.${index}`,
+                run: 1,
+                kind,
+                checkpoint: kind === "stopped" ? "half" : "",
+            })),
+        };
+        fleet.applyList(lost, list);
+        // The same ends are listed until they are acknowledged.
+        fleet.applyList(lost, list);
+        const progress = Object.entries(open.progress.tasks).map(([key, { run, failures, isDone, checkpoint }]) =>
+            `${key}#${run} done=${isDone} failures=${failures} checkpoint=${checkpoint ?? ""}`
+        );
+        const held = [...other.runs.values()].map(({ task, run, isConcluded }) =>
+            `held ${task}#${run} concluded=${isConcluded}`
+        );
+        t.matchSnapshot([...progress, ...held, `ends seen: ${lost.recentEnds.length}`].join("\n"));
+        t.end();
+    });
+}
