--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -101,7 +101,7 @@
     }
 
     private async sendStart(state: ExecutorState, held: HeldRun): Promise<void> {
-        const { context, epoch, jobs, fleet, onChanged } = this.options;
+        const { context, epoch, jobs, onChanged } = this.options;
         const connection = this.options.connectionOf(state.vm);
         const open = jobs.jobs.get(held.jobId);
         if (connection === undefined || open === undefined || state.clock === undefined) {
@@ -129,7 +129,7 @@
                 break;
             case "refused":
                 state.pausedUntil = context.clock.now() + PAUSE_MS[answer.value.reason];
-                fleet.lose(held, `refused: ${answer.value.reason}`);
+                this.settleRefusal(held, answer.value.reason, answer.value.stoppedClockMs);
                 break;
             case "abandoned":
             case "unclear":
@@ -142,6 +142,17 @@
         onChanged();
     }
 
+    /** A run that may have started counts until a later list shows how it ended, or that it never was there. */
+    private settleRefusal(held: HeldRun, reason: StartRefusal, stoppedClockMs: number | undefined): void {
+        if (stoppedClockMs === undefined) {
+            this.options.fleet.lose(held, `refused: ${reason}`);
+            return;
+        }
+        held.isStopping = true;
+        held.isStopSent = true;
+        held.stopClockMs = stoppedClockMs;
+    }
+
     private async sendStop(state: ExecutorState, held: HeldRun): Promise<void> {
         const clockMs = await this.callStop(state, held);
         if (clockMs === undefined && this.stateOf(held) !== undefined) {
--- a/packages/control/tests/faults.ts
+++ b/packages/control/tests/faults.ts
@@ -86,6 +86,17 @@
             });
         },
     },
+    {
+        name: "a run ends before its executor, which was silent, refuses its repeated start",
+        cause: async d => {
+            const executor = d.executor("x1");
+            executor.setFaults({ unansweredOrders: 2 });
+            await d.pass(1_100);
+            executor.setFaults({ silent: true, unansweredOrders: 0 });
+            await d.pass(2_400);
+            executor.setFaults({ silent: false });
+        },
+    },
     {
         name: "everything stops and starts again",
         cause: async d => {
--- a/packages/executor/src/executorOrders.ts
+++ b/packages/executor/src/executorOrders.ts
@@ -23,7 +23,11 @@
 
 const orderKey = ({ epoch, executorId, task, run }: RunOrder): string => JSON.stringify([epoch, executorId, task, run]);
 
-const refused = (reason: StartRefusal): StartResult => ({ kind: "refused", reason });
+const refused = (reason: StartRefusal, stoppedClockMs?: number): StartResult => ({
+    kind: "refused",
+    reason,
+    ...(stoppedClockMs === undefined ? {} : { stoppedClockMs }),
+});
 
 /** Carries orders of the controller to executors and repeats those without an answer. */
 export class ExecutorOrders {
@@ -96,13 +100,14 @@
             return refused("fence");
         }
         const reason = refusalReason(repeated.answer) ?? executor.refusalOf(params.born) ?? "late";
-        return this.mayStillStart(repeated) ? this.stopThenRefuse(executor, params, reason) : refused(reason);
+        return this.mayHaveStarted(repeated) ? this.stopThenRefuse(executor, params, reason) : refused(reason);
     }
 
-    /** Whether an unanswered try may take effect after all. */
-    private mayStillStart({ answer, tries }: RepeatedOrder): boolean {
+    /** Whether a try took effect or may do so after all: one without an answer, or one of an earlier agent. */
+    private mayHaveStarted({ answer, tries }: RepeatedOrder): boolean {
         const isGone = answer?.isErr === true && answer.error.kind === "gone";
-        return !isGone && tries > (answer === undefined ? 0 : 1);
+        const isKnownRun = refusalReason(answer) === "old";
+        return !isGone && (isKnownRun || tries > (answer === undefined ? 0 : 1));
     }
 
     private async stopThenRefuse(
@@ -111,7 +116,9 @@
         reason: StartRefusal,
     ): Promise<StartResult> {
         const stopped = await this.stopUntilAnswered(executor, params);
-        return STOPPED_BEFORE_REFUSAL[stopped.kind](reason);
+        return stopped.kind === "stopped"
+            ? refused(reason, stopped.clockMs)
+            : UNSTOPPED_BEFORE_REFUSAL[stopped.kind](reason);
     }
 
     private stopUntilAnswered(executor: ObservedExecutor, params: RunOrder): Promise<StopResult> {
@@ -167,9 +174,10 @@
     }
 }
 
-/** What a start answers once the run was stopped because an unanswered try might have started it. */
-const STOPPED_BEFORE_REFUSAL: { readonly [Kind in StopResult["kind"]]: (reason: StartRefusal) => StartResult; } = {
-    stopped: refused,
+/** What a start answers when the stop of a run that might have started was not carried out. */
+const UNSTOPPED_BEFORE_REFUSAL: {
+    readonly [Kind in Exclude<StopResult["kind"], "stopped">]: (reason: StartRefusal) => StartResult;
+} = {
     gone: refused,
     refused: () => refused("fence"),
     unclear: () => ({ kind: "unclear" }),
--- a/packages/protocol/src/executorMessages.ts
+++ b/packages/protocol/src/executorMessages.ts
@@ -54,8 +54,15 @@
         }),
         result: z.discriminatedUnion("kind", [
             z.object({ kind: z.literal("started"), clockMs: clockSchema }),
-            /** The run will not start; if an unanswered try started it, it was stopped, and lists show it until it ends. */
-            z.object({ kind: z.literal("refused"), reason: startRefusalSchema }),
+            /**
+             * The run will not start. If an earlier try may have started it, it was stopped when the executor's clock
+             * showed `stoppedClockMs`; only a list that is read later says whether it is there or how it ended.
+             */
+            z.object({
+                kind: z.literal("refused"),
+                reason: startRefusalSchema,
+                stoppedClockMs: clockSchema.optional(),
+            }),
             /** The run was ordered to stop before the start was answered. */
             z.object({ kind: z.literal("abandoned") }),
             /** The agent stops; the run may be there or may appear. */
--- a/tap-snapshots/packages/control/dist/tests/deployment.test.js.test.cjs
+++ b/tap-snapshots/packages/control/dist/tests/deployment.test.js.test.cjs
@@ -14,6 +14,15 @@
   5713 a.0.1.1#1 on x1: done 7713
 `
 
+exports[`packages/control/dist/tests/deployment.test.js > TAP > a run ends before its executor, which was silent, refuses its repeated start > must match snapshot 1`] = `
+  3006 f.0.0.0#1 on x1: failed 3506
+  3006 a.0.0.0#1 on x1: done 5006
+  3006 a.0.0.1#1 on x2: done 5006
+  3513 f.0.0.0#2 on x2: failed 4013
+  5013 a.0.1.0#1 on x1: done 7013
+  5013 a.0.1.1#1 on x1: done 7013
+`
+
 exports[`packages/control/dist/tests/deployment.test.js > TAP > a VM is cut off for 15000 ms > must match snapshot 1`] = `
   3006 f.0.0.0#1 on x1: failed 3506
   3006 a.0.0.0#1 on x1: done 5006
--- a/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
+++ b/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
@@ -70,7 +70,7 @@
  1000 c1 < report e1 born=1000 running=[] ends=[]
  1000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
  1100     stop e1 a#1 fence=1: ok
- 1100 c1 < agent.start e1 a#1: {"kind":"refused","reason":"late"}
+ 1100 c1 < agent.start e1 a#1: {"kind":"refused","reason":"late","stoppedClockMs":1100}
  2000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
  2000 c1 < report e1 born=1000 running=[] ends=[]
 `
@@ -246,7 +246,7 @@
   100 c1 < agent.start e1 b#1: {"kind":"started","clockMs":100}
   400     start e1 a#1 fence=1: refused room
   400     stop e1 a#1 fence=1: ok
-  400 c1 < agent.start e1 a#1: {"kind":"refused","reason":"room"}
+  400 c1 < agent.start e1 a#1: {"kind":"refused","reason":"room","stoppedClockMs":400}
  1000 c1 < report e1 born=1000 running=[] ends=[]
  1000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[b#1] ends=[]
  1000 c1 < report e1 born=1000 running=[b#1] ends=[]
@@ -266,7 +266,7 @@
     0     start e1 a#1 fence=1: unanswered
   100 c1 < report e1 born=1000 running=[] ends=[] draining
   400     stop e1 a#1 fence=1: ok
-  400 c1 < agent.start e1 a#1: {"kind":"refused","reason":"draining"}
+  400 c1 < agent.start e1 a#1: {"kind":"refused","reason":"draining","stoppedClockMs":400}
  1000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
  1100 c1 < report e1 born=1000 running=[] ends=[] draining
 `
