--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -6,12 +6,13 @@
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { AgentConnection, AgentEvents } from "./agentTask.js";
 import { runAgentTask } from "./agentTask.js";
+import { Authority } from "./authority.js";
 import { buildDispatchView } from "./buildDispatchView.js";
 import type { ControllerContext, TakenRole } from "./controllerContext.js";
 import type { ExecutorState, HeldRun } from "./executorState.js";
 import { Fleet } from "./fleet.js";
 import { JobBook } from "./jobBook.js";
-import { GRANT_VALIDITY_MS, inheritedLapsedAt, lapsedAt, LEASE_MS } from "./leaseRules.js";
+import { inheritedLapsedAt, lapsedAt, LEASE_MS } from "./leaseRules.js";
 import type { OpenJob } from "./openJob.js";
 import { stepKeys } from "./openJob.js";
 import { OrderSender } from "./orderSender.js";
@@ -30,6 +31,7 @@
     private readonly jobs: JobBook;
     private readonly fleet: Fleet;
     private readonly writer: ProgressWriter;
+    private readonly authority: Authority;
     private readonly term: TermKeeper;
     private readonly orders: OrderSender;
     private readonly connections = new Map<string, AgentConnection>();
@@ -53,12 +55,27 @@
             this.loseRole(detail);
         };
         this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost });
-        this.term = new TermKeeper({ store, clock, logger, role, onRoleLost });
+        this.authority = new Authority(clock, role.takenAt, this.fleet);
+        this.term = new TermKeeper({
+            store,
+            clock,
+            logger,
+            role,
+            authority: this.authority,
+            onRenewed: () => {
+                this.resumeAwaited();
+            },
+            onRoleLost,
+        });
         this.orders = new OrderSender({
             fleet: this.fleet,
             jobs: this.jobs,
             context,
             epoch: role.epoch,
+            authority: this.authority,
+            onHeldBack: () => {
+                this.term.renewSoon();
+            },
             connectionOf: vm => this.connections.get(vm),
             onChanged: () => {
                 this.wake.wake();
@@ -206,10 +223,15 @@
         if (state.clock === undefined) {
             return true;
         }
-        if (clock.now() - this.term.renewedAt < GRANT_VALIDITY_MS) {
-            const deadlineMs = Math.floor(state.clock.readingMs + clock.now() - state.clock.at + LEASE_MS);
+        if (this.authority.isFresh && state.authorityEndMs !== undefined) {
+            const now = state.clock.readingMs + clock.now() - state.clock.at;
+            const deadlineMs = Math.floor(Math.min(now, state.authorityEndMs) + LEASE_MS);
             state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
         }
+        else {
+            state.isAuthorityAwaited = true;
+            this.term.renewSoon();
+        }
         const answer = await connection.call("agent.lease", {
             epoch: this.role.epoch,
             executorId: state.executorId,
@@ -223,6 +245,19 @@
         return answer.isOk;
     }
 
+    /** Gives the leases and sends the starts that waited for a renewal of the term. */
+    private resumeAwaited(): void {
+        for (const state of this.fleet.executors.values()) {
+            const connection = this.connections.get(state.vm);
+            if (!state.isAuthorityAwaited || !state.isAttached || connection === undefined) {
+                continue;
+            }
+            state.isAuthorityAwaited = false;
+            void this.renewLease(state, connection);
+            this.orders.releaseHeldBack(state);
+        }
+    }
+
     private async runPasses(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             this.startAgentTasks(signal);
--- a/packages/control/src/executorState.ts
+++ b/packages/control/src/executorState.ts
@@ -21,6 +21,8 @@
     /** The executor's clock when it answered the start or the stop. */
     startClockMs?: number;
     stopClockMs?: number;
+    /** The order waits for a renewal of the term. */
+    isHeldBack: boolean;
     isStopping: boolean;
     isStopSent: boolean;
     /** The task is done, but the executor still lists the run. */
@@ -51,6 +53,10 @@
     readonly recentEnds: EndView[] = [];
     /** Highest deadline that may have been given, on the executor's clock. */
     deadlineMs = 0;
+    /** End of the authority to start something here, on the executor's clock; unknown before the first renewal. */
+    authorityEndMs: number | undefined;
+    /** A lease or a start waits for the next renewal of the term. */
+    isAuthorityAwaited = false;
     /** Last reading of the executor's clock, and when it arrived. */
     clock: { readonly readingMs: number; readonly at: Millis; } | undefined;
     /** Number of the last end that was taken in. */
--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -131,6 +131,7 @@
             state.appliedEnd = 0;
             state.deadlineMs = 0;
             state.clock = undefined;
+            state.authorityEndMs = undefined;
         }
     }
 
@@ -159,6 +160,7 @@
             orderedAt: this.options.clock.now(),
             isInherited,
             isClaimed: isInherited,
+            isHeldBack: false,
             isStopping: false,
             isStopSent: false,
             isConcluded: false,
--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -1,11 +1,11 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { StartRefusal } from "@persimmonpitch/workload/executorReport.js";
 import type { AgentConnection } from "./agentTask.js";
+import type { Authority } from "./authority.js";
 import type { ControllerContext } from "./controllerContext.js";
 import type { ExecutorState, HeldRun, StrayRun } from "./executorState.js";
 import type { Fleet } from "./fleet.js";
 import type { JobBook } from "./jobBook.js";
-import { LEASE_MS } from "./leaseRules.js";
 
 /** What an order sender works on. */
 export interface OrderSenderOptions {
@@ -13,6 +13,9 @@
     readonly jobs: JobBook;
     readonly context: ControllerContext;
     readonly epoch: number;
+    readonly authority: Authority;
+    /** Called when an order waits for a renewal of the term. */
+    readonly onHeldBack: () => void;
     readonly connectionOf: (vm: string) => AgentConnection | undefined;
     readonly onChanged: () => void;
 }
@@ -71,6 +74,16 @@
         }
     }
 
+    /** Sends the starts that waited for a renewal of the term. */
+    releaseHeldBack(state: ExecutorState): void {
+        for (const held of [...state.runs.values()].filter(({ isHeldBack }) => isHeldBack)) {
+            held.isHeldBack = false;
+            if (!held.isStopping && !held.isConcluded) {
+                void this.sendStart(state, held);
+            }
+        }
+    }
+
     /** Ends a run; its room stays taken until the executor lists the end. */
     stop(held: HeldRun): void {
         held.isStopping = true;
@@ -101,13 +114,19 @@
     }
 
     private async sendStart(state: ExecutorState, held: HeldRun): Promise<void> {
-        const { context, epoch, jobs, onChanged } = this.options;
+        const { context, epoch, jobs, authority, onHeldBack, onChanged } = this.options;
         const connection = this.options.connectionOf(state.vm);
         const open = jobs.jobs.get(held.jobId);
-        if (connection === undefined || open === undefined || state.clock === undefined) {
+        if (connection === undefined || open === undefined) {
+            return;
+        }
+        if (!authority.isFresh || state.authorityEndMs === undefined) {
+            held.isHeldBack = true;
+            state.isAuthorityAwaited = true;
+            onHeldBack();
             return;
         }
-        const deadlineMs = Math.floor(state.clock.readingMs + context.clock.now() - state.clock.at + LEASE_MS);
+        const deadlineMs = state.authorityEndMs;
         state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
         const checkpoint = open.task(held.key).checkpoint;
         const answer = await connection.call("agent.start", {
@@ -118,7 +137,7 @@
             run: held.run,
             payload: open.job.payload,
             ...(checkpoint === undefined ? {} : { checkpoint }),
-            deadlineMs: state.deadlineMs,
+            deadlineMs,
         }, ORDER_TIMEOUT_MS);
         if (answer.isErr || this.stateOf(held) === undefined) {
             return;
@@ -167,8 +186,9 @@
 
     /** The executor's clock when it answered; undefined while that is not known. */
     private async callStop(state: ExecutorState, { task, run }: StrayRun | HeldRun): Promise<number | undefined> {
-        const { epoch, connectionOf } = this.options;
-        const connection = connectionOf(state.vm);
+        const { epoch, authority, connectionOf } = this.options;
+        // What a successor wants to keep running must not end because of a controller that was paused.
+        const connection = authority.isFresh ? connectionOf(state.vm) : undefined;
         const answer = await connection?.call(
             "agent.stop",
             { epoch, executorId: state.executorId, task, run },
--- a/packages/control/src/termKeeper.ts
+++ b/packages/control/src/termKeeper.ts
@@ -1,6 +1,8 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { isAborted } from "@persimmonpitch/clock/isAborted.js";
+import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Authority } from "./authority.js";
 import type { TakenRole } from "./controllerContext.js";
 import { rowKeys } from "./rows.js";
 import type { RowStore } from "./rowStore.js";
@@ -11,37 +13,46 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly role: TakenRole;
+    readonly authority: Authority;
+    /** Called after each renewal that succeeded. */
+    readonly onRenewed: () => void;
     readonly onRoleLost: (detail: string) => void;
 }
 
 const RENEW_MS: Millis = 500;
+/** Renewals that are asked for are at least this long apart, so that a thousand agents that attach share some. */
+const MIN_RENEW_MS: Millis = 50;
 
 /** Shows the other entries that the controller lives, and learns when the role was taken. */
 export class TermKeeper {
-    /** When the last renewal that succeeded was sent. */
-    renewedAt: Millis;
     private beat = 0;
+    private readonly asked = new WakeSignal();
 
-    constructor(private readonly options: TermKeeperOptions) {
-        this.renewedAt = options.role.takenAt;
+    constructor(private readonly options: TermKeeperOptions) {}
+
+    /** Asks for a renewal before the next one is due. */
+    renewSoon(): void {
+        this.asked.wake();
     }
 
     /** Renews the term until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
-        const { clock, store, role, onRoleLost } = this.options;
+        const { clock, store, role, authority, onRenewed, onRoleLost } = this.options;
         while (!isAborted(signal)) {
-            await clock.sleep(RENEW_MS, signal);
+            await clock.sleep(MIN_RENEW_MS, signal);
+            await this.asked.wait(clock, RENEW_MS - MIN_RENEW_MS, signal);
             if (isAborted(signal)) {
                 return;
             }
-            const sentAt = clock.now();
+            const renewal = authority.beginRenewal();
             this.beat += 1;
             const outcome = await store.commit({
                 expected: [{ key: rowKeys.role, version: role.rowVersion }],
                 puts: [{ key: rowKeys.term, value: JSON.stringify({ epoch: role.epoch, beat: this.beat }) }],
             });
             if (outcome.isOk) {
-                this.renewedAt = sentAt;
+                authority.renew(renewal);
+                onRenewed();
             }
             else if (outcome.error.kind === "conflict") {
                 onRoleLost("Another process has taken the role.");
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -20,7 +20,8 @@
 import type { ConnectLink } from "../src/controllerContext.js";
 import { ControlNode } from "../src/controlNode.js";
 import { parseRow } from "../src/parseRow.js";
-import { rowKeys } from "../src/rows.js";
+import { roleRowSchema, rowKeys } from "../src/rows.js";
+import { PausableProcess } from "./pausableProcess.js";
 
 /** A run as the executors and their lists showed it. */
 export interface ObservedRun {
@@ -55,9 +56,10 @@
     readonly runs: ObservedRun[] = [];
     /** Ends that were acknowledged before their row was in the store. */
     readonly earlyAcknowledgements: string[] = [];
-    /** Hosts whose frames vanish. */
+    /** Hosts, and pairs of hosts as "FROM-TO", whose frames vanish. */
     readonly cut = new Set<string>();
     private readonly agents = new Map<string, ExecutorAgent>();
+    private readonly processes = new Map<string, PausableProcess>();
     private readonly links = new Map<string, Set<Link>>();
     /** For each executor the starts and ends that were noted. */
     private readonly noted = new Map<string, { starts: number; ends: number; }>();
@@ -82,16 +84,18 @@
         this.instances += 1;
         const config = new ConfigBook(silentLogger);
         config.offer(CONFIG);
-        const store = this.store.client(name);
+        const process = new PausableProcess(this.clock);
+        this.processes.set(name, process);
+        const store = process.store(this.store.client(name));
         const node = new ControlNode({
             self: { vm: name, host: name, port: 1, dataCentre: "dc1", instanceId: `${name}-${this.instances}` },
             stores: { state: store, operator: store },
             operatorRows: { reset: () => undefined, apply: () => undefined },
             config,
             timings: timingsSchema.parse({}),
-            clock: this.clock,
+            clock: process,
             logger: silentLogger,
-            connect: this.connectFrom(name),
+            connect: process.connect(this.connectFrom(name)),
             random: () => 0.5,
         });
         this.nodes.set(name, node);
@@ -99,6 +103,14 @@
         return node;
     }
 
+    process(name: string): PausableProcess {
+        const process = this.processes.get(name);
+        if (process === undefined) {
+            throw new Error(`no entry ${name}`);
+        }
+        return process;
+    }
+
     /** Ends the process of an entry without notice: its connections are reset. */
     killNode(name: string): void {
         this.nodes.get(name)?.stop();
@@ -144,7 +156,8 @@
 
     /** The entry that the role's row names. */
     get controller(): string {
-        return [...this.nodes.values()].map(node => node.replica.role?.value.vm).find(vm => vm !== undefined) ?? "";
+        const row = this.store.snapshot().find(({ key }) => key === rowKeys.role);
+        return (row === undefined ? undefined : parseRow(roleRowSchema, row.value)?.vm) ?? "";
     }
 
     /** Writes a job as an entry does. */
@@ -223,7 +236,7 @@
 
     private connectFrom(from: string): ConnectLink {
         return async ({ host }, timeoutMs) => {
-            const isCut = () => this.cut.has(from) || this.cut.has(host);
+            const isCut = () => [from, host, `${from}-${host}`].some(part => this.cut.has(part));
             if (isCut()) {
                 await this.clock.sleep(timeoutMs);
                 return Result.err({ isRefused: false, detail: "no answer" });
@@ -237,7 +250,7 @@
             for (const name of [from, host]) {
                 this.links.set(name, (this.links.get(name) ?? new Set()).add(here));
             }
-            void (agent?.serve(there) ?? node?.servePeer(there));
+            void (agent?.serve(there) ?? node?.servePeer(this.process(host).link(there)));
             return Result.ok(here);
         };
     }
--- a/packages/executor/src/executorPort.ts
+++ b/packages/executor/src/executorPort.ts
@@ -16,7 +16,7 @@
     readonly payload: string;
     readonly checkpoint?: string | undefined;
     readonly ticket?: string | undefined;
-    /** On the executor's clock; it extends the lease of everything on the executor. */
+    /** On the executor's clock: the run is not started later. It extends the lease of everything on the executor. */
     readonly deadlineMs: number;
 }
 
--- a/packages/executor/tests/executorAgent.test.ts
+++ b/packages/executor/tests/executorAgent.test.ts
@@ -57,6 +57,15 @@
             await wait(2_500);
         },
     },
+    {
+        name: "authority that has ended",
+        guards: "a start of a controller that was paused, passed on after another may have taken the role",
+        run: async ({ executor, controller, wait }) => {
+            await wait(1_000);
+            void controller.start(executor, "a", LONG, -1);
+            await wait(100);
+        },
+    },
     {
         name: "refusal after an unanswered try",
         guards: "a first try that takes effect after the second one was refused",
--- a/packages/protocol/src/executorMessages.ts
+++ b/packages/protocol/src/executorMessages.ts
@@ -49,7 +49,10 @@
             payload: z.string(),
             checkpoint: z.string().optional(),
             ticket: z.string().optional(),
-            /** On the executor's clock. */
+            /**
+             * End of the authority behind the order, on the executor's clock: neither the agent nor the executor
+             * starts the run later. It also extends the lease of everything on the executor.
+             */
             deadlineMs: z.number(),
         }),
         result: z.discriminatedUnion("kind", [
--- a/tap-snapshots/packages/control/dist/tests/deployment.test.js.test.cjs
+++ b/tap-snapshots/packages/control/dist/tests/deployment.test.js.test.cjs
@@ -28,9 +28,9 @@
   3006 a.0.0.0#1 on x1: done 5006
   3006 a.0.0.1#1 on x2: done 5006
   3513 f.0.0.0#2 on x2: failed 4013
- 12546 a.0.0.0#2 on x2: done 14546
- 14553 a.0.1.0#1 on x2: done 16553
- 14553 a.0.1.1#1 on x2: done 16553
+ 12596 a.0.0.0#2 on x2: done 14596
+ 14603 a.0.1.0#1 on x2: done 16603
+ 14603 a.0.1.1#1 on x2: done 16603
 `
 
 exports[`packages/control/dist/tests/deployment.test.js > TAP > a VM is cut off for 5000 ms > must match snapshot 1`] = `
@@ -112,8 +112,8 @@
   3006 a.0.0.0#1 on x1: done 5006
   3006 a.0.0.1#1 on x2: done 5006
   3513 f.0.0.0#2 on x2: failed 4013
-  5046 a.0.1.0#1 on x1: done 7046
-  5046 a.0.1.1#1 on x1: done 7046
+  5091 a.0.1.0#1 on x1: done 7091
+  5091 a.0.1.1#1 on x1: done 7091
 `
 
 exports[`packages/control/dist/tests/deployment.test.js > TAP > no fault > must match snapshot 1`] = `
@@ -157,8 +157,8 @@
   3006 a.0.0.0#1 on x1: done 5006
   3006 a.0.0.1#1 on x2: done 5006
   3513 f.0.0.0#2 on x2: failed 4013
-  5886 a.0.1.0#1 on x1: done 7886
-  5886 a.0.1.1#1 on x1: done 7886
+  5931 a.0.1.0#1 on x1: done 7931
+  5931 a.0.1.1#1 on x1: done 7931
 `
 
 exports[`packages/control/dist/tests/deployment.test.js > TAP > the store drops its history > must match snapshot 1`] = `
--- /dev/null
+++ b/tap-snapshots/packages/control/dist/tests/pausedController.test.js.test.cjs
@@ -0,0 +1,62 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`packages/control/dist/tests/pausedController.test.js > TAP > answer late by 15000 ms after a claim, cut off > must match snapshot 1`] = `
+  5431 a.0.0.2#2 on x2: done 8431
+  5431 a.0.0.3#2 on x2: done 8431
+ 18936 a.0.0.0#2 on x2: done 21936
+ 18936 a.0.0.1#2 on x2: done 21936
+`
+
+exports[`packages/control/dist/tests/pausedController.test.js > TAP > answer late by 4000 ms after a claim, cut off > must match snapshot 1`] = `
+  5431 a.0.0.2#2 on x2: done 8431
+  5431 a.0.0.3#2 on x2: done 8431
+ 18936 a.0.0.0#2 on x2: done 21936
+ 18936 a.0.0.1#2 on x2: done 21936
+`
+
+exports[`packages/control/dist/tests/pausedController.test.js > TAP > machine late by 15000 ms after a claim, cut off > must match snapshot 1`] = `
+  4931 a.0.0.2#2 on x2: done 7931
+  4931 a.0.0.3#2 on x2: done 7931
+ 18436 a.0.0.0#2 on x2: done 21436
+ 18436 a.0.0.1#2 on x2: done 21436
+`
+
+exports[`packages/control/dist/tests/pausedController.test.js > TAP > machine late by 2800 ms after a claim > must match snapshot 1`] = `
+  4931 a.0.0.2#2 on x2: done 7931
+  4931 a.0.0.3#2 on x2: done 7931
+ 18436 a.0.0.0#2 on x2: done 21436
+ 18436 a.0.0.1#2 on x2: done 21436
+`
+
+exports[`packages/control/dist/tests/pausedController.test.js > TAP > machine late by 4000 ms after a claim, cut off > must match snapshot 1`] = `
+  4931 a.0.0.2#2 on x2: done 7931
+  4931 a.0.0.3#2 on x2: done 7931
+ 18436 a.0.0.0#2 on x2: done 21436
+ 18436 a.0.0.1#2 on x2: done 21436
+`
+
+exports[`packages/control/dist/tests/pausedController.test.js > TAP > process late by 15000 ms after a claim, cut off > must match snapshot 1`] = `
+  4931 a.0.0.2#2 on x2: done 7931
+  4931 a.0.0.3#2 on x2: done 7931
+ 18436 a.0.0.0#2 on x2: done 21436
+ 18436 a.0.0.1#2 on x2: done 21436
+`
+
+exports[`packages/control/dist/tests/pausedController.test.js > TAP > process late by 2800 ms after a claim > must match snapshot 1`] = `
+  4931 a.0.0.2#2 on x2: done 7931
+  4931 a.0.0.3#2 on x2: done 7931
+ 18436 a.0.0.0#2 on x2: done 21436
+ 18436 a.0.0.1#2 on x2: done 21436
+`
+
+exports[`packages/control/dist/tests/pausedController.test.js > TAP > process late by 4000 ms after a claim, cut off > must match snapshot 1`] = `
+  4931 a.0.0.2#2 on x2: done 7931
+  4931 a.0.0.3#2 on x2: done 7931
+ 18436 a.0.0.0#2 on x2: done 21436
+ 18436 a.0.0.1#2 on x2: done 21436
+`
--- a/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
+++ b/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
@@ -26,6 +26,15 @@
   700     list e1 fence=1 ack=0 wait=1000: born=1000 running=[a#1] ends=[1:b#1:done]
 `
 
+exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > authority that has ended (guards against a start of a controller that was paused, passed on after another may have taken the role) > authority that has ended 1`] = `
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
+    0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
+ 1000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
+ 1000 c1 < report e1 born=1000 running=[] ends=[]
+ 1000 c1 > agent.start e1 a#1
+ 1000 c1 < agent.start e1 a#1: {"kind":"refused","reason":"late"}
+`
+
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > controller that is cut off (guards against a connection that is kept although its controller does not answer) > controller that is cut off 1`] = `
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
