--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -39,7 +39,7 @@
     private readonly wake = new WakeSignal();
 
     constructor(private readonly context: ControllerContext, private readonly role: TakenRole) {
-        const { replica, clock, logger, store } = context;
+        const { replica, clock, logger, store, announce } = context;
         this.jobs = new JobBook(replica, logger);
         this.fleet = new Fleet({
             jobs: this.jobs,
@@ -54,7 +54,7 @@
         const onRoleLost = (detail: string) => {
             this.loseRole(detail);
         };
-        this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost });
+        this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost, announce });
         this.authority = new Authority(clock, role.takenAt, this.fleet);
         this.term = new TermKeeper({
             store,
