--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -11,6 +11,10 @@
 import type { PolicyName } from "./policies.js";
 import { comparedPolicies, isPolicyName, POLICIES } from "./policies.js";
 import { formatReport, reportData } from "./report.js";
+import { formatStepsAblation, runStepsAblation } from "./stepsAblation.js";
+import { formatSteps, runSteps } from "./stepsBench.js";
+import { isStepsIdea, STEPS_IDEAS, withoutIdeas } from "./stepsIdeas.js";
+import { stepsDeploymentSchema } from "./stepsProfile.js";
 import { deploymentNameSchema } from "./traceSchema.js";
 
 const MESSAGES = {
@@ -18,6 +22,8 @@
     policy: "There is no policy {name}; use one of {names}.",
     number: "--{flag} needs a number above zero.",
     ideas: "--ablation needs at least one --without IDEA.",
+    stepsDeployment: "There are no jobs of steps for {name}; use cooperative or lentesud.",
+    stepsIdea: "There is no idea {name} for jobs of steps; use one of {names}.",
 } satisfies MessageTable;
 
 const EXIT_FAILURE = 1;
@@ -27,6 +33,7 @@
 const HELP = `
 Usage: npm run bench -- [options]
 
+  --steps            replays jobs of steps; only --deployment, --seed, --without, --ablation, --seeds and --json apply
   --deployment NAME  cooperative, lentesud or plan (default: cooperative)
   --seed N           seed of the trace (default: 1)
   --hours N          length of the trace
@@ -39,6 +46,8 @@
   --svg FILE         writes completion-time distributions and fragmentation over time
   --help             prints this text
 
+Ideas of --steps: ${Object.keys(STEPS_IDEAS).join(", ")}
+
 Policies:
 ${Object.entries(POLICIES).map(([name, { description }]) => `  ${name.padEnd(15)}  ${description}`).join("\n")}
 `;
@@ -68,10 +77,40 @@
     }
 };
 
+interface StepsFlags {
+    readonly deployment: string;
+    readonly seed: number;
+    readonly seeds: number;
+    readonly ablation: boolean;
+}
+
+type Print = (data: unknown, text: string) => void;
+
+const runStepsCommand = (flags: StepsFlags, ideas: readonly string[], print: Print): void => {
+    const deployment = stepsDeploymentSchema.safeParse(flags.deployment);
+    if (!deployment.success) {
+        throw new UsageError("stepsDeployment", { name: flags.deployment });
+    }
+    const unknown = ideas.find(idea => !isStepsIdea(idea));
+    if (unknown !== undefined) {
+        throw new UsageError("stepsIdea", { name: unknown, names: Object.keys(STEPS_IDEAS).join(", ") });
+    }
+    if (flags.ablation) {
+        const chosen = ideas.length > 0 ? ideas : Object.keys(STEPS_IDEAS);
+        const rows = runStepsAblation(deployment.data, flags.seed, flags.seeds, chosen);
+        print(rows, formatStepsAblation(rows));
+        return;
+    }
+    const runs = runSteps(deployment.data, flags.seed, withoutIdeas(ideas));
+    print(runs, formatSteps(runs));
+    process.exitCode = runs.some(({ lateGuarantees }) => lateGuarantees.length > 0) ? EXIT_FAILURE : 0;
+};
+
 const main = async (): Promise<void> => {
     const { flags } = meow(HELP, {
         importMeta: import.meta,
         flags: {
+            steps: { type: "boolean", default: false },
             deployment: { type: "string", default: "cooperative" },
             seed: { type: "number", default: 1 },
             hours: { type: "number" },
@@ -87,11 +126,15 @@
     const print = (data: unknown, text: string) => {
         console.log(flags.json ? JSON.stringify(data, undefined, JSON_INDENT) : text);
     };
+    checkNumber("seeds", flags.seeds);
+    if (flags.steps) {
+        runStepsCommand(flags, flags.without ?? [], print);
+        return;
+    }
     const deployment = deploymentNameSchema.safeParse(flags.deployment);
     if (!deployment.success) {
         throw new UsageError("deployment", { name: flags.deployment });
     }
-    checkNumber("seeds", flags.seeds);
     checkNumber("hours", flags.hours);
     const common = {
         deployment: deployment.data,
--- /dev/null
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -0,0 +1,356 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { Team } from "@persimmonpitch/workload/clusterConfig.js";
+import type { TaskProgress } from "@persimmonpitch/workload/progress.js";
+import { NO_TASK_PROGRESS } from "@persimmonpitch/workload/progress.js";
+import type { Demand } from "@persimmonpitch/workload/step.js";
+import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
+import type { Timings } from "@persimmonpitch/workload/timings.js";
+import { addTo, coresOf, countedDemand } from "./demand.js";
+import type { DispatchOptions } from "./dispatchOptions.js";
+import { dispatchPass } from "./dispatchPass.js";
+import type {
+    DispatchDecision,
+    DispatchView,
+    EndView,
+    ExecutorView,
+    JobView,
+    RunSample,
+    StartDecision,
+    StopDecision,
+} from "./dispatchView.js";
+import { type FakeGroup, type FakeRun, groupRate, type Rate, reportProgress } from "./fakeRun.js";
+import { stepKeys } from "./openOccurrences.js";
+
+const TICK_MS: Millis = 50;
+const REPORT_MS: Millis = 500;
+
+/** What a controller remembers of ends and samples. */
+const REMEMBERED_ENDS = 20;
+const REMEMBERED_SAMPLES = 300;
+
+/** A sample of a shorter share of a run says little about the whole. */
+const MIN_SAMPLED_SHARE = 0.2;
+
+/** What fake executors are made of and how their runs go. */
+export interface FakeClusterOptions {
+    readonly executors: readonly ExecutorView[];
+    readonly teams: readonly Team[];
+    readonly timings: Timings;
+    /** Time of one task of a step on a healthy executor. */
+    readonly trueMs: (jobId: string, step: number) => Millis;
+    readonly rate?: Rate;
+    /** Share of the work at which a run fails; undefined for one that does not. */
+    readonly failsAt?: (jobId: string, key: string, run: number) => number | undefined;
+    /** Time from a stop to the end of the run. */
+    readonly stopMs?: (jobId: string, key: string, run: number) => Millis;
+    /** Longest time between passes while nothing ends or comes; a pass runs at every tick by default. */
+    readonly idlePassMs?: Millis;
+    readonly maxAttempts?: number;
+    readonly dispatch?: Partial<DispatchOptions>;
+}
+
+/** What happened to a job. */
+export interface FakeJobRecord {
+    /** When all tasks of its first step had been started. */
+    firstStepAt?: Millis;
+    /** When it was completed. */
+    endedAt?: Millis;
+}
+
+/** Work that brought nothing, over all jobs. */
+export interface FakeCosts {
+    starts: number;
+    stops: number;
+    /** Unsaved work of stopped and lost runs. */
+    lostCoreSeconds: number;
+}
+
+/** Executors that run what the decisions say, on a clock that is a number; it throws where a start exceeds a capacity. */
+export class FakeCluster {
+    now: Millis = 0;
+    readonly records = new Map<string, FakeJobRecord>();
+    readonly costs: FakeCosts = { starts: 0, stops: 0, lostCoreSeconds: 0 };
+    readonly log: string[] = [];
+    private readonly jobs = new Map<string, JobView>();
+    private readonly progress = new Map<string, Record<string, TaskProgress>>();
+    private readonly saved = new Map<string, Millis>();
+    private readonly ends: EndView[][];
+    private readonly awayUntil: Millis[];
+    private readonly samples: RunSample[] = [];
+    private groups: FakeGroup[] = [];
+    private passAt: Millis = 0;
+
+    constructor(private readonly options: FakeClusterOptions) {
+        this.ends = options.executors.map(() => []);
+        this.awayUntil = options.executors.map(() => 0);
+    }
+
+    submit(view: JobView): void {
+        const tasks: Record<string, TaskProgress> = {};
+        this.progress.set(view.job.jobId, tasks);
+        this.jobs.set(view.job.jobId, { ...view, progress: { outcome: "open", tasks } });
+        this.records.set(view.job.jobId, {});
+        this.passAt = this.now;
+    }
+
+    /** Takes the job away; what runs of it is stopped. */
+    cancel(jobId: string): void {
+        this.close(jobId, "cancelled");
+    }
+
+    /** All runs everywhere are lost, and the executors are back after a time. */
+    loseAll(downMs: Millis): void {
+        for (const group of this.groups) {
+            this.loseWork(group, this.savedWork(group));
+            this.release(group, { isDone: false });
+        }
+        this.groups = [];
+        this.ends.forEach(list => list.splice(0));
+        this.awayUntil.fill(this.now + downMs);
+        this.passAt = this.now;
+    }
+
+    runUntil(time: Millis, onTick: (now: Millis) => void = () => undefined): void {
+        while (this.now < time) {
+            onTick(this.now);
+            this.work();
+            if (this.now >= this.passAt) {
+                this.passAt = this.now + (this.options.idlePassMs ?? TICK_MS);
+                dispatchPass(this.view(), this.options.dispatch).forEach(decision => {
+                    this.carryOut(decision);
+                });
+            }
+            this.now += TICK_MS;
+        }
+    }
+
+    private view(): DispatchView {
+        const { executors, teams, timings } = this.options;
+        const runs = executors.map((): FakeRun[] => []);
+        for (const run of this.groups.flatMap(({ members }) => members)) {
+            runs[run.executor]?.push(run);
+        }
+        return {
+            now: this.now,
+            wallTime: this.now,
+            timings,
+            teams,
+            samples: this.samples,
+            jobs: [...this.jobs.values()],
+            executors: executors.map((executor, index) => ({
+                ...executor,
+                takesWork: executor.takesWork && this.now >= (this.awayUntil[index] ?? 0),
+                runs: runs[index] ?? [],
+                recentEnds: this.ends[index] ?? [],
+            })),
+        };
+    }
+
+    private carryOut(decision: DispatchDecision): void {
+        const view = this.jobs.get(decision.jobId);
+        if (view === undefined) {
+            throw new Error(`a decision on ${decision.jobId}, which is not open`);
+        }
+        if (decision.kind === "stop") {
+            this.log.push(`${this.now} stop ${decision.jobId}.${decision.key} ${decision.reason}`);
+            this.stop(decision);
+        }
+        else {
+            this.start(view, decision);
+        }
+    }
+
+    private stop({ jobId, key, run }: Pick<StopDecision, "jobId" | "key" | "run">): void {
+        const group = this.groups.find(({ members }) =>
+            members.some(member => member.jobId === jobId && member.key === key && member.run === run)
+        );
+        if (group !== undefined && group.stopsAt === Infinity) {
+            const { stopMs = () => 300 } = this.options;
+            group.stopsAt = this.now + stopMs(jobId, group.members[0]?.key ?? key, run);
+            group.members.forEach(member => {
+                member.isStopping = true;
+            });
+            this.costs.stops += group.members.length;
+        }
+    }
+
+    private start(view: JobView, { jobId, run, tasks }: StartDecision): void {
+        const { now } = this;
+        const { trueMs: trueMsOf, timings, failsAt = () => undefined } = this.options;
+        const [first] = tasks;
+        const stepIndex = parseTaskName(taskName(jobId, first?.key ?? ""))?.step ?? -1;
+        const step = view.job.steps[stepIndex];
+        if (first === undefined || step === undefined) {
+            throw new Error(`a start of no task of ${jobId}`);
+        }
+        const trueMs = trueMsOf(jobId, stepIndex);
+        const savedMs = this.saved.get(taskName(jobId, first.key)) ?? 0;
+        const percent = Math.floor(100 * savedMs / trueMs);
+        const members = tasks.map(({ key, vm, executorId }): FakeRun => {
+            const executor = this.options.executors.findIndex(one => one.vm === vm);
+            this.update(jobId, key, { run, placement: { vm, executorId, born: 0 } });
+            const times = { orderedAt: now, firstListedAt: now, progressAt: now };
+            return { jobId, key, run, executor, isStopping: false, firstPercent: percent, percent, ...times };
+        });
+        this.groups.push({
+            ...{ view, stepIndex, step, members, trueMs, savedMs, doneMs: savedMs, stopsAt: Infinity },
+            worksFrom: savedMs > 0 ? now + timings.restoreMs : now,
+            failsAtMs: trueMs * (failsAt(jobId, first.key, run) ?? Infinity),
+        });
+        this.costs.starts += members.length;
+        this.checkCapacity();
+        this.noteFirstStep(view);
+    }
+
+    private checkCapacity(): void {
+        const left = this.options.executors.map(({ capacity }) => ({ ...capacity }));
+        for (const { step, members } of this.groups) {
+            const demand = countedDemand(step);
+            members.forEach(({ executor }) => {
+                const room = left[executor];
+                if (room !== undefined) {
+                    addTo(room, demand, -1);
+                }
+            });
+        }
+        const isExceeded = ({ milliCores, memoryMb, accelerators }: Demand): boolean =>
+            Math.min(milliCores, memoryMb, accelerators) < 0;
+        const exceeded = left.findIndex(isExceeded);
+        if (exceeded >= 0) {
+            throw new Error(`the capacity of executor ${exceeded} is exceeded at ${this.now} ms`);
+        }
+    }
+
+    private noteFirstStep({ job: { jobId, steps } }: JobView): void {
+        const placed = Object.keys(this.progress.get(jobId) ?? {}).filter(key => key.startsWith("0.0."));
+        const record = this.records.get(jobId);
+        if (record !== undefined && placed.length === steps[0]?.count) {
+            record.firstStepAt ??= this.now;
+        }
+    }
+
+    private update(jobId: string, key: string, change: Partial<TaskProgress>): void {
+        const tasks = this.progress.get(jobId) ?? {};
+        tasks[key] = { ...tasks[key] ?? NO_TASK_PROGRESS, ...change };
+    }
+
+    private work(): void {
+        const { executors, rate = () => 1, timings: { spreadSlowdown } } = this.options;
+        for (const group of this.groups) {
+            if (this.now >= group.worksFrom) {
+                group.doneMs += TICK_MS * groupRate(group, executors, rate, this.now, spreadSlowdown);
+            }
+            if (this.now % REPORT_MS === 0) {
+                reportProgress(group, this.now);
+            }
+        }
+        const isEnding = ({ doneMs, trueMs, failsAtMs, stopsAt }: FakeGroup): boolean =>
+            doneMs >= Math.min(trueMs, failsAtMs) || this.now >= stopsAt;
+        const ending = this.groups.filter(isEnding);
+        if (ending.length > 0) {
+            this.groups = this.groups.filter(group => !ending.includes(group));
+            this.passAt = this.now;
+            ending.forEach(group => {
+                this.end(group);
+            });
+        }
+    }
+
+    /** Work that the last checkpoint within the run keeps. */
+    private savedWork({ step, savedMs, doneMs }: FakeGroup): Millis {
+        const { checkpointIntervalMs } = this.options.timings;
+        const saves = Math.floor((doneMs - savedMs) / checkpointIntervalMs);
+        return step.hasCheckpoints ? savedMs + saves * checkpointIntervalMs : 0;
+    }
+
+    private loseWork({ view, step, members, savedMs, doneMs }: FakeGroup, keptMs: Millis): void {
+        const lostMs = doneMs - Math.max(keptMs, savedMs);
+        this.costs.lostCoreSeconds += members.length * coresOf(step.demand) * lostMs / 1_000;
+        members.forEach(({ key }) => this.saved.set(taskName(view.job.jobId, key), keptMs));
+    }
+
+    private end(group: FakeGroup): void {
+        const { view, step, members, doneMs, trueMs, failsAtMs } = group;
+        const isDone = doneMs >= trueMs && failsAtMs > trueMs;
+        const isFailure = !isDone && doneMs >= failsAtMs;
+        for (const { executor, key } of members) {
+            const list = this.ends[executor];
+            list?.push({ jobId: view.job.jobId, key, isFailure, at: this.now });
+            list?.splice(0, list.length - REMEMBERED_ENDS);
+        }
+        if (isDone) {
+            this.noteSamples(group);
+        }
+        else if (isFailure) {
+            members.forEach(({ key }) => this.saved.set(taskName(view.job.jobId, key), this.savedWork(group)));
+        }
+        else {
+            // A stop writes a checkpoint.
+            this.loseWork(group, step.hasCheckpoints ? doneMs : 0);
+        }
+        this.release(group, { isDone }, isFailure);
+        this.concludeIfDone(view, group, isFailure);
+        this.dropClosed();
+    }
+
+    private release(
+        { view: { job: { jobId } }, members }: FakeGroup,
+        change: Partial<TaskProgress>,
+        isFailure = false,
+    ): void {
+        for (const { key } of members) {
+            const failures = (this.progress.get(jobId)?.[key]?.failures ?? 0) + Number(isFailure);
+            this.update(jobId, key, { ...change, failures, placement: undefined });
+        }
+    }
+
+    private noteSamples({ view, step, members }: FakeGroup): void {
+        for (const { firstPercent = 0, firstListedAt = this.now } of members) {
+            const share = 1 - firstPercent / 100;
+            if (share >= MIN_SAMPLED_SHARE) {
+                const actualMs = (this.now - firstListedAt) / share;
+                this.samples.push({ queue: view.queue.name, declaredMs: step.declaredMs, actualMs });
+            }
+        }
+        this.samples.splice(0, this.samples.length - REMEMBERED_SAMPLES);
+    }
+
+    private concludeIfDone({ job: { jobId, steps } }: JobView, { members }: FakeGroup, isFailure: boolean): void {
+        const tasks = this.progress.get(jobId) ?? {};
+        const { maxAttempts = Infinity } = this.options;
+        if (isFailure && members.some(({ key }) => (tasks[key]?.failures ?? 0) >= maxAttempts)) {
+            this.close(jobId, "failed");
+        }
+        const keys = steps.flatMap((step, index) => stepKeys(0, index, step));
+        const record = this.records.get(jobId);
+        if (record !== undefined && this.jobs.has(jobId) && keys.every(key => tasks[key]?.isDone === true)) {
+            record.endedAt = this.now;
+            this.jobs.delete(jobId);
+        }
+    }
+
+    /** Ends a job before its work is done; it stays in the view while something of it runs. */
+    private close(jobId: string, outcome: "cancelled" | "failed"): void {
+        const view = this.jobs.get(jobId);
+        if (view === undefined) {
+            return;
+        }
+        this.jobs.set(jobId, { ...view, progress: { ...view.progress, outcome } });
+        for (const { members } of this.groups.filter(group => group.view.job.jobId === jobId)) {
+            members.slice(0, 1).forEach(run => {
+                this.stop(run);
+            });
+        }
+        this.dropClosed();
+        this.passAt = this.now;
+    }
+
+    private dropClosed(): void {
+        const running = new Set(this.groups.map(({ view }) => view.job.jobId));
+        for (const [jobId, { progress: { outcome } }] of this.jobs) {
+            if (outcome !== "open" && !running.has(jobId)) {
+                this.jobs.delete(jobId);
+            }
+        }
+    }
+}
--- a/packages/dispatch/tests/simulation.test.ts
+++ b/packages/dispatch/tests/simulation.test.ts
@@ -1,11 +1,21 @@
+import { timingsSchema } from "@persimmonpitch/workload/timings.js";
 import t from "tap";
 import type { JobView } from "../src/dispatchView.js";
-import { jobOf } from "./dispatchFixture.js";
-import { FakeCluster } from "./fakeCluster.js";
+import { FakeCluster, type FakeClusterOptions } from "../src/fakeCluster.js";
+import { executorsOf, jobOf, TEAMS } from "./dispatchFixture.js";
 
 const TRUE_MS = 6_000;
 const RECLAIM_MS = 3_000;
 
+const clusterOf = (size: number, trueMs: number, rate: FakeClusterOptions["rate"] = () => 1): FakeCluster =>
+    new FakeCluster({
+        executors: executorsOf(size),
+        teams: TEAMS,
+        timings: timingsSchema.parse({}),
+        trueMs: () => trueMs,
+        rate,
+    });
+
 const smallJob = (id: string, acceptedAt: number): JobView =>
     jobOf({ id, queue: "preview", acceptedAt, steps: [{ count: 9, declaredMs: 9_000 }] });
 
@@ -17,7 +27,7 @@
 };
 
 void t.test("a guaranteed job starts in time on full executors", t => {
-    const cluster = new FakeCluster(6, () => 30_000);
+    const cluster = clusterOf(6, 30_000);
     const keepFull = flood(cluster, 200);
     cluster.runUntil(10_000, keepFull);
     cluster.submit(jobOf({
@@ -36,7 +46,7 @@
 });
 
 void t.test("a large gang is not starved by a flood of small tasks", t => {
-    const cluster = new FakeCluster(6, () => TRUE_MS);
+    const cluster = clusterOf(6, TRUE_MS);
     const overload = flood(cluster, 1_000);
     cluster.runUntil(20_000, overload);
     cluster.submit(jobOf({
@@ -60,11 +70,11 @@
             );
         }
     };
-    const healthy = new FakeCluster(6, () => TRUE_MS);
+    const healthy = clusterOf(6, TRUE_MS);
     submitAll(healthy);
     healthy.runUntil(20_000);
     t.same(healthy.log, [], "no stops on healthy executors");
-    const faulty = new FakeCluster(6, () => TRUE_MS, (executor, now) => {
+    const faulty = clusterOf(6, TRUE_MS, (executor, now) => {
         const isHit = now >= 2_000 && now < 15_000;
         return isHit && executor === 0 ? 0 : 1;
     });
