--- a/packages/capacity/src/measurements.ts
+++ b/packages/capacity/src/measurements.ts
@@ -5,6 +5,7 @@
 import { configSpread } from "./measurements/configSpread.js";
 import { configurationSize } from "./measurements/configurationSize.js";
 import { directRequests } from "./measurements/directRequests.js";
+import { dispatchPasses } from "./measurements/dispatchPasses.js";
 import { entryAgents } from "./measurements/entryAgents.js";
 import { historyExport } from "./measurements/historyExport.js";
 import { reconnection } from "./measurements/reconnection.js";
@@ -17,6 +18,7 @@
 /** All measurements by the name that `--only` takes, the longest first where several run at the same time. */
 export const MEASUREMENTS = {
     schedulingTurn,
+    dispatchPasses,
     historyExport,
     commandLine,
     region,
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -58,11 +58,8 @@
     }
 };
 
-/** Decides which tasks start where and which runs stop, for one view of the jobs and executors. */
-export const dispatchPass = (
-    view: DispatchView,
-    overrides: Partial<DispatchOptions> = {},
-): readonly DispatchDecision[] => {
+/** Decides for one view of the jobs and executors, and returns all that the pass worked with. */
+export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassState => {
     const options = { ...DEFAULT_DISPATCH_OPTIONS, ...overrides };
     const jobs: ReadonlyMap<string, JobView> = new Map(view.jobs.map(job => [job.job.jobId, job]));
     const occurrences = openOccurrences(view.jobs, view.now, view.wallTime);
@@ -101,5 +98,11 @@
         stopGroup(state, group, reason);
     });
     placeAll(state, orderUnits(occurrences.flatMap(readyUnits), occurrences, prospects, guaranteed, options));
-    return state.decisions;
+    return state;
 };
+
+/** Decides which tasks start where and which runs stop, for one view of the jobs and executors. */
+export const dispatchPass = (
+    view: DispatchView,
+    overrides: Partial<DispatchOptions> = {},
+): readonly DispatchDecision[] => runPass(view, overrides).decisions;
--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -32,6 +32,8 @@
     taskCount: number;
     /** Tasks here of each step with a limit per executor. */
     readonly tasksOfStep: Map<string, number>;
+    /** How often the pass looked at this executor; tests of growth count it. */
+    visits: number;
 }
 
 type StepOfOccurrence = Pick<RunStep, "view" | "occurrence" | "stepIndex">;
@@ -83,17 +85,22 @@
             reservation: undefined,
             taskCount: executor.runs.length,
             tasksOfStep: new Map(),
+            visits: 0,
         };
         takeRuns(room, runSteps);
         return room;
     });
 
 /** What is left once the runs that are ending have ended, and without what is kept for others. */
-export const laterRoom = ({ free, coming, claimed }: ExecutorRoom): MutableDemand => ({
-    milliCores: free.milliCores + coming.milliCores - claimed.milliCores,
-    memoryMb: free.memoryMb + coming.memoryMb - claimed.memoryMb,
-    accelerators: free.accelerators + coming.accelerators - claimed.accelerators,
-});
+export const laterRoom = (room: ExecutorRoom): MutableDemand => {
+    const { free, coming, claimed } = room;
+    room.visits += 1;
+    return {
+        milliCores: free.milliCores + coming.milliCores - claimed.milliCores,
+        memoryMb: free.memoryMb + coming.memoryMb - claimed.memoryMb,
+        accelerators: free.accelerators + coming.accelerators - claimed.accelerators,
+    };
+};
 
 const smaller = (left: Demand, right: Demand): MutableDemand => ({
     milliCores: Math.min(left.milliCores, right.milliCores),
@@ -111,10 +118,13 @@
 };
 
 /** Whether the executor may run tasks of the unit at all. */
-export const accepts = ({ executor }: ExecutorRoom, { owner, step }: ReadyUnit): boolean =>
-    executor.takesWork
-    && executor.service === owner.view.queue.service
-    && (step.requiredLabel === undefined || executor.labels.includes(step.requiredLabel));
+export const accepts = (room: ExecutorRoom, { owner, step }: ReadyUnit): boolean => {
+    const { executor } = room;
+    room.visits += 1;
+    return executor.takesWork
+        && executor.service === owner.view.queue.service
+        && (step.requiredLabel === undefined || executor.labels.includes(step.requiredLabel));
+};
 
 /** How many tasks an executor takes, by its health. */
 const SEATS: { readonly [K in ExecutorHealth]: (slots: number, room: ExecutorRoom, unit: ReadyUnit) => number; } = {
@@ -132,6 +142,7 @@
 /** How many tasks of the unit fit into the available part of an executor. */
 export const seatsIn = (room: ExecutorRoom, unit: ReadyUnit, available: Demand): number => {
     const { maxPerExecutor } = unit.step;
+    room.visits += 1;
     const slots = slotsIn(available, unit.demand);
     const limit = maxPerExecutor === undefined
         ? slots
