--- a/packages/dispatch/src/stepWaves.ts
+++ b/packages/dispatch/src/stepWaves.ts
@@ -1,6 +1,7 @@
 import type { Step } from "@persimmonpitch/workload/step.js";
 import { countedDemand, slotsIn } from "./demand.js";
 import type { ExecutorView, JobView } from "./dispatchView.js";
+import { type ExecutorShape, executorShapes } from "./executorShapes.js";
 
 /** A step wider than this share of the room of its service is judged as running in waves of that width. */
 const WAVE_SHARE = 0.25;
@@ -13,13 +14,14 @@
     readonly needed: (view: JobView, stepIndex: number, count: number) => number;
 }
 
-const seatsOn = ({ capacity, labels }: ExecutorView, step: Step): number =>
+const seatsOn = ({ capacity, labels, count }: ExecutorShape, step: Step): number =>
     step.requiredLabel === undefined || labels.includes(step.requiredLabel)
-        ? Math.min(slotsIn(capacity, countedDemand(step)), step.maxPerExecutor ?? Infinity)
+        ? count * Math.min(slotsIn(capacity, countedDemand(step)), step.maxPerExecutor ?? Infinity)
         : 0;
 
 /** Counts waves by the room of the empty executors of each service. */
 export const stepWaves = (executors: readonly ExecutorView[]): StepWaves => {
+    const shapes = executorShapes(executors).filter(({ takesWork }) => takesWork);
     const seatsOfStep = new Map<Step, number>();
     const seatsFor = ({ queue, job }: JobView, stepIndex: number): number => {
         const step = job.steps[stepIndex];
@@ -27,9 +29,9 @@
             return 0;
         }
         const known = seatsOfStep.get(step);
-        const seats = known ?? executors
-            .filter(({ service, takesWork }) => takesWork && service === queue.service)
-            .reduce((sum, executor) => sum + seatsOn(executor, step), 0);
+        const seats = known ?? shapes
+            .filter(({ service }) => service === queue.service)
+            .reduce((sum, shape) => sum + seatsOn(shape, step), 0);
         seatsOfStep.set(step, seats);
         return seats;
     };
