--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -5,6 +5,7 @@
 import type { ExecutorHealth } from "./executorHealth.js";
 import type { ReadyUnit } from "./readyUnits.js";
 import type { RunStep, RunSteps } from "./runGroups.js";
+import { stepId } from "./stepId.js";
 
 /** Room kept from a later time on for a unit that does not fit yet. */
 export interface Reservation {
@@ -36,15 +37,12 @@
     visits: number;
 }
 
-type StepOfOccurrence = Pick<RunStep, "view" | "occurrence" | "stepIndex">;
-
-const stepId = ({ view, occurrence, stepIndex }: StepOfOccurrence): string =>
-    `${view.job.jobId} ${occurrence} ${stepIndex}`;
-
-const unitStepId = ({ owner, stepIndex }: ReadyUnit): string => stepId({ ...owner, stepIndex });
-
-const countTask = (room: ExecutorRoom, id: string, count: number): void => {
-    room.tasksOfStep.set(id, (room.tasksOfStep.get(id) ?? 0) + count);
+/** Counts tasks of a step with a limit per executor; nothing asks for those of other steps. */
+const countTasks = ({ tasksOfStep }: ExecutorRoom, { step, view, occurrence, stepIndex }: RunStep, count: number) => {
+    if (step.maxPerExecutor !== undefined) {
+        const id = stepId(view, occurrence, stepIndex);
+        tasksOfStep.set(id, (tasksOfStep.get(id) ?? 0) + count);
+    }
 };
 
 /** An executor without a rack is taken as a rack of its own. */
@@ -60,7 +58,7 @@
         }
         const demand = countedDemand(runStep.step);
         addTo(room.free, demand, -1);
-        countTask(room, stepId(runStep), 1);
+        countTasks(room, runStep, 1);
         if (run.isStopping) {
             addTo(room.coming, demand);
         }
@@ -146,7 +144,7 @@
     const slots = slotsIn(available, unit.demand);
     const limit = maxPerExecutor === undefined
         ? slots
-        : Math.max(0, maxPerExecutor - (room.tasksOfStep.get(unitStepId(unit)) ?? 0));
+        : Math.max(0, maxPerExecutor - (room.tasksOfStep.get(unit.stepId) ?? 0));
     return SEATS[room.health](Math.min(slots, limit), room, unit);
 };
 
@@ -154,7 +152,7 @@
 export const takeRoom = (room: ExecutorRoom, unit: ReadyUnit, count: number, lengthMs: Millis): void => {
     addTo(room.free, unit.demand, -count);
     room.taskCount += count;
-    countTask(room, unitStepId(unit), count);
+    countTasks(room, { ...unit.owner, ...unit }, count);
     if (room.reservation !== undefined && lengthMs > room.reservation.fromMs) {
         addTo(room.reservation.spare, unit.demand, -count);
     }
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -1,11 +1,14 @@
 import type { Demand, Step } from "@persimmonpitch/workload/step.js";
 import { countedDemand } from "./demand.js";
 import { type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
+import { stepId } from "./stepId.js";
 
 /** Tasks of one step that can start now: a whole gang, or all free tasks of a step that is not a gang. */
 export interface ReadyUnit {
     readonly owner: OpenOccurrence;
     readonly stepIndex: number;
+    /** Identity of the step of the occurrence among all jobs. */
+    readonly stepId: string;
     readonly step: Step;
     readonly demand: Demand;
     readonly keys: readonly string[];
@@ -31,7 +34,8 @@
 export const readyUnits = (owner: OpenOccurrence): readonly ReadyUnit[] =>
     owner.view.job.steps.flatMap((step, stepIndex) => {
         const keys = isStepReady(owner, step, stepIndex) ? freeKeys(owner, stepIndex, step) : [];
-        return keys.length === 0 ? [] : [{ owner, stepIndex, step, demand: countedDemand(step), keys }];
+        const id = stepId(owner.view, owner.occurrence, stepIndex);
+        return keys.length === 0 ? [] : [{ owner, stepIndex, stepId: id, step, demand: countedDemand(step), keys }];
     });
 
 /** Units of one kind have the same choice of executors and the same demand. */
