--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -59,8 +59,11 @@
     }
 };
 
-/** Decides for one view of the jobs and executors, and returns all that the pass worked with. */
-export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassState => {
+/** What a pass decided, and the executors with what it looked at. */
+export type PassResult = Pick<PassState, "decisions" | "rooms">;
+
+/** Decides for one view of the jobs and executors. */
+export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassResult => {
     const options = { ...DEFAULT_DISPATCH_OPTIONS, ...overrides };
     const jobs: ReadonlyMap<string, JobView> = new Map(view.jobs.map(job => [job.job.jobId, job]));
     const occurrences = openOccurrences(view.jobs, view.now, view.wallTime);
@@ -68,6 +71,11 @@
     const groups = runGroups(view.executors, runSteps);
     const runTimes = estimateRunTimes(view.jobs, groups, view.samples, view.now);
     const moves = findMoves(view, groups, runTimes, options);
+    const units = occurrences.flatMap(readyUnits);
+    if (units.length === 0 && moves.length === 0) {
+        // Most passes are of this kind: the controller runs one every 250 ms also when nothing happens.
+        return { decisions: [], rooms: [] };
+    }
     const unhealthy = unhealthyExecutors(moves);
     const rooms = executorRooms(view, runSteps, index => {
         const executor = view.executors[index];
@@ -98,7 +106,7 @@
     moves.forEach(({ group, reason }) => {
         stopGroup(state, group, reason);
     });
-    placeAll(state, orderUnits(occurrences.flatMap(readyUnits), occurrences, prospects, guaranteed, options));
+    placeAll(state, orderUnits(units, occurrences, prospects, guaranteed, options));
     return state;
 };
 
