--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -49,8 +49,8 @@
 const rackOf = ({ rack, vm }: ExecutorView): string => rack ?? `vm ${vm}`;
 
 const takeRuns = (room: ExecutorRoom, runSteps: RunSteps): void => {
-    for (const run of room.executor.runs) {
-        const runStep = runSteps.get(run);
+    for (const [index, run] of room.executor.runs.entries()) {
+        const runStep = runSteps[room.index]?.[index];
         if (runStep === undefined) {
             // The demand of a run of an unknown job is unknown, so nothing may be added until it has ended.
             Object.assign(room.free, noDemand());
--- /dev/null
+++ b/packages/dispatch/src/measuredRun.ts
@@ -0,0 +1,24 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { RunView } from "./dispatchView.js";
+
+/** What one run shows of its rate. */
+export interface MeasuredRun {
+    /** Time of the whole task at this rate. */
+    readonly totalMs: Millis;
+    /** Share of the work, in percent, that the rate is measured over. */
+    readonly percent: number;
+    readonly durationMs: Millis;
+}
+
+/** Rate of a run since its work began; undefined before its first progress. */
+export const measuredRun = (
+    { percent, firstPercent = 0, firstListedAt, progressAt }: RunView,
+    workingSince: Millis | undefined,
+): MeasuredRun | undefined => {
+    if (percent === undefined || firstListedAt === undefined || progressAt === undefined) {
+        return undefined;
+    }
+    const durationMs = progressAt - Math.max(firstListedAt, workingSince ?? firstListedAt);
+    const done = percent - firstPercent;
+    return done > 0 && durationMs > 0 ? { totalMs: 100 * durationMs / done, percent: done, durationMs } : undefined;
+};
--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -2,8 +2,9 @@
 import type { DispatchOptions } from "./dispatchOptions.js";
 import type { DispatchView, StopReason } from "./dispatchView.js";
 import { groupBy } from "./groupBy.js";
+import type { MeasuredRun } from "./measuredRun.js";
 import type { RunGroup } from "./runGroups.js";
-import { type MeasuredRun, measuredRun, type RunTimes } from "./runTimes.js";
+import type { RunTimes } from "./runTimes.js";
 
 /** A group that has to end where it is. */
 export interface Move {
@@ -16,8 +17,7 @@
     readonly view: DispatchView;
     readonly options: DispatchOptions;
     readonly runTimes: RunTimes;
-    /** When a run on each executor last made progress. */
-    readonly lastProgress: readonly (Millis | undefined)[];
+    readonly lastProgress: LastProgress;
     readonly measuredOfGroup: ReadonlyMap<RunGroup, readonly MeasuredOnExecutor[]>;
     readonly measuredOfStep: ReadonlyMap<string, readonly MeasuredOnExecutor[]>;
     /** How much longer runs take than estimated, by executor; only where runs of different jobs agree. */
@@ -25,6 +25,13 @@
     readonly usualSlowness: number;
 }
 
+/** When runs last made progress on the executor that did so last, and on the others. */
+interface LastProgress {
+    readonly executor: number | undefined;
+    readonly at: Millis | undefined;
+    readonly atOthers: Millis | undefined;
+}
+
 interface MeasuredOnExecutor {
     readonly executor: number;
     readonly group: RunGroup;
@@ -62,12 +69,11 @@
 const measureAll = (groups: readonly RunGroup[], { declaredMs }: RunTimes): readonly MeasuredOnExecutor[] =>
     groups.filter(({ step }) => !step.isLongRunning).flatMap(group => {
         const wholeMs = Math.max(1, declaredMs(group.view, group.stepIndex));
-        return group.members.flatMap(({ executor, run }) => {
-            const measured = measuredRun(run, group.workingSince);
-            return measured === undefined || measured.durationMs < MIN_MEASURED_MS
+        return group.members.flatMap(({ executor, measured }) =>
+            measured === undefined || measured.durationMs < MIN_MEASURED_MS
                 ? []
-                : [{ executor, group, measured, slowness: measured.totalMs / wholeMs }];
-        });
+                : [{ executor, group, measured, slowness: measured.totalMs / wholeMs }]
+        );
     });
 
 const slownessByExecutor = (measured: readonly MeasuredOnExecutor[]): ReadonlyMap<number, number> => {
@@ -81,8 +87,8 @@
 
 /** Whether runs on other executors made progress in the time, so that a standstill is not one of the reports. */
 const doNeighboursMove = ({ lastProgress, view: { now } }: MoveContext, own: number, inMs: Millis): boolean => {
-    const others = lastProgress.filter((_, executor) => executor !== own);
-    return others.every(at => at === undefined) || others.some(at => at !== undefined && now - at < inMs);
+    const at = own === lastProgress.executor ? lastProgress.atOthers : lastProgress.at;
+    return at === undefined || now - at < inMs;
 };
 
 const standstillLimit = ({ view: { now, timings }, options, runTimes }: MoveContext, group: RunGroup): Millis => {
@@ -165,13 +171,19 @@
 /** The order in which the reasons are checked. */
 const REASONS: readonly MoveReason[] = ["draining", "stalled", "slow"];
 
-const lastProgressOf = ({ executors }: DispatchView): readonly (Millis | undefined)[] =>
-    executors.map(({ runs }) =>
-        runs.reduce<Millis | undefined>(
-            (latest, { progressAt }) => progressAt === undefined ? latest : Math.max(latest ?? 0, progressAt),
-            undefined,
-        )
-    );
+const lastProgressOf = ({ executors }: DispatchView): LastProgress => {
+    let last: LastProgress = { executor: undefined, at: undefined, atOthers: undefined };
+    executors.forEach(({ runs }, executor) => {
+        const latest = runs.reduce((at, { progressAt = -Infinity }) => Math.max(at, progressAt), -Infinity);
+        if (latest > (last.at ?? -Infinity)) {
+            last = { executor, at: latest, atOthers: last.at };
+        }
+        else if (latest > (last.atOthers ?? -Infinity)) {
+            last = { ...last, atOthers: latest };
+        }
+    });
+    return last;
+};
 
 /** The groups that have to end where they are: stalled, slow, or on an executor that leaves. */
 export const findMoves = (
--- a/packages/dispatch/src/openOccurrences.ts
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -17,19 +17,26 @@
 /** Progress of one task. */
 export const progressOf = ({ progress }: JobView, key: string): TaskProgress => progress.tasks[key] ?? NO_TASK_PROGRESS;
 
+/** Keys of the tasks of each step, so that they are not built in every pass; steps never change. */
+const knownKeys = new WeakMap<Step, Map<number, Map<number, readonly string[]>>>();
+
 /** The keys of all tasks of a step. */
-export const stepKeys = (occurrence: number, step: number, { count }: Step): readonly string[] =>
-    Array.from({ length: count }, (_, index) => taskKey({ occurrence, step, index }));
+export const stepKeys = (occurrence: number, step: number, definition: Step): readonly string[] => {
+    const ofStep = knownKeys.get(definition) ?? new Map<number, Map<number, readonly string[]>>();
+    knownKeys.set(definition, ofStep);
+    const ofIndex = ofStep.get(step) ?? new Map<number, readonly string[]>();
+    ofStep.set(step, ofIndex);
+    const keys = ofIndex.get(occurrence)
+        ?? Array.from({ length: definition.count }, (_, index) => taskKey({ occurrence, step, index }));
+    ofIndex.set(occurrence, keys);
+    return keys;
+};
 
 /** Whether all tasks of a step are done; one end stands for all members of a gang. */
-const isStepDone = (view: JobView, occurrence: number, stepIndex: number, { count, isGang }: Step): boolean => {
-    for (let index = 0; index < count; index += 1) {
-        const { isDone } = progressOf(view, taskKey({ occurrence, step: stepIndex, index }));
-        if (isDone === isGang) {
-            return isGang;
-        }
-    }
-    return !isGang;
+const isStepDone = (view: JobView, occurrence: number, stepIndex: number, step: Step): boolean => {
+    const isTaskDone = (key: string): boolean => progressOf(view, key).isDone;
+    const keys = stepKeys(occurrence, stepIndex, step);
+    return step.isGang ? keys.some(isTaskDone) : keys.every(isTaskDone);
 };
 
 const occurrenceOf = (view: JobView, occurrence: number, startAt: Millis): OpenOccurrence => ({
--- a/packages/dispatch/src/queueModel.ts
+++ b/packages/dispatch/src/queueModel.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { RunSample } from "./dispatchView.js";
+import { groupBy } from "./groupBy.js";
 
 /** How the run times of a queue are spread, on a logarithmic scale. */
 export interface QueueModel {
@@ -52,10 +53,7 @@
     declared: ReadonlyMap<string, readonly Millis[]>,
     samples: readonly RunSample[],
 ): ReadonlyMap<string, QueueModel> => {
-    const byQueue = new Map<string, RunSample[]>();
-    for (const sample of samples) {
-        byQueue.set(sample.queue, [...byQueue.get(sample.queue) ?? [], sample]);
-    }
+    const byQueue = groupBy(samples, ({ queue }) => queue);
     return new Map(
         [...declared].map(([queue, times]) => [queue, modelOf(times, byQueue.get(queue) ?? [])]),
     );
--- a/packages/dispatch/src/runGroups.ts
+++ b/packages/dispatch/src/runGroups.ts
@@ -1,16 +1,21 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
-import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
+import { parseTaskKey, parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { ExecutorView, JobView, RunView, StopDecision, StopReason } from "./dispatchView.js";
 import { groupBy } from "./groupBy.js";
+import { type MeasuredRun, measuredRun } from "./measuredRun.js";
 import { progressOf, stepKeys } from "./openOccurrences.js";
 
 /** A run on its executor, given by its index in the view. */
 export interface GroupMember {
     readonly executor: number;
     readonly run: RunView;
+    /** What the run shows of its rate. */
+    readonly measured: MeasuredRun | undefined;
 }
 
+type PlacedRun = Pick<GroupMember, "executor" | "run">;
+
 /** Runs that end together: one run, or the members of a gang that executors list. */
 export interface RunGroup {
     readonly view: JobView;
@@ -32,28 +37,30 @@
     readonly step: Step;
 }
 
-/** The step of each run; absent for a run of a job that the view does not hold. */
-export type RunSteps = ReadonlyMap<RunView, RunStep>;
-
-const findRunStep = (jobs: ReadonlyMap<string, JobView>, { jobId, key }: RunView): RunStep | undefined => {
-    const view = jobs.get(jobId);
-    const place = parseTaskName(taskName(jobId, key));
-    const step = view?.job.steps[place?.step ?? -1];
-    return view === undefined || place === undefined || step === undefined
-        ? undefined
-        : { view, occurrence: place.occurrence, stepIndex: place.step, step };
-};
+/** The step of each run, by the indices of its executor and of the run; undefined where the view lacks the job. */
+export type RunSteps = readonly (readonly (RunStep | undefined)[])[];
 
-/** Finds the steps of all runs of the executors. */
+/** Finds the steps of all runs of the executors; runs of the same step share one. */
 export const findRunSteps = (executors: readonly ExecutorView[], jobs: ReadonlyMap<string, JobView>): RunSteps => {
-    const runSteps = new Map<RunView, RunStep>();
-    for (const run of executors.flatMap(({ runs }) => runs)) {
-        const runStep = findRunStep(jobs, run);
-        if (runStep !== undefined) {
-            runSteps.set(run, runStep);
+    const known = new Map<JobView, RunStep[]>();
+    const findRunStep = ({ jobId, key }: RunView): RunStep | undefined => {
+        const view = jobs.get(jobId);
+        const place = parseTaskKey(key) ?? parseTaskName(taskName(jobId, key));
+        const step = view?.job.steps[place?.step ?? -1];
+        if (view === undefined || place === undefined || step === undefined) {
+            return undefined;
         }
-    }
-    return runSteps;
+        const ofJob = known.get(view) ?? [];
+        known.set(view, ofJob);
+        const { occurrence, step: stepIndex } = place;
+        const found = ofJob.find(one => one.stepIndex === stepIndex && one.occurrence === occurrence);
+        const runStep = found ?? { view, occurrence, stepIndex, step };
+        if (found === undefined) {
+            ofJob.push(runStep);
+        }
+        return runStep;
+    };
+    return executors.map(({ runs }) => runs.map(findRunStep));
 };
 
 /** A run of an earlier number takes up room but is no longer what the task's progress names. */
@@ -62,7 +69,7 @@
     return placement !== undefined && current === run.run && view.progress.outcome === "open";
 };
 
-const workingSince = ({ step }: RunStep, members: readonly GroupMember[]): Millis | undefined => {
+const workingSince = ({ step }: RunStep, members: readonly PlacedRun[]): Millis | undefined => {
     if (step.isGang && members.length < step.count) {
         return undefined;
     }
@@ -70,28 +77,35 @@
     return listed.reduce((latest, at) => latest === undefined || at === undefined ? undefined : Math.max(latest, at));
 };
 
-const groupOf = (runStep: RunStep, members: readonly GroupMember[]): RunGroup => ({
-    ...runStep,
-    members,
-    isStopping: members.some(({ run }) => run.isStopping),
-    workingSince: workingSince(runStep, members),
-});
+const groupOf = (runStep: RunStep, placed: readonly PlacedRun[]): RunGroup => {
+    const { view, occurrence, stepIndex, step } = runStep;
+    const since = workingSince(runStep, placed);
+    return {
+        ...{ view, occurrence, stepIndex, step },
+        members: placed.map(({ executor, run }) => ({ executor, run, measured: measuredRun(run, since) })),
+        isStopping: placed.some(({ run }) => run.isStopping),
+        workingSince: since,
+    };
+};
 
 /** Groups the runs of all executors that their jobs' progress names. */
 export const runGroups = (executors: readonly ExecutorView[], runSteps: RunSteps): readonly RunGroup[] => {
-    const found = new Map<string, { readonly runStep: RunStep; readonly members: GroupMember[]; }>();
+    const found = new Map<string | RunStep, { readonly runStep: RunStep; readonly members: PlacedRun[]; }>();
     executors.forEach(({ runs }, executor) => {
-        for (const run of runs) {
-            const runStep = runSteps.get(run);
+        runs.forEach((run, index) => {
+            const runStep = runSteps[executor]?.[index];
             if (runStep === undefined || !isCurrent(runStep, run)) {
-                continue;
+                return;
             }
-            const { step, occurrence, stepIndex } = runStep;
-            const id = step.isGang ? `${run.jobId} ${occurrence} ${stepIndex}` : taskName(run.jobId, run.key);
-            const group = found.get(id) ?? { runStep, members: [] };
-            group.members.push({ executor, run });
-            found.set(id, group);
-        }
+            const id = runStep.step.isGang ? runStep : taskName(run.jobId, run.key);
+            const group = found.get(id);
+            if (group === undefined) {
+                found.set(id, { runStep, members: [{ executor, run }] });
+            }
+            else {
+                group.members.push({ executor, run });
+            }
+        });
     });
     return [...found.values()].map(({ runStep, members }) => groupOf(runStep, members));
 };
--- a/packages/dispatch/src/runTimes.ts
+++ b/packages/dispatch/src/runTimes.ts
@@ -1,8 +1,8 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
-import type { JobView, RunSample, RunView } from "./dispatchView.js";
+import type { JobView, RunSample } from "./dispatchView.js";
 import { expectedMs, queueModels } from "./queueModel.js";
-import type { RunGroup } from "./runGroups.js";
+import type { GroupMember, RunGroup } from "./runGroups.js";
 
 /** Share of progress from which a run's own rate counts as much as what was declared. */
 const TRUSTED_PERCENT = 5;
@@ -28,41 +28,20 @@
     count: number;
 }
 
-const addTime = (means: Map<string, Mean>, id: string, time: Millis): void => {
-    const mean = means.get(id) ?? { sum: 0, count: 0 };
-    mean.sum += time;
-    mean.count += 1;
-    means.set(id, mean);
-};
-
-/** What one run shows of its rate. */
-export interface MeasuredRun {
-    /** Time of the whole task at this rate. */
-    readonly totalMs: Millis;
-    /** Share of the work, in percent, that the rate is measured over. */
-    readonly percent: number;
-    readonly durationMs: Millis;
-}
+/** Values of the steps of jobs, by the job and the index of the step. */
+type ByStep<Value> = Map<JobView, Map<number, Value>>;
 
-/** Rate of a run since its work began; undefined before its first progress. */
-export const measuredRun = (
-    { percent, firstPercent = 0, firstListedAt, progressAt }: RunView,
-    workingSince: Millis | undefined,
-): MeasuredRun | undefined => {
-    if (percent === undefined || firstListedAt === undefined || progressAt === undefined) {
-        return undefined;
-    }
-    const durationMs = progressAt - Math.max(firstListedAt, workingSince ?? firstListedAt);
-    const done = percent - firstPercent;
-    return done > 0 && durationMs > 0 ? { totalMs: 100 * durationMs / done, percent: done, durationMs } : undefined;
+const valueOf = <Value>(values: ByStep<Value>, view: JobView, stepIndex: number, create: () => Value): Value => {
+    const ofJob = values.get(view) ?? new Map<number, Value>();
+    values.set(view, ofJob);
+    const value = ofJob.get(stepIndex) ?? create();
+    ofJob.set(stepIndex, value);
+    return value;
 };
 
-const stepId = ({ job }: JobView, stepIndex: number): string => `${job.jobId} ${stepIndex}`;
-
-const remainingOf = (run: RunView, workingSince: Millis | undefined, stepMs: Millis, now: Millis): Millis => {
+const remainingOf = ({ run, measured }: GroupMember, stepMs: Millis, now: Millis): Millis => {
     const percent = run.percent ?? 0;
     const expected = stepMs * (1 - percent / 100);
-    const measured = measuredRun(run, workingSince);
     if (measured === undefined || run.progressAt === undefined) {
         return Math.max(MIN_REMAINING_MS, expected);
     }
@@ -81,36 +60,44 @@
     now: Millis,
 ): RunTimes => {
     const declared = new Map<string, Millis[]>();
-    const siblings = new Map<string, Mean>();
+    const siblings: ByStep<Mean> = new Map();
     for (const { job, queue } of jobs) {
-        const times = job.steps.filter(isFinite).map(step => step.declaredMs).filter(time => time > 0);
-        declared.set(queue.name, [...declared.get(queue.name) ?? [], ...times]);
+        const times = declared.get(queue.name) ?? [];
+        times.push(...job.steps.filter(isFinite).map(step => step.declaredMs).filter(time => time > 0));
+        declared.set(queue.name, times);
     }
-    for (const { view, step, stepIndex, members, workingSince } of groups) {
-        for (const { run } of members) {
-            const measured = measuredRun(run, workingSince);
+    for (const { view, step, stepIndex, members } of groups) {
+        for (const { measured } of members) {
             if (isFinite(step) && measured !== undefined && measured.percent >= TRUSTED_PERCENT) {
-                addTime(siblings, stepId(view, stepIndex), measured.totalMs);
+                const mean = valueOf(siblings, view, stepIndex, () => ({ sum: 0, count: 0 }));
+                mean.sum += measured.totalMs;
+                mean.count += 1;
             }
         }
     }
     const models = queueModels(declared, samples);
+    const declaredTimes: ByStep<Millis> = new Map();
     const declaredMs = (view: JobView, stepIndex: number): Millis =>
-        expectedMs(models.get(view.queue.name), view.job.steps[stepIndex]?.declaredMs ?? 0);
+        valueOf(
+            declaredTimes,
+            view,
+            stepIndex,
+            () => expectedMs(models.get(view.queue.name), view.job.steps[stepIndex]?.declaredMs ?? 0),
+        );
     const stepMs = (view: JobView, stepIndex: number): Millis => {
         const prior = declaredMs(view, stepIndex);
-        const measured = siblings.get(stepId(view, stepIndex));
+        const measured = siblings.get(view)?.get(stepIndex);
         return measured === undefined
             ? prior
             : SIBLING_WEIGHT * measured.sum / measured.count + (1 - SIBLING_WEIGHT) * prior;
     };
-    const remainingMs = ({ view, step, stepIndex, members, workingSince }: RunGroup): Millis => {
+    const remainingMs = ({ view, step, stepIndex, members }: RunGroup): Millis => {
         if (step.isLongRunning) {
             return Infinity;
         }
         const whole = stepMs(view, stepIndex);
         return members.reduce(
-            (longest, { run }) => Math.max(longest, remainingOf(run, workingSince, whole, now)),
+            (longest, member) => Math.max(longest, remainingOf(member, whole, now)),
             MIN_REMAINING_MS,
         );
     };
--- a/packages/workload/src/taskName.ts
+++ b/packages/workload/src/taskName.ts
@@ -24,3 +24,30 @@
     const place = { occurrence: Number(occurrence), step: Number(step), index: Number(index) };
     return { ...place, jobId, key: taskKey(place) };
 };
+
+const ZERO = 48;
+const NINE = 57;
+const DOT = 46;
+
+/** Parts of a key as `taskKey` writes it; undefined for one of another form. */
+export const parseTaskKey = (key: string): TaskPlace | undefined => {
+    const numbers = [0, 0, 0] as [number, number, number];
+    let part = 0;
+    let digits = 0;
+    for (let at = 0; at < key.length; at += 1) {
+        const code = key.charCodeAt(at);
+        if (code >= ZERO && code <= NINE) {
+            numbers[part] = (numbers[part] ?? 0) * 10 + code - ZERO;
+            digits += 1;
+        }
+        else if (code === DOT && digits > 0 && part + 1 < numbers.length) {
+            part += 1;
+            digits = 0;
+        }
+        else {
+            return undefined;
+        }
+    }
+    const [occurrence, step, index] = numbers;
+    return part === numbers.length - 1 && digits > 0 ? { occurrence, step, index } : undefined;
+};
