--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -9,6 +9,7 @@
 import { prospectsOf } from "./prospects.js";
 import { type ReadyUnit, readyUnits, unitKind } from "./readyUnits.js";
 import { expectedReleases } from "./reservations.js";
+import { RoomIndex } from "./roomIndex.js";
 import { findRunSteps, groupsByExecutor, runGroups } from "./runGroups.js";
 import { estimateRunTimes } from "./runTimes.js";
 import { scarcityOf, type Spans, spansOf } from "./seating.js";
@@ -51,7 +52,7 @@
         const { size } = avoidedBy(unit, avoided);
         const kind = size === 0 ? unitKind(unit) : undefined;
         const known = kind === undefined ? undefined : spansOfKind.get(kind);
-        const spans = known ?? spansOf(state.rooms, unit, avoidedBy(unit, avoided));
+        const spans = known ?? spansOf(unit, avoidedBy(unit, avoided), state.seating.index);
         if (kind !== undefined) {
             spansOfKind.set(kind, spans);
         }
@@ -95,7 +96,7 @@
         prospects,
         guaranteed,
         releases: expectedReleases(groups, runTimes),
-        scarcity: scarcityOf(rooms),
+        seating: { scarcity: scarcityOf(rooms), index: new RoomIndex(rooms) },
         stopped: new Set(),
         stopCosts: new Map(),
         misfits: new Map(),
--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -33,6 +33,8 @@
     taskCount: number;
     /** Tasks here of each step with a limit per executor. */
     readonly tasksOfStep: Map<string, number>;
+    /** Called when something of it changes, so that an index of executors can follow. */
+    onChanged: () => void;
     /** How often the pass looked at this executor; tests of growth count it. */
     visits: number;
 }
@@ -83,6 +85,7 @@
             reservation: undefined,
             taskCount: executor.runs.length,
             tasksOfStep: new Map(),
+            onChanged: () => undefined,
             visits: 0,
         };
         takeRuns(room, runSteps);
@@ -150,6 +153,7 @@
 
 /** Takes room for tasks that start now. */
 export const takeRoom = (room: ExecutorRoom, unit: ReadyUnit, count: number, lengthMs: Millis): void => {
+    room.onChanged();
     addTo(room.free, unit.demand, -count);
     room.taskCount += count;
     countTasks(room, { ...unit.owner, ...unit }, count);
@@ -160,6 +164,7 @@
 
 /** Keeps free and coming room for tasks that start as soon as they fit. */
 export const claimRoom = (room: ExecutorRoom, { demand }: ReadyUnit, count: number): void => {
+    room.onChanged();
     addTo(room.claimed, demand, count);
     if (room.reservation !== undefined) {
         addTo(room.reservation.spare, demand, -count);
--- a/packages/dispatch/src/passState.ts
+++ b/packages/dispatch/src/passState.ts
@@ -7,7 +7,7 @@
 import type { Releases } from "./reservations.js";
 import { type RunGroup, stopDecisions } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
-import type { Scarcity } from "./seating.js";
+import type { SeatingContext } from "./seating.js";
 
 /** The number and length of tasks that did not fit. */
 export interface Misfit {
@@ -27,7 +27,7 @@
     /** Ids of the occurrences that have a guarantee. */
     readonly guaranteed: ReadonlySet<string>;
     readonly releases: Releases;
-    readonly scarcity: Scarcity;
+    readonly seating: SeatingContext;
     readonly stopped: Set<RunGroup>;
     readonly stopCosts: Map<RunGroup, number>;
     /** Requests that did not fit; between stops, room only becomes less, so larger ones need not be tried. */
@@ -52,6 +52,7 @@
     for (const { executor } of group.members) {
         const room = rooms[executor];
         if (room !== undefined) {
+            room.onChanged();
             addTo(room.coming, countedDemand(group.step));
         }
     }
--- a/packages/dispatch/src/reservations.ts
+++ b/packages/dispatch/src/reservations.ts
@@ -5,7 +5,7 @@
 import type { ReadyUnit } from "./readyUnits.js";
 import type { RunGroup } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
-import { fillSeats, type Scarcity, type Seat } from "./seating.js";
+import { fillSeats, type Seat, type SeatingContext } from "./seating.js";
 
 /** Room that a run gives back when it ends by itself. */
 export interface Release {
@@ -87,6 +87,7 @@
 
 const reserveSeats = ({ demand }: ReadyUnit, seats: readonly Seat[], inMs: Millis, releases: Releases): void => {
     for (const { room, count } of seats) {
+        room.onChanged();
         if (room.reservation === undefined) {
             const spare = laterRoom(room);
             addTo(spare, releasedBy(releases.get(room.index) ?? [], inMs));
@@ -104,9 +105,9 @@
     count: number,
     { inMs, available }: LaterFit,
     releases: Releases,
-    scarcity: Scarcity,
+    seating: SeatingContext,
 ): void => {
     const rooms = [...available.keys()];
-    const { seats } = fillSeats(rooms, unit, count, room => available.get(room) ?? noDemand(), scarcity);
+    const { seats } = fillSeats(rooms, unit, count, room => available.get(room) ?? noDemand(), seating);
     reserveSeats(unit, seats, inMs, releases);
 };
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -79,7 +79,7 @@
     spans: readonly (readonly ExecutorRoom[])[],
     count: number,
     available: Available,
-): Seating | undefined => fillBestSpan(spans, unit, count, available, state.scarcity);
+): Seating | undefined => fillBestSpan(spans, unit, count, available, state.seating);
 
 const fallbackSpans = ({ fallback }: Spans): readonly (readonly ExecutorRoom[])[] =>
     fallback === undefined ? [] : [fallback];
@@ -177,7 +177,7 @@
     if (unit.step.isGang) {
         return keys;
     }
-    const part = fillSeats(spans.preferred.flat(), unit, keys.length, available, state.scarcity);
+    const part = fillSeats(spans.preferred.flat(), unit, keys.length, available, state.seating);
     start(state, request, keys, part.seats);
     return keys.slice(part.count);
 };
@@ -195,7 +195,7 @@
         return keys;
     }
     const slower: Request = { ...request, lengthMs: lengthMs + extraMs };
-    const seating = fillSeats(fallback, unit, keys.length, room => roomNow(room, slower.lengthMs), state.scarcity);
+    const seating = fillSeats(fallback, unit, keys.length, room => roomNow(room, slower.lengthMs), state.seating);
     if (unit.step.isGang && seating.count < keys.length) {
         return keys;
     }
@@ -277,7 +277,7 @@
     }
     if (fit !== undefined && needsReservation(ranked) && state.reservationCount < state.options.maxReservations) {
         state.reservationCount += 1;
-        reserve(ranked.unit, blocked.length, fit, state.releases, state.scarcity);
+        reserve(ranked.unit, blocked.length, fit, state.releases, state.seating);
     }
 };
 
