--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -101,6 +101,7 @@
     moves.forEach(({ group, reason }) => {
         stopGroup(state, group, reason);
     });
-    placeAll(state, orderUnits(occurrences.flatMap(readyUnits), occurrences, prospects, guaranteed, options));
+    const units = occurrences.flatMap(owner => readyUnits(owner, view.advised));
+    placeAll(state, orderUnits(units, occurrences, prospects, guaranteed, options));
     return state.decisions;
 };
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -62,6 +62,9 @@
     readonly actualMs: Millis;
 }
 
+/** By the name of a step whose queue requires advice, the executors with a valid ticket. */
+export type AdvisedExecutors = ReadonlyMap<string, ReadonlySet<string>>;
+
 /** Everything that one pass decides on. Times, `acceptedAt` of jobs included, are on the clock of `now`; `wallTime` is for due times of repetitions only. */
 export interface DispatchView {
     readonly now: Millis;
@@ -72,6 +75,8 @@
     readonly executors: readonly ExecutorView[];
     /** Tasks that ended lately, of all queues. */
     readonly samples: readonly RunSample[];
+    /** A step of a queue that requires advice and that is not named here waits. */
+    readonly advised?: AdvisedExecutors;
 }
 
 /** Tasks of one step that start together under one run number: a whole gang, or one task. */
--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -110,12 +110,16 @@
         : smaller(unclaimed, reservation.spare);
 };
 
-/** Whether the executor may run tasks of the unit at all. */
-export const accepts = ({ executor }: ExecutorRoom, { owner, step }: ReadyUnit): boolean =>
+/** Whether the executor may run tasks of the unit, apart from advice. */
+export const isEligible = ({ executor }: ExecutorRoom, { owner, step }: ReadyUnit): boolean =>
     executor.takesWork
     && executor.service === owner.view.queue.service
     && (step.requiredLabel === undefined || executor.labels.includes(step.requiredLabel));
 
+/** Whether the executor may run tasks of the unit at all. */
+export const accepts = (room: ExecutorRoom, unit: ReadyUnit): boolean =>
+    isEligible(room, unit) && (unit.allowed?.has(room.executor.executorId) ?? true);
+
 /** How many tasks an executor takes, by its health. */
 const SEATS: { readonly [K in ExecutorHealth]: (slots: number, room: ExecutorRoom, unit: ReadyUnit) => number; } = {
     healthy: slots => slots,
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -1,5 +1,7 @@
 import type { Demand, Step } from "@persimmonpitch/workload/step.js";
+import { stepName } from "@persimmonpitch/workload/taskName.js";
 import { countedDemand } from "./demand.js";
+import type { AdvisedExecutors } from "./dispatchView.js";
 import { type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
 
 /** Tasks of one step that can start now: a whole gang, or all free tasks of a step that is not a gang. */
@@ -9,13 +11,16 @@
     readonly step: Step;
     readonly demand: Demand;
     readonly keys: readonly string[];
+    /** The executors with a valid ticket for the step; undefined if its queue requires no advice. */
+    readonly allowed?: ReadonlySet<string> | undefined;
 }
 
 /** Run number of a start of the tasks: one above the highest that any of them had. */
 export const nextRun = ({ owner }: ReadyUnit, keys: readonly string[]): number =>
     1 + keys.reduce((highest, key) => Math.max(highest, progressOf(owner.view, key).run), 0);
 
-const freeKeys = (owner: OpenOccurrence, stepIndex: number, step: Step): readonly string[] => {
+/** The tasks of a step that can start together: all members of a gang or none of them. */
+export const freeKeys = (owner: OpenOccurrence, stepIndex: number, step: Step): readonly string[] => {
     const keys = stepKeys(owner.occurrence, stepIndex, step);
     const free = keys.filter(key => {
         const { placement, isDone } = progressOf(owner.view, key);
@@ -24,22 +29,36 @@
     return step.isGang && free.length < keys.length ? [] : free;
 };
 
-const isStepReady = ({ doneSteps }: OpenOccurrence, { after }: Step, stepIndex: number): boolean =>
+/** Whether a step may start by the order of the steps. */
+export const isStepReady = ({ doneSteps }: OpenOccurrence, { after }: Step, stepIndex: number): boolean =>
     doneSteps[stepIndex] === false && after.every(earlier => doneSteps[earlier] === true);
 
-/** The units of an occurrence that can start as soon as there is room. */
-export const readyUnits = (owner: OpenOccurrence): readonly ReadyUnit[] =>
+const NO_EXECUTORS: ReadonlySet<string> = new Set();
+
+const allowedFor = (
+    { view: { job, queue }, occurrence }: OpenOccurrence,
+    stepIndex: number,
+    advised: AdvisedExecutors | undefined,
+): ReadonlySet<string> | undefined =>
+    queue.advice === undefined
+        ? undefined
+        : advised?.get(stepName(job.jobId, occurrence, stepIndex)) ?? NO_EXECUTORS;
+
+/** The units of an occurrence that can start as soon as there is room; a step without required advice has none. */
+export const readyUnits = (owner: OpenOccurrence, advised?: AdvisedExecutors): readonly ReadyUnit[] =>
     owner.view.job.steps.flatMap((step, stepIndex) => {
-        const keys = isStepReady(owner, step, stepIndex) ? freeKeys(owner, stepIndex, step) : [];
-        return keys.length === 0 ? [] : [{ owner, stepIndex, step, demand: countedDemand(step), keys }];
+        const allowed = allowedFor(owner, stepIndex, advised);
+        const keys = isStepReady(owner, step, stepIndex) && allowed?.size !== 0 ? freeKeys(owner, stepIndex, step) : [];
+        return keys.length === 0 ? [] : [{ owner, stepIndex, step, demand: countedDemand(step), keys, allowed }];
     });
 
 /** Units of one kind have the same choice of executors and the same demand. */
-export const unitKind = ({ owner, step, demand, keys }: ReadyUnit): string => {
+export const unitKind = ({ owner, stepIndex, step, demand, keys, allowed }: ReadyUnit): string => {
     const { isGang, isTight, dataRack, requiredLabel, maxPerExecutor } = step;
     const { milliCores, memoryMb, accelerators } = demand;
     const limit = maxPerExecutor === undefined ? "" : `${maxPerExecutor} ${owner.view.job.jobId} ${owner.occurrence}`;
     const gang = isGang ? `${isTight} ${keys.length}` : "";
     const places = JSON.stringify([owner.view.queue.service, dataRack, requiredLabel]);
-    return [milliCores, memoryMb, accelerators, gang, limit, places].join(";");
+    const advised = allowed === undefined ? "" : stepName(owner.view.job.jobId, owner.occurrence, stepIndex);
+    return [milliCores, memoryMb, accelerators, gang, limit, places, advised].join(";");
 };
--- /dev/null
+++ b/packages/dispatch/tests/advice.test.ts
@@ -0,0 +1,61 @@
+import { queueSchema } from "@persimmonpitch/workload/clusterConfig.js";
+import t from "tap";
+import { adviceDemands } from "../src/adviceDemand.js";
+import { dispatchPass } from "../src/dispatchPass.js";
+import type { JobView } from "../src/dispatchView.js";
+import type { JobInput } from "./dispatchFixture.js";
+import { executorsOf, jobOf, linesOf, placedOn, QUEUES, runOf, START, viewOf } from "./dispatchFixture.js";
+
+t.formatSnapshot = value => String(value);
+
+const advice = { decisionMs: 100, perExecutorMs: 10, validityMs: 3_000 };
+const advised = (input: JobInput, priority = 1): JobView => ({
+    ...jobOf(input),
+    queue: queueSchema.parse({ ...QUEUES.batch, name: `advised ${priority}`, priority, advice }),
+});
+
+// Guards against a start on an executor without a ticket, against jobs of equal demand that share one choice of
+// executors, and against a step that nobody was asked about and that starts all the same.
+void t.test("a step starts only on executors with a ticket", t => {
+    const jobs = [
+        advised({ id: "asked", steps: [{ count: 3 }] }),
+        advised({ id: "other", steps: [{ count: 3 }] }),
+        advised({ id: "refused", steps: [{}] }),
+        advised({ id: "unasked", steps: [{}] }),
+        jobOf({ id: "free", steps: [{}] }),
+    ];
+    const view = viewOf(jobs, executorsOf(3), {
+        advised: new Map([
+            ["asked.0.0", new Set(["executor2"])],
+            ["other.0.0", new Set(["executor1"])],
+            ["refused.0.0", new Set()],
+        ]),
+    });
+    t.matchSnapshot(linesOf(dispatchPass(view)).join("\n"));
+    t.end();
+});
+
+// Guards against questions about steps of other queues or far ahead, and against a busy executor named before a free one.
+void t.test("steps that need advice, in the order in which they are asked about", t => {
+    const jobs = [
+        advised({ id: "late", acceptedAt: START + 10, steps: [{ count: 2 }, { after: [0] }] }),
+        advised({ id: "tried", steps: [{ count: 2 }] }),
+        advised({ id: "early", steps: [{ count: 2, requiredLabel: "dye" }] }),
+        advised({ id: "urgent", steps: [{ demand: { accelerators: 8 } }] }, 0),
+        advised({ id: "large", steps: [{ demand: { accelerators: 9 } }] }),
+        advised({ id: "chain", steps: [{}, { after: [0] }, { after: [1] }], tasks: placedOn(0, "0.0.0") }),
+        jobOf({ id: "free", steps: [{}] }),
+    ];
+    const executors = executorsOf(3, index => ({
+        labels: index === 0 ? ["dye"] : [],
+        runs: index === 0 ? [runOf("chain", "0.0.0")] : [],
+        takesWork: index !== 2,
+    }));
+    const demands = adviceDemands(viewOf(jobs, executors), step => step === "tried.0.0" ? 1 : 0);
+    t.matchSnapshot(
+        demands.map(({ name, waiting, candidates }) =>
+            `${name} ${waiting}: ${candidates().map(({ executorId, slots }) => `${executorId} ${slots}`).join(", ")}`
+        ).join("\n"),
+    );
+    t.end();
+});
--- a/packages/workload/src/taskName.ts
+++ b/packages/workload/src/taskName.ts
@@ -11,6 +11,9 @@
 /** Name of a task towards executors. */
 export const taskName = (jobId: string, key: string): string => `${jobId}.${key}`;
 
+/** Name of one occurrence of a step. */
+export const stepName = (jobId: string, occurrence: number, step: number): string => `${jobId}.${occurrence}.${step}`;
+
 const NAME = /^(.+)\.(\d+)\.(\d+)\.(\d+)$/;
 
 /** Parts of the name of a task; undefined for a name of another form. */
