--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -1,4 +1,10 @@
-import type { DispatchView, ExecutorView, JobView, RunView } from "@persimmonpitch/dispatch/dispatchView.js";
+import type {
+    AdvisedExecutors,
+    DispatchView,
+    ExecutorView,
+    JobView,
+    RunView,
+} from "@persimmonpitch/dispatch/dispatchView.js";
 import type { ClusterConfig } from "@persimmonpitch/workload/clusterConfig.js";
 import type { Demand } from "@persimmonpitch/workload/step.js";
 import type { ControllerContext } from "./controllerContext.js";
@@ -12,6 +18,7 @@
     config: ClusterConfig,
     jobs: JobBook,
     fleet: Fleet,
+    advised: AdvisedExecutors,
 ): DispatchView => {
     const offset = context.storeOffsetMs();
     const now = context.clock.now();
@@ -23,6 +30,7 @@
         jobs: jobViews(config, jobs),
         executors: [...fleet.executors.values()].flatMap(state => executorView(state, now, offset)),
         samples: fleet.samples,
+        advised,
     };
 };
 
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -3,6 +3,7 @@
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
+import type { AdvicePort } from "./advicePort.js";
 import type { ConfigBook } from "./configBook.js";
 import { Controller } from "./controller.js";
 import type { ConnectLink, TakenRole } from "./controllerContext.js";
@@ -31,6 +32,8 @@
     readonly logger: Logger;
     readonly connect: ConnectLink;
     readonly random: () => number;
+    /** Undefined without an advice service. */
+    readonly advice?: AdvicePort | undefined;
 }
 
 /** Entries that do not decide take changes a little later, so that several share one call to the store. */
@@ -150,7 +153,7 @@
             if (role === undefined) {
                 return;
             }
-            const { clock, logger, timings, connect, random, config } = this.options;
+            const { clock, logger, timings, connect, random, config, advice } = this.options;
             this.controller = new Controller({
                 store: this.store,
                 replica: this.replica,
@@ -160,6 +163,7 @@
                 timings,
                 connect,
                 random,
+                advice,
                 storeOffsetMs: () => this.follower.storeOffsetMs,
                 announce: rows => {
                     this.announce(rows);
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -4,6 +4,7 @@
 import type { DispatchDecision, StartDecision, StopDecision } from "@persimmonpitch/dispatch/dispatchView.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
+import { AdviceBook } from "./adviceBook.js";
 import type { AgentConnection, AgentEvents } from "./agentTask.js";
 import { runAgentTask } from "./agentTask.js";
 import { buildDispatchView } from "./buildDispatchView.js";
@@ -32,6 +33,7 @@
     private readonly writer: ProgressWriter;
     private readonly term: TermKeeper;
     private readonly orders: OrderSender;
+    private readonly advice: AdviceBook;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks = new Map<string, Promise<void>>();
     private readonly wake = new WakeSignal();
@@ -54,8 +56,19 @@
         };
         this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost, announce });
         this.term = new TermKeeper({ store, clock, logger, role, onRoleLost });
+        this.advice = new AdviceBook({
+            port: context.advice,
+            clock,
+            logger,
+            random: context.random,
+            bornOf: executorId => this.fleet.executors.get(executorId)?.born,
+            onChanged: () => {
+                this.wake.wake();
+            },
+        });
         this.orders = new OrderSender({
             fleet: this.fleet,
+            advice: this.advice,
             jobs: this.jobs,
             context,
             epoch: role.epoch,
@@ -80,6 +93,7 @@
             this.writer.run(ended),
             this.term.run(ended),
             this.runPasses(ended),
+            this.advice.run(ended),
         ]);
         stopListening();
         for (const connection of this.connections.values()) {
@@ -301,12 +315,13 @@
         if (config === undefined) {
             return;
         }
-        const view = buildDispatchView(this.context, config, this.jobs, this.fleet);
+        const view = buildDispatchView(this.context, config, this.jobs, this.fleet, this.advice.advised());
         const startedAt = this.context.clock.now();
         const decisions = dispatchPass(view);
         for (const decision of decisions) {
             this.apply(decision);
         }
+        this.advice.note(view);
         if (decisions.length > 0) {
             this.context.logger.log("debug", "pass.decided", {
                 jobs: view.jobs.length,
--- a/packages/control/src/controllerContext.ts
+++ b/packages/control/src/controllerContext.ts
@@ -5,6 +5,7 @@
 import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 import type { Result } from "true-myth";
+import type { AdvicePort } from "./advicePort.js";
 import type { ConfigBook } from "./configBook.js";
 import type { Replica } from "./replica.js";
 import type { RoleRow } from "./rows.js";
@@ -30,6 +31,8 @@
     readonly storeOffsetMs: () => Millis;
     /** Makes rows known to all entries that were just written. */
     readonly announce: (rows: readonly StoredRow[]) => void;
+    /** Undefined without an advice service. */
+    readonly advice?: AdvicePort | undefined;
 }
 
 /** The role as the controller took it. */
--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { StartRefusal } from "@persimmonpitch/workload/executorReport.js";
+import type { AdviceBook } from "./adviceBook.js";
 import type { AgentConnection } from "./agentTask.js";
 import type { ControllerContext } from "./controllerContext.js";
 import type { ExecutorState, HeldRun, StrayRun } from "./executorState.js";
@@ -10,6 +11,7 @@
 /** What an order sender works on. */
 export interface OrderSenderOptions {
     readonly fleet: Fleet;
+    readonly advice: AdviceBook;
     readonly jobs: JobBook;
     readonly context: ControllerContext;
     readonly epoch: number;
@@ -100,7 +102,7 @@
     }
 
     private async sendStart(state: ExecutorState, held: HeldRun): Promise<void> {
-        const { context, epoch, jobs, fleet, onChanged } = this.options;
+        const { context, epoch, jobs, fleet, advice, onChanged } = this.options;
         const connection = this.options.connectionOf(state.vm);
         const open = jobs.jobs.get(held.jobId);
         if (connection === undefined || open === undefined || state.clock === undefined) {
@@ -109,6 +111,7 @@
         const deadlineMs = Math.floor(state.clock.readingMs + context.clock.now() - state.clock.at + LEASE_MS);
         state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
         const checkpoint = open.task(held.key).checkpoint;
+        const ticket = advice.ticketOf(held);
         const answer = await connection.call("agent.start", {
             epoch,
             executorId: state.executorId,
@@ -117,6 +120,7 @@
             run: held.run,
             payload: open.job.payload,
             ...(checkpoint === undefined ? {} : { checkpoint }),
+            ...(ticket === undefined ? {} : { ticket }),
             deadlineMs: state.deadlineMs,
         }, ORDER_TIMEOUT_MS);
         if (answer.isErr || this.stateOf(held) === undefined) {
@@ -127,6 +131,9 @@
                 held.startClockMs = answer.value.clockMs;
                 break;
             case "refused":
+                if (answer.value.reason === "ticket") {
+                    advice.discard(held);
+                }
                 state.pausedUntil = context.clock.now() + PAUSE_MS[answer.value.reason];
                 fleet.lose(held, `refused: ${answer.value.reason}`);
                 break;
--- /dev/null
+++ b/packages/control/tests/adviceBook.test.ts
@@ -0,0 +1,115 @@
+import { MemoryAdvice } from "@persimmonpitch/standins/memoryAdvice.js";
+import t from "tap";
+import { brokenRules } from "./brokenRules.js";
+import { Deployment } from "./deploymentFixture.js";
+
+const POLICY = { decisionMs: 100, perExecutorMs: 10, validityMs: 3_000 };
+const demand = { milliCores: 1_000, memoryMb: 0, accelerators: 4 };
+const step = { count: 2, demand, declaredMs: 1_000 };
+const work = { runMs: 1_000, demand };
+const EXECUTORS = ["x1", "x2", "x3"];
+
+/** Steps of job `a` may not run on x1. */
+const advised = (): Deployment =>
+    new Deployment(["n1", "n2"], EXECUTORS, {
+        policy: POLICY,
+        advice: clock => new MemoryAdvice({ clock, policy: POLICY, isAllowed: (_, executorId) => executorId !== "x1" }),
+    });
+
+const adviceOf = ({ advice }: Deployment): MemoryAdvice => {
+    if (advice === undefined) {
+        throw new Error("The deployment has no advice service.");
+    }
+    return advice;
+};
+
+interface Case {
+    readonly guardsAgainst: string;
+    readonly before?: (d: Deployment) => Promise<void>;
+    /** Happens after the job is written. */
+    readonly cause?: (d: Deployment, advice: MemoryAdvice) => Promise<void>;
+    /** Starts that the executors may refuse for want of a ticket. */
+    readonly refused?: number;
+}
+
+const CASES: readonly Case[] = [
+    { guardsAgainst: "a start without a ticket, and calls beside each other" },
+    {
+        guardsAgainst: "a step that is never asked about again after refusals of the service",
+        cause: async (d, advice) => {
+            advice.setFaults({ busy: true });
+            await d.pass(2_000);
+            advice.setFaults({ busy: false, down: true });
+            await d.pass(2_000);
+            advice.setFaults({ down: false });
+        },
+    },
+    {
+        guardsAgainst: "a ticket that is used again and again although the executor refuses it",
+        before: async d => {
+            await d.putJob("b", [{ ...step, count: 4 }], { ...work, runMs: 4_000 });
+            await d.pass(1_000);
+        },
+        cause: async (d, advice) => {
+            // The tickets are invalid when the executors have room again.
+            while (d.outcome("b") !== "completed") {
+                EXECUTORS.forEach(name => {
+                    advice.revoke(name);
+                });
+                await d.pass(100);
+            }
+        },
+        // Each of the two tasks may try the invalid ticket of each of the two allowed executors once.
+        refused: 4,
+    },
+    {
+        guardsAgainst: "a ticket that expires while the step waits for room",
+        before: async d => {
+            await d.putJob("b", [{ ...step, count: 4 }], { ...work, runMs: 9_000 });
+            await d.pass(1_000);
+        },
+    },
+    {
+        guardsAgainst: "answers that only the previous controller had",
+        cause: async d => {
+            await d.pass(200);
+            d.killNode(d.controller);
+        },
+    },
+    {
+        guardsAgainst: "a ticket for an earlier incarnation of the executors",
+        before: async d => {
+            await d.putJob("b", [{ ...step, count: 4 }], { ...work, runMs: 9_000 });
+        },
+        cause: async (d, advice) => {
+            await d.pass(1_000);
+            for (const name of EXECUTORS) {
+                d.crash(name);
+                d.executor(name).restart();
+                advice.revoke(name);
+            }
+        },
+    },
+];
+
+const DURATION_MS = 20_000;
+/** A call for a step that waits is made at most once in half of the validity; two jobs have one ready step each. */
+const MAX_CALLS = 2 * (2 * DURATION_MS / POLICY.validityMs);
+
+for (const { guardsAgainst, before, cause, refused = 0 } of CASES) {
+    void t.test(guardsAgainst, async t => {
+        const d = advised();
+        const advice = adviceOf(d);
+        await d.pass(3_000);
+        await before?.(d);
+        await d.putJob("a", [step, { ...step, after: [0] }], work);
+        await cause?.(d, advice);
+        await d.pass(DURATION_MS);
+        t.equal(d.outcome("a"), "completed", "the job completes");
+        t.same(brokenRules(d), [], "no rule is broken");
+        t.notOk(d.runs.some(({ executorId }) => executorId === "x1"), "nothing runs where it is not allowed");
+        t.equal(advice.mostOpen, 1, "one call at a time");
+        t.ok(advice.refusedStarts <= refused, `refused starts: ${advice.refusedStarts}`);
+        t.ok(advice.calls.length <= MAX_CALLS, `calls: ${advice.calls.length}`);
+    });
+}
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -6,9 +6,12 @@
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import { createMemoryLink } from "@persimmonpitch/protocol/memoryLink.js";
 import { routeToExecutors } from "@persimmonpitch/standins/executorRouter.js";
+import type { MemoryAdvice } from "@persimmonpitch/standins/memoryAdvice.js";
 import { MemoryGangs } from "@persimmonpitch/standins/memoryGangs.js";
 import { MemoryRowStore } from "@persimmonpitch/standins/memoryRowStore.js";
+import type { StepExecutorOptions } from "@persimmonpitch/standins/memoryStepExecutor.js";
 import { MemoryStepExecutor } from "@persimmonpitch/standins/memoryStepExecutor.js";
+import type { AdvicePolicy } from "@persimmonpitch/workload/clusterConfig.js";
 import type { RunEnd, RunList } from "@persimmonpitch/workload/executorReport.js";
 import { progressRowSchema } from "@persimmonpitch/workload/progressRow.js";
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
@@ -44,6 +47,13 @@
 };
 const STEP_MS: Millis = 100;
 
+/** What a test sets up beyond the entries and executors. */
+export interface DeploymentOptions {
+    /** Makes the queue require advice, which the entries get from this service. */
+    readonly advice?: (clock: FakeClock) => MemoryAdvice;
+    readonly policy?: AdvicePolicy;
+}
+
 /** Control nodes, agents and executors on one fake clock and one store. */
 export class Deployment {
     readonly clock = new FakeClock();
@@ -59,13 +69,25 @@
     private readonly links = new Map<string, Set<Link>>();
     private readonly noted = new Map<string, number>();
     private instances = 0;
+    readonly advice: MemoryAdvice | undefined;
 
-    constructor(nodes: readonly string[], executors: readonly string[]) {
+    constructor(
+        nodes: readonly string[],
+        executors: readonly string[],
+        private readonly options: DeploymentOptions = {},
+    ) {
+        this.advice = options.advice?.(this.clock);
         const gangs = new MemoryGangs();
         executors.forEach(name => {
             this.executors.set(
                 name,
-                new MemoryStepExecutor({ clock: this.clock, executorId: name, born: 1_000, gangs }),
+                new MemoryStepExecutor({
+                    clock: this.clock,
+                    executorId: name,
+                    born: 1_000,
+                    gangs,
+                    ...this.ticketCheck(),
+                }),
             );
             this.startAgent(name);
         });
@@ -77,7 +99,11 @@
     startNode(name: string): ControlNode {
         this.instances += 1;
         const config = new ConfigBook(silentLogger);
-        config.offer(CONFIG);
+        const { policy: advice } = this.options;
+        config.offer({
+            ...CONFIG,
+            queues: CONFIG.queues.map(queue => advice === undefined ? queue : { ...queue, advice }),
+        });
         const store = this.store.client(name);
         const node = new ControlNode({
             self: { vm: name, host: name, port: 1, dataCentre: "dc1", instanceId: `${name}-${this.instances}` },
@@ -89,6 +115,7 @@
             logger: silentLogger,
             connect: this.connectFrom(name),
             random: () => 0.5,
+            advice: this.advice,
         });
         this.nodes.set(name, node);
         void node.run();
@@ -186,6 +213,11 @@
         ).join("\n");
     }
 
+    private ticketCheck(): Pick<StepExecutorOptions, "acceptsTicket"> {
+        const { advice } = this;
+        return advice === undefined ? {} : { acceptsTicket: order => advice.accepts(order) };
+    }
+
     private noteStarts(): void {
         for (const [name, executor] of this.executors) {
             const from = this.noted.get(name) ?? 0;
--- a/packages/standins/src/memoryStepExecutor.ts
+++ b/packages/standins/src/memoryStepExecutor.ts
@@ -60,6 +60,8 @@
     readonly gangs?: MemoryGangs;
     /** What the runs of a task do; by default the payload says it. */
     readonly workOf?: (task: string, payload: string) => StepWork;
+    /** Whether the ticket of a start is valid; by default none is needed. */
+    readonly acceptsTicket?: (order: StartOrder) => boolean;
     /** Difference of the executor's clock to `clock`. */
     readonly clockOffsetMs?: Millis;
     readonly stopMs?: Millis;
@@ -95,7 +97,7 @@
 
 const runKey = (task: string, run: number): string => `${task}#${run}`;
 
-const refusal = <T>(reason: "fence" | "old" | "late" | "room"): Result<T, ExecutorFailure> =>
+const refusal = <T>(reason: "fence" | "old" | "late" | "room" | "ticket"): Result<T, ExecutorFailure> =>
     Result.err({ kind: "refused", reason });
 
 const gone = <T>(): Result<T, ExecutorFailure> => Result.err({ kind: "gone" });
@@ -277,10 +279,8 @@
         }
     }
 
-    private acceptStart({ task, run, fence, deadlineMs, payload, checkpoint }: StartOrder): Result<
-        Answered,
-        ExecutorFailure
-    > {
+    private acceptStart(order: StartOrder): Result<Answered, ExecutorFailure> {
+        const { task, run, fence, deadlineMs, payload, checkpoint } = order;
         if (!this.admits(fence)) {
             return refusal("fence");
         }
@@ -295,6 +295,9 @@
         if (deadlineMs <= this.now()) {
             return refusal("late");
         }
+        if (this.options.acceptsTicket?.(order) === false) {
+            return refusal("ticket");
+        }
         const work = (this.options.workOf ?? ((_, text) => parseStepWork(text)))(task, payload);
         if (!this.hasRoom(work.demand)) {
             return refusal("room");
