--- a/packages/dispatch/src/adviceDemand.ts
+++ b/packages/dispatch/src/adviceDemand.ts
@@ -1,9 +1,9 @@
 import { stepName } from "@persimmonpitch/workload/taskName.js";
-import { countedDemand, slotsIn } from "./demand.js";
+import { slotsIn } from "./demand.js";
 import type { DispatchView } from "./dispatchView.js";
 import { capacitySeats, type ExecutorRoom, executorRooms, isEligible, seatsIn } from "./executorRoom.js";
 import { type OpenOccurrence, openOccurrences, progressOf, stepKeys } from "./openOccurrences.js";
-import { freeKeys, isStepReady, type ReadyUnit } from "./readyUnits.js";
+import { freeKeys, isStepReady, type ReadyUnit, unitOf } from "./readyUnits.js";
 import { findRunSteps } from "./runGroups.js";
 
 /** An executor that may run a step as far as the system knows. */
@@ -51,7 +51,7 @@
         const name = stepName(owner.view.job.jobId, owner.occurrence, stepIndex);
         return keys.length === 0
             ? []
-            : [{ unit: { owner, stepIndex, step, demand: countedDemand(step), keys }, name, isReady }];
+            : [{ unit: unitOf(owner, stepIndex, step, keys), name, isReady }];
     });
 
 /**
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -3,11 +3,14 @@
 import { countedDemand } from "./demand.js";
 import type { AdvisedExecutors } from "./dispatchView.js";
 import { type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
+import { stepId } from "./stepId.js";
 
 /** Tasks of one step that can start now: a whole gang, or all free tasks of a step that is not a gang. */
 export interface ReadyUnit {
     readonly owner: OpenOccurrence;
     readonly stepIndex: number;
+    /** Identity of the step of the occurrence among all jobs. */
+    readonly stepId: string;
     readonly step: Step;
     readonly demand: Demand;
     readonly keys: readonly string[];
@@ -33,6 +36,16 @@
 export const isStepReady = ({ doneSteps }: OpenOccurrence, { after }: Step, stepIndex: number): boolean =>
     doneSteps[stepIndex] === false && after.every(earlier => doneSteps[earlier] === true);
 
+/** The unit of tasks of a step. */
+export const unitOf = (owner: OpenOccurrence, stepIndex: number, step: Step, keys: readonly string[]): ReadyUnit => ({
+    owner,
+    stepIndex,
+    stepId: stepId(owner.view, owner.occurrence, stepIndex),
+    step,
+    demand: countedDemand(step),
+    keys,
+});
+
 const NO_EXECUTORS: ReadonlySet<string> = new Set();
 
 const allowedFor = (
@@ -49,7 +62,7 @@
     owner.view.job.steps.flatMap((step, stepIndex) => {
         const allowed = allowedFor(owner, stepIndex, advised);
         const keys = isStepReady(owner, step, stepIndex) && allowed?.size !== 0 ? freeKeys(owner, stepIndex, step) : [];
-        return keys.length === 0 ? [] : [{ owner, stepIndex, step, demand: countedDemand(step), keys, allowed }];
+        return keys.length === 0 ? [] : [{ ...unitOf(owner, stepIndex, step, keys), allowed }];
     });
 
 /** Units of one kind have the same choice of executors and the same demand. */
