--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { StartRefusal } from "@persimmonpitch/workload/executorReport.js";
+import type { AdviceBook } from "./adviceBook.js";
 import type { AgentConnection } from "./agentTask.js";
 import type { Authority } from "./authority.js";
 import type { ControllerContext } from "./controllerContext.js";
@@ -10,6 +11,7 @@
 /** What an order sender works on. */
 export interface OrderSenderOptions {
     readonly fleet: Fleet;
+    readonly advice: AdviceBook;
     readonly jobs: JobBook;
     readonly context: ControllerContext;
     readonly epoch: number;
@@ -114,7 +116,7 @@
     }
 
     private async sendStart(state: ExecutorState, held: HeldRun): Promise<void> {
-        const { context, epoch, jobs, authority, onHeldBack, onChanged } = this.options;
+        const { context, epoch, jobs, authority, advice, onHeldBack, onChanged } = this.options;
         const connection = this.options.connectionOf(state.vm);
         const open = jobs.jobs.get(held.jobId);
         if (connection === undefined || open === undefined) {
@@ -129,6 +131,7 @@
         const deadlineMs = state.authorityEndMs;
         state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
         const checkpoint = open.task(held.key).checkpoint;
+        const ticket = advice.ticketOf(held);
         const answer = await connection.call("agent.start", {
             epoch,
             executorId: state.executorId,
@@ -137,6 +140,7 @@
             run: held.run,
             payload: open.job.payload,
             ...(checkpoint === undefined ? {} : { checkpoint }),
+            ...(ticket === undefined ? {} : { ticket }),
             deadlineMs,
         }, ORDER_TIMEOUT_MS);
         if (answer.isErr || this.stateOf(held) === undefined) {
@@ -147,6 +151,9 @@
                 held.startClockMs = answer.value.clockMs;
                 break;
             case "refused":
+                if (answer.value.reason === "ticket") {
+                    advice.discard(held);
+                }
                 state.pausedUntil = context.clock.now() + PAUSE_MS[answer.value.reason];
                 this.settleRefusal(held, answer.value.reason, answer.value.stoppedClockMs);
                 break;
