--- a/packages/control/src/agentTask.ts
+++ b/packages/control/src/agentTask.ts
@@ -149,12 +149,12 @@
     }
     logger.log("info", "agent.attached", { vm, epoch });
     events.onAttached(vm, connection, attached.value.reports);
+    const closed = new AbortController();
+    void served.then(() => {
+        closed.abort();
+    });
     while (connection.isOpen && !isAborted(signal) && await events.renewLeases(vm, connection)) {
-        const closed = new AbortController();
-        void served.then(() => {
-            closed.abort();
-        });
-        await clock.sleep(LEASE_INTERVAL_MS, AbortSignal.any([signal, closed.signal]));
+        await withAnySignal([signal, closed.signal], end => clock.sleep(LEASE_INTERVAL_MS, end));
     }
     connection.close();
     await served;
--- a/packages/control/src/configBook.ts
+++ b/packages/control/src/configBook.ts
@@ -12,9 +12,12 @@
         return this.newest;
     }
 
-    /** Calls `listener` after each new version. */
-    listen(listener: () => void): void {
+    /** Calls `listener` after each new version, until the returned function is called. */
+    listen(listener: () => void): () => void {
         this.listeners.add(listener);
+        return () => {
+            this.listeners.delete(listener);
+        };
     }
 
     /** Applies a configuration unless a newer one is known. */
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
@@ -143,9 +144,8 @@
     }
 
     private async runElection(signal: AbortSignal): Promise<void> {
-        const electing = AbortSignal.any([signal, this.released.signal]);
-        while (!electing.aborted) {
-            this.taking = this.election.take(electing);
+        while (!signal.aborted && !this.released.signal.aborted) {
+            this.taking = withAnySignal([signal, this.released.signal], electing => this.election.take(electing));
             const role = await this.taking;
             if (role === undefined) {
                 return;
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import { dispatchPass } from "@persimmonpitch/dispatch/dispatchPass.js";
 import type { DispatchDecision, StartDecision, StopDecision } from "@persimmonpitch/dispatch/dispatchView.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
@@ -12,6 +13,7 @@
 import type { ExecutorState, HeldRun } from "./executorState.js";
 import { Fleet } from "./fleet.js";
 import { JobBook } from "./jobBook.js";
+import { KeyedTasks } from "./keyedTasks.js";
 import { inheritedLapsedAt, lapsedAt, LEASE_MS } from "./leaseRules.js";
 import type { OpenJob } from "./openJob.js";
 import { stepKeys } from "./openJob.js";
@@ -35,7 +37,7 @@
     private readonly term: TermKeeper;
     private readonly orders: OrderSender;
     private readonly connections = new Map<string, AgentConnection>();
-    private readonly agentTasks = new Map<string, Promise<void>>();
+    private readonly agentTasks = new KeyedTasks();
     private readonly wake = new WakeSignal();
 
     constructor(private readonly context: ControllerContext, private readonly role: TakenRole) {
@@ -85,24 +87,25 @@
 
     /** Works until the role is lost or `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
-        const ended = AbortSignal.any([signal, this.lost.signal]);
-        const stopListening = this.context.replica.listen(keys => {
-            this.noteRows(keys);
-        });
-        this.context.config.listen(() => {
-            this.wake.wake();
-        });
+        const stopListening = [
+            this.context.replica.listen(keys => {
+                this.noteRows(keys);
+            }),
+            this.context.config.listen(() => {
+                this.wake.wake();
+            }),
+        ];
         this.noteRows([...this.context.replica.cancels.keys()].map(jobId => `cancel/${jobId}`));
-        await Promise.all([
-            this.writer.run(ended),
-            this.term.run(ended),
-            this.runPasses(ended),
-        ]);
-        stopListening();
-        for (const connection of this.connections.values()) {
-            connection.close();
-        }
-        await Promise.all(this.agentTasks.values());
+        await withAnySignal([signal, this.lost.signal], async ended => {
+            await Promise.all([
+                this.writer.run(ended),
+                this.term.run(ended),
+                this.runPasses(ended),
+            ]);
+            stopListening.forEach(stop => {
+                stop();
+            });
+        });
     }
 
     onAttached(vm: string, connection: AgentConnection, reports: readonly ExecutorReport[]): void {
@@ -260,23 +263,22 @@
 
     private async runPasses(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            this.startAgentTasks(signal);
+            this.startAgentTasks();
             this.loseLapsed();
             this.reconcile();
             this.decide();
             await this.wake.wait(this.context.clock, IDLE_PASS_MS, signal);
             await this.context.clock.sleep(PASS_DELAY_MS, signal);
         }
+        for (const connection of this.connections.values()) {
+            connection.close();
+        }
+        await this.agentTasks.end();
     }
 
-    private startAgentTasks(signal: AbortSignal): void {
+    private startAgentTasks(): void {
         for (const vm of this.context.replica.agents.keys()) {
-            if (!this.agentTasks.has(vm)) {
-                const task = runAgentTask(this.context, vm, this.role.epoch, this, signal).finally(() => {
-                    this.agentTasks.delete(vm);
-                });
-                this.agentTasks.set(vm, task);
-            }
+            this.agentTasks.start(vm, signal => runAgentTask(this.context, vm, this.role.epoch, this, signal));
         }
     }
 
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -7,6 +7,7 @@
 import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
 import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { ConnectLink } from "./controllerContext.js";
+import { KeyedTasks } from "./keyedTasks.js";
 import { PeerStore } from "./peerStore.js";
 import type { Replica } from "./replica.js";
 import type { RowStore } from "./rowStore.js";
@@ -35,7 +36,7 @@
 /** Connections to the other entries: for forwarded store calls, and to see at once when one dies. */
 export class PeerLinks {
     private readonly connections = new Map<string, PeerConnection>();
-    private readonly tasks = new Map<string, Promise<void>>();
+    private readonly tasks = new KeyedTasks();
 
     constructor(private readonly options: PeerLinksOptions) {}
 
@@ -44,18 +45,13 @@
         const { replica, clock, vm } = this.options;
         while (!signal.aborted) {
             for (const peer of replica.entries.keys()) {
-                if (peer !== vm && !this.tasks.has(peer)) {
-                    this.tasks.set(
-                        peer,
-                        this.serve(peer, signal).finally(() => {
-                            this.tasks.delete(peer);
-                        }),
-                    );
+                if (peer !== vm) {
+                    this.tasks.start(peer, end => this.serve(peer, end));
                 }
             }
             await clock.sleep(CHECK_MS, signal);
         }
-        await Promise.all(this.tasks.values());
+        await this.tasks.end();
     }
 
     /** Stores that make calls through the connected peers. */
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -53,6 +53,7 @@
     readonly store = new MemoryRowStore(this.clock);
     readonly executors = new Map<string, MemoryStepExecutor>();
     readonly nodes = new Map<string, ControlNode>();
+    readonly configs = new Map<string, ConfigBook>();
     readonly runs: ObservedRun[] = [];
     /** When the outcome of each job was first seen in the store. */
     readonly endedJobs = new Map<string, Millis>();
@@ -86,6 +87,7 @@
         this.instances += 1;
         const config = new ConfigBook(silentLogger);
         config.offer(CONFIG);
+        this.configs.set(name, config);
         const process = new PausableProcess(this.clock);
         this.processes.set(name, process);
         const store = process.store(this.store.client(name));
--- a/packages/executor/src/controllerConnection.ts
+++ b/packages/executor/src/controllerConnection.ts
@@ -13,8 +13,15 @@
 
 /** What the task of a controller's connection works on. */
 export interface ControllerConnectionContext extends ControllerHandlerContext {
-    /** Connections to wake when a report may have changed. */
-    readonly connected: Set<WakeSignal>;
+    /** The connections that are open. */
+    readonly connected: Set<ConnectedController>;
+}
+
+/** A connection as the agent uses it. */
+export interface ConnectedController {
+    /** Wakes its task when a report may have changed. */
+    readonly wake: () => void;
+    readonly close: () => void;
 }
 
 type ControllerLink = Connection<ControllerToAgentMethods, AgentToControllerMethods>;
@@ -117,7 +124,7 @@
 
 /** The task of one controller's connection: serves its calls and reports to it until the connection closes. */
 export const runControllerConnection = async (context: ControllerConnectionContext, link: Link): Promise<void> => {
-    const { clock, logger, signal, connected } = context;
+    const { clock, logger } = context;
     const wake = new WakeSignal();
     const connection: ControllerLink = new Connection({
         link,
@@ -133,18 +140,20 @@
         },
     });
     const stream = new ReportStream(context, connection);
-    const close = () => {
-        connection.close();
+    const connected: ConnectedController = {
+        wake: () => {
+            wake.wake();
+        },
+        close: () => {
+            connection.close();
+        },
     };
-    // A report that is under way would otherwise hold up the agent's stop until its timeout.
-    signal.addEventListener("abort", close);
-    connected.add(wake);
+    context.connected.add(connected);
     const served = connection.run().finally(() => {
         wake.wake();
     });
     await stream.run(wake);
-    connected.delete(wake);
-    signal.removeEventListener("abort", close);
-    close();
+    context.connected.delete(connected);
+    connection.close();
     await served;
 };
--- a/packages/executor/src/executorAgent.ts
+++ b/packages/executor/src/executorAgent.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "@persimmonpitch/clock/clock.js";
-import type { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { ExecutorInfo } from "@persimmonpitch/workload/executorReport.js";
 import type { AgentContext } from "./agentContext.js";
 import { Authority } from "./authority.js";
+import type { ConnectedController } from "./controllerConnection.js";
 import { runControllerConnection } from "./controllerConnection.js";
 import { ExecutorOrders } from "./executorOrders.js";
 import type { ExecutorPort } from "./executorPort.js";
@@ -21,7 +21,7 @@
 /** The agent beside the executors of one VM. An old executor may drain there while its successor starts. */
 export class ExecutorAgent {
     private readonly stopController = new AbortController();
-    private readonly connected = new Set<WakeSignal>();
+    private readonly connected = new Set<ConnectedController>();
     private readonly executors = new Map<string, ObservedExecutor>();
     private readonly tasks = new Set<Promise<void>>();
     private readonly context: AgentContext;
@@ -36,8 +36,8 @@
             authority: new Authority(),
             signal: this.stopController.signal,
             onChange: () => {
-                this.connected.forEach(wake => {
-                    wake.wake();
+                this.connected.forEach(({ wake }) => {
+                    wake();
                 });
             },
         };
@@ -72,6 +72,10 @@
     /** Ends all tasks of the agent; what runs on the executors goes on. */
     async stop(): Promise<void> {
         this.stopController.abort();
+        // A report that is under way would otherwise hold up the stop until its timeout.
+        this.connected.forEach(({ close }) => {
+            close();
+        });
         await Promise.all(this.tasks);
     }
 
