--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -63,6 +63,7 @@
     readonly store = new MemoryRowStore(this.clock);
     readonly executors = new Map<string, MemoryStepExecutor>();
     readonly nodes = new Map<string, ControlNode>();
+    readonly configs = new Map<string, ConfigBook>();
     readonly runs: ObservedRun[] = [];
     /** When the outcome of each job was first seen in the store. */
     readonly endedJobs = new Map<string, Millis>();
@@ -112,6 +113,7 @@
             ...CONFIG,
             queues: CONFIG.queues.map(queue => advice === undefined ? queue : { ...queue, advice }),
         });
+        this.configs.set(name, config);
         const process = new PausableProcess(this.clock);
         this.processes.set(name, process);
         const store = process.store(this.store.client(name));
