--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -9,6 +9,7 @@
 import { prospectsOf } from "./prospects.js";
 import { type ReadyUnit, readyUnits, unitKind } from "./readyUnits.js";
 import { expectedReleases } from "./reservations.js";
+import { RoomIndex } from "./roomIndex.js";
 import { findRunSteps, groupsByExecutor, runGroups } from "./runGroups.js";
 import { estimateRunTimes } from "./runTimes.js";
 import { scarcityOf, type Spans, spansOf } from "./seating.js";
@@ -51,7 +52,7 @@
         const { size } = avoidedBy(unit, avoided);
         const kind = size === 0 ? unitKind(unit) : undefined;
         const known = kind === undefined ? undefined : spansOfKind.get(kind);
-        const spans = known ?? spansOf(state.rooms, unit, avoidedBy(unit, avoided));
+        const spans = known ?? spansOf(unit, avoidedBy(unit, avoided), state.seating.index);
         if (kind !== undefined) {
             spansOfKind.set(kind, spans);
         }
@@ -59,8 +60,11 @@
     }
 };
 
-/** Decides for one view of the jobs and executors, and returns all that the pass worked with. */
-export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassState => {
+/** What a pass decided, and the executors with what it looked at. */
+export type PassResult = Pick<PassState, "decisions" | "rooms">;
+
+/** Decides for one view of the jobs and executors. */
+export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassResult => {
     const options = { ...DEFAULT_DISPATCH_OPTIONS, ...overrides };
     const jobs: ReadonlyMap<string, JobView> = new Map(view.jobs.map(job => [job.job.jobId, job]));
     const occurrences = openOccurrences(view.jobs, view.now, view.wallTime);
@@ -68,6 +72,11 @@
     const groups = runGroups(view.executors, runSteps);
     const runTimes = estimateRunTimes(view.jobs, groups, view.samples, view.now);
     const moves = findMoves(view, groups, runTimes, options);
+    const units = occurrences.flatMap(owner => readyUnits(owner, view.advised));
+    if (units.length === 0 && moves.length === 0) {
+        // Most passes are of this kind: the controller runs one every 250 ms also when nothing happens.
+        return { decisions: [], rooms: [] };
+    }
     const unhealthy = unhealthyExecutors(moves);
     const rooms = executorRooms(view, runSteps, index => {
         const executor = view.executors[index];
@@ -87,7 +96,7 @@
         prospects,
         guaranteed,
         releases: expectedReleases(groups, runTimes),
-        scarcity: scarcityOf(rooms),
+        seating: { scarcity: scarcityOf(rooms), index: new RoomIndex(rooms) },
         stopped: new Set(),
         stopCosts: new Map(),
         misfits: new Map(),
@@ -98,7 +107,7 @@
     moves.forEach(({ group, reason }) => {
         stopGroup(state, group, reason);
     });
-    placeAll(state, orderUnits(occurrences.flatMap(readyUnits), occurrences, prospects, guaranteed, options));
+    placeAll(state, orderUnits(units, occurrences, prospects, guaranteed, options));
     return state;
 };
 
--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -33,6 +33,8 @@
     taskCount: number;
     /** Tasks here of each step with a limit per executor. */
     readonly tasksOfStep: Map<string, number>;
+    /** Called when something of it changes, so that an index of executors can follow. */
+    onChanged: () => void;
     /** How often the pass looked at this executor; tests of growth count it. */
     visits: number;
 }
@@ -49,8 +51,8 @@
 const rackOf = ({ rack, vm }: ExecutorView): string => rack ?? `vm ${vm}`;
 
 const takeRuns = (room: ExecutorRoom, runSteps: RunSteps): void => {
-    for (const run of room.executor.runs) {
-        const runStep = runSteps.get(run);
+    for (const [index, run] of room.executor.runs.entries()) {
+        const runStep = runSteps[room.index]?.[index];
         if (runStep === undefined) {
             // The demand of a run of an unknown job is unknown, so nothing may be added until it has ended.
             Object.assign(room.free, noDemand());
@@ -83,6 +85,7 @@
             reservation: undefined,
             taskCount: executor.runs.length,
             tasksOfStep: new Map(),
+            onChanged: () => undefined,
             visits: 0,
         };
         takeRuns(room, runSteps);
@@ -115,13 +118,16 @@
         : smaller(unclaimed, reservation.spare);
 };
 
+/** Whether the executor may run tasks of the unit, apart from advice. */
+export const isEligible = ({ executor }: ExecutorRoom, { owner, step }: ReadyUnit): boolean =>
+    executor.takesWork
+    && executor.service === owner.view.queue.service
+    && (step.requiredLabel === undefined || executor.labels.includes(step.requiredLabel));
+
 /** Whether the executor may run tasks of the unit at all. */
-export const accepts = (room: ExecutorRoom, { owner, step }: ReadyUnit): boolean => {
-    const { executor } = room;
+export const accepts = (room: ExecutorRoom, unit: ReadyUnit): boolean => {
     room.visits += 1;
-    return executor.takesWork
-        && executor.service === owner.view.queue.service
-        && (step.requiredLabel === undefined || executor.labels.includes(step.requiredLabel));
+    return isEligible(room, unit) && (unit.allowed?.has(room.executor.executorId) ?? true);
 };
 
 /** How many tasks an executor takes, by its health. */
@@ -150,6 +156,7 @@
 
 /** Takes room for tasks that start now. */
 export const takeRoom = (room: ExecutorRoom, unit: ReadyUnit, count: number, lengthMs: Millis): void => {
+    room.onChanged();
     addTo(room.free, unit.demand, -count);
     room.taskCount += count;
     countTasks(room, { ...unit.owner, ...unit }, count);
@@ -160,6 +167,7 @@
 
 /** Keeps free and coming room for tasks that start as soon as they fit. */
 export const claimRoom = (room: ExecutorRoom, { demand }: ReadyUnit, count: number): void => {
+    room.onChanged();
     addTo(room.claimed, demand, count);
     if (room.reservation !== undefined) {
         addTo(room.reservation.spare, demand, -count);
