--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -29,7 +29,7 @@
         teams: config.teams,
         jobs: jobViews(config, jobs),
         executors: [...fleet.executors.values()].flatMap(state => executorView(state, now, offset)),
-        samples: fleet.samples,
+        samples: fleet.samples.samples,
         advised,
     };
 };
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -2,31 +2,29 @@
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import { dispatchPass } from "@persimmonpitch/dispatch/dispatchPass.js";
-import type { DispatchDecision, StartDecision, StopDecision } from "@persimmonpitch/dispatch/dispatchView.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
-import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import { AdviceBook } from "./adviceBook.js";
 import type { AgentConnection, AgentEvents } from "./agentTask.js";
 import { runAgentTask } from "./agentTask.js";
 import { Authority } from "./authority.js";
 import { buildDispatchView } from "./buildDispatchView.js";
 import type { ControllerContext, TakenRole } from "./controllerContext.js";
-import type { ExecutorState, HeldRun } from "./executorState.js";
+import { DecisionApplier } from "./decisionApplier.js";
+import type { ExecutorState } from "./executorState.js";
 import { Fleet } from "./fleet.js";
 import { JobBook } from "./jobBook.js";
 import { KeyedTasks } from "./keyedTasks.js";
-import { inheritedLapsedAt, lapsedAt, LEASE_MS } from "./leaseRules.js";
+import { LeaseKeeper } from "./leaseKeeper.js";
 import type { OpenJob } from "./openJob.js";
-import { stepKeys } from "./openJob.js";
 import { OrderSender } from "./orderSender.js";
 import { ProgressWriter } from "./progressWriter.js";
+import { Reconciler } from "./reconciler.js";
 import { TermKeeper } from "./termKeeper.js";
 
 /** Events within this time share one pass. */
 const PASS_DELAY_MS: Millis = 5;
 /** A pass also runs when nothing happens, for due times, stalled runs and lapsed leases. */
 const IDLE_PASS_MS: Millis = 250;
-const LEASE_TIMEOUT_MS: Millis = 1_500;
 
 /** Decides what runs where, while this process holds the role. */
 export class Controller implements AgentEvents {
@@ -37,6 +35,9 @@
     private readonly authority: Authority;
     private readonly term: TermKeeper;
     private readonly orders: OrderSender;
+    private readonly leases: LeaseKeeper;
+    private readonly reconciler: Reconciler;
+    private readonly applier: DecisionApplier;
     private readonly advice: AdviceBook;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks = new KeyedTasks();
@@ -81,21 +82,41 @@
             },
             onRoleLost,
         });
+        const connectionOf = (vm: string) => this.connections.get(vm);
+        const onHeldBack = () => {
+            this.term.renewSoon();
+        };
+        const { fleet, jobs, writer, authority } = this;
+        const { epoch, takenAt } = role;
+        const { maxLeaseMs } = context.timings;
         this.orders = new OrderSender({
-            fleet: this.fleet,
+            fleet,
             advice: this.advice,
-            jobs: this.jobs,
+            jobs,
             context,
-            epoch: role.epoch,
-            authority: this.authority,
-            onHeldBack: () => {
-                this.term.renewSoon();
-            },
-            connectionOf: vm => this.connections.get(vm),
+            epoch,
+            authority,
+            onHeldBack,
+            connectionOf,
             onChanged: () => {
                 this.wake.wake();
             },
         });
+        const { orders } = this;
+        this.leases = new LeaseKeeper({
+            fleet,
+            clock,
+            epoch,
+            authority,
+            connectionOf,
+            flushed: () => writer.flushed(),
+            onHeldBack,
+            onFenced: () => {
+                this.loseRole("An agent knows a newer epoch.");
+            },
+        });
+        this.reconciler = new Reconciler({ fleet, jobs, orders, clock, takenAt, maxLeaseMs });
+        this.applier = new DecisionApplier({ fleet, jobs, orders, writer, logger });
     }
 
     /** Works until the role is lost or `signal` aborts. */
@@ -160,10 +181,8 @@
         this.loseRole(`An agent knows the newer epoch ${epoch}.`);
     }
 
-    async renewLeases(vm: string, connection: AgentConnection): Promise<boolean> {
-        const states = [...this.fleet.executors.values()].filter(state => state.vm === vm && state.isAttached);
-        const answers = await Promise.all(states.map(state => this.renewLease(state, connection)));
-        return answers.every(Boolean);
+    renewLeases(vm: string, connection: AgentConnection): Promise<boolean> {
+        return this.leases.renewAll(vm, connection);
     }
 
     /** Gives the role away, so that another process can take it at once. */
@@ -220,46 +239,8 @@
         }
         const lastEnd = Math.max(0, ...list.ends.map(({ number }) => number));
         if (lastEnd > state.durableEnd) {
-            void this.acknowledge(state, list.born, lastEnd);
-        }
-    }
-
-    private async acknowledge(state: ExecutorState, born: number, lastEnd: number): Promise<void> {
-        if (!await this.writer.flushed() || state.born !== born || lastEnd <= state.durableEnd) {
-            return;
-        }
-        state.durableEnd = lastEnd;
-        const connection = this.connections.get(state.vm);
-        if (connection !== undefined) {
-            await this.renewLease(state, connection);
-        }
-    }
-
-    private async renewLease(state: ExecutorState, connection: AgentConnection): Promise<boolean> {
-        const { clock } = this.context;
-        if (state.clock === undefined) {
-            return true;
-        }
-        if (this.authority.isFresh && state.authorityEndMs !== undefined) {
-            const now = state.clock.readingMs + clock.now() - state.clock.at;
-            const deadlineMs = Math.floor(Math.min(now, state.authorityEndMs) + LEASE_MS);
-            state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
-        }
-        else {
-            state.isAuthorityAwaited = true;
-            this.term.renewSoon();
+            void this.leases.acknowledge(state, list.born, lastEnd);
         }
-        const answer = await connection.call("agent.lease", {
-            epoch: this.role.epoch,
-            executorId: state.executorId,
-            born: state.born,
-            deadlineMs: state.deadlineMs,
-            durableEnd: state.durableEnd,
-        }, LEASE_TIMEOUT_MS);
-        if (answer.isOk && answer.value.kind === "refused" && answer.value.reason === "fence") {
-            this.loseRole("An agent knows a newer epoch.");
-        }
-        return answer.isOk;
     }
 
     /** Gives the leases and sends the starts that waited for a renewal of the term. */
@@ -270,7 +251,7 @@
                 continue;
             }
             state.isAuthorityAwaited = false;
-            void this.renewLease(state, connection);
+            void this.leases.renew(state, connection);
             this.orders.releaseHeldBack(state);
         }
     }
@@ -278,8 +259,8 @@
     private async runPasses(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             this.startAgentTasks();
-            this.loseLapsed();
-            this.reconcile();
+            this.reconciler.loseLapsed();
+            this.reconciler.reconcile();
             this.decide();
             await this.wake.wait(this.context.clock, IDLE_PASS_MS, signal);
             await this.context.clock.sleep(PASS_DELAY_MS, signal);
@@ -296,57 +277,6 @@
         }
     }
 
-    /** Runs on an executor that cannot be reached are gone once its lease has certainly lapsed. */
-    private loseLapsed(): void {
-        const now = this.context.clock.now();
-        for (const state of this.fleet.executors.values()) {
-            if (state.runs.size === 0 || state.isAttached) {
-                continue;
-            }
-            const lapse = state.clock === undefined
-                ? inheritedLapsedAt(this.role.takenAt, this.context.timings.maxLeaseMs)
-                : lapsedAt(state.deadlineMs, state.clock);
-            if (now >= lapse) {
-                this.fleet.loseAll(state, "lapsed");
-            }
-        }
-    }
-
-    /** Ends what must not run on: runs of ended jobs, gangs that lost a member, runs that no claim covers. */
-    private reconcile(): void {
-        for (const state of this.fleet.executors.values()) {
-            for (const held of state.runs.values()) {
-                const open = this.jobs.jobs.get(held.jobId);
-                if (open === undefined || !open.isOpen || held.isConcluded || this.isGangBroken(open, held)) {
-                    this.orders.stop(held);
-                }
-            }
-            for (const stray of state.strays.values()) {
-                this.orders.stopStray(state, stray);
-            }
-        }
-        const busy = new Set(
-            [...this.fleet.executors.values()].flatMap(state => [...state.runs.values()].map(({ jobId }) => jobId)),
-        );
-        for (const [jobId, open] of this.jobs.jobs) {
-            if (!open.isOpen && !busy.has(jobId)) {
-                this.jobs.release(jobId);
-            }
-        }
-    }
-
-    private isGangBroken(open: OpenJob, held: HeldRun): boolean {
-        const place = parseTaskName(held.task);
-        const step = place === undefined ? undefined : open.job.steps[place.step];
-        if (place === undefined || step?.isGang !== true) {
-            return false;
-        }
-        return stepKeys(step, place.occurrence, place.step).some(key => {
-            const task = open.task(key);
-            return task.run !== held.run || (task.placement === undefined && !task.isDone);
-        });
-    }
-
     private decide(): void {
         const config = this.context.config.current;
         if (config === undefined) {
@@ -356,7 +286,7 @@
         const startedAt = this.context.clock.now();
         const decisions = dispatchPass(view);
         for (const decision of decisions) {
-            this.apply(decision);
+            this.applier.apply(decision);
         }
         this.advice.note(view);
         if (decisions.length > 0) {
@@ -367,54 +297,4 @@
             });
         }
     }
-
-    private apply(decision: DispatchDecision): void {
-        switch (decision.kind) {
-            case "start":
-                this.applyStart(decision);
-                return;
-            case "stop":
-                this.applyStop(decision);
-                return;
-            default: {
-                const never: never = decision;
-                return never;
-            }
-        }
-    }
-
-    private applyStart({ jobId, run, tasks }: StartDecision): void {
-        const open = this.jobs.jobs.get(jobId);
-        if (open === undefined) {
-            return;
-        }
-        const held = tasks.flatMap(({ key, executorId }) => {
-            const state = this.fleet.executors.get(executorId);
-            return state === undefined ? [] : [this.fleet.claim(open, key, run, state)];
-        });
-        this.writer.markDirty(open);
-        void this.startWhenDurable(held);
-    }
-
-    private async startWhenDurable(held: readonly HeldRun[]): Promise<void> {
-        if (!await this.writer.flushed()) {
-            return;
-        }
-        for (const run of held) {
-            run.isClaimed = true;
-            this.context.logger.log("info", "run.ordered", { task: run.task, run: run.run, executor: run.executorId });
-            this.orders.start(run);
-        }
-    }
-
-    private applyStop({ jobId, key, run, reason }: StopDecision): void {
-        const task = taskName(jobId, key);
-        for (const state of this.fleet.executors.values()) {
-            const held = state.runs.get(task);
-            if (held?.run === run && !held.isStopping) {
-                this.context.logger.log("info", "run.stopping", { task, run, reason });
-                this.orders.stop(held);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/packages/control/src/decisionApplier.ts
@@ -0,0 +1,72 @@
+import type { DispatchDecision, StartDecision, StopDecision } from "@persimmonpitch/dispatch/dispatchView.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import { taskName } from "@persimmonpitch/workload/taskName.js";
+import type { HeldRun } from "./executorState.js";
+import type { Fleet } from "./fleet.js";
+import type { JobBook } from "./jobBook.js";
+import type { OrderSender } from "./orderSender.js";
+import type { ProgressWriter } from "./progressWriter.js";
+
+/** What a decision applier works on. */
+export interface DecisionApplierOptions {
+    readonly fleet: Fleet;
+    readonly jobs: JobBook;
+    readonly orders: OrderSender;
+    readonly writer: ProgressWriter;
+    readonly logger: Logger;
+}
+
+/** Carries out the decisions of a pass: a start is ordered once its claim is durable, a stop at once. */
+export class DecisionApplier {
+    constructor(private readonly options: DecisionApplierOptions) {}
+
+    apply(decision: DispatchDecision): void {
+        switch (decision.kind) {
+            case "start":
+                this.applyStart(decision);
+                return;
+            case "stop":
+                this.applyStop(decision);
+                return;
+            default: {
+                const never: never = decision;
+                return never;
+            }
+        }
+    }
+
+    private applyStart({ jobId, run, tasks }: StartDecision): void {
+        const open = this.options.jobs.jobs.get(jobId);
+        if (open === undefined) {
+            return;
+        }
+        const held = tasks.flatMap(({ key, executorId }) => {
+            const state = this.options.fleet.executors.get(executorId);
+            return state === undefined ? [] : [this.options.fleet.claim(open, key, run, state)];
+        });
+        this.options.writer.markDirty(open);
+        void this.startWhenDurable(held);
+    }
+
+    private async startWhenDurable(held: readonly HeldRun[]): Promise<void> {
+        if (!await this.options.writer.flushed()) {
+            return;
+        }
+        for (const run of held) {
+            run.isClaimed = true;
+            this.options.logger.log("info", "run.ordered", { task: run.task, run: run.run, executor: run.executorId });
+            this.options.orders.start(run);
+        }
+    }
+
+    private applyStop({ jobId, key, run, reason }: StopDecision): void {
+        const task = taskName(jobId, key);
+        for (const state of this.options.fleet.executors.values()) {
+            const held = state.runs.get(task);
+            if (held?.run === run && !held.isStopping) {
+                this.options.logger.log("info", "run.stopping", { task, run, reason });
+                this.options.orders.stop(held);
+            }
+        }
+    }
+}
--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -1,15 +1,17 @@
 import type { Clock } from "@persimmonpitch/clock/clock.js";
-import type { RunSample } from "@persimmonpitch/dispatch/dispatchView.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { EndKind, RunEnd, RunInProgress, RunList } from "@persimmonpitch/workload/executorReport.js";
+import type { RunEnd, RunInProgress, RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { Placement } from "@persimmonpitch/workload/progress.js";
-import type { Demand } from "@persimmonpitch/workload/step.js";
-import { parseTaskName, taskKey, taskName } from "@persimmonpitch/workload/taskName.js";
+import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { HeldRun } from "./executorState.js";
 import { ExecutorState } from "./executorState.js";
 import type { JobBook } from "./jobBook.js";
 import type { OpenJob } from "./openJob.js";
-import { stepKeys } from "./openJob.js";
+import { runDemand } from "./runDemand.js";
+import type { EndedRun } from "./runEnds.js";
+import { RunEnds } from "./runEnds.js";
+import { RunSamples } from "./runSamples.js";
+import { noteStrays } from "./strayRuns.js";
 
 /** What a fleet works on. */
 export interface FleetOptions {
@@ -22,26 +24,15 @@
     readonly onChanged: (open: OpenJob) => void;
 }
 
-/** A run that ended or was lost; a late end is of a run that is no longer held. */
-interface EndedRun {
-    readonly open: OpenJob;
-    readonly task: string;
-    readonly key: string;
-    readonly run: number;
-    readonly checkpoint: string;
-}
-
-/** A run that began after this share of the work was done says too little about the whole. */
-const MIN_SAMPLED_SHARE = 0.5;
-const REMEMBERED_SAMPLES = 300;
-
 /** All executors and what runs on them. */
 export class Fleet {
     readonly executors = new Map<string, ExecutorState>();
-    /** What tasks took that ended lately, to estimate others of their queues. */
-    readonly samples: RunSample[] = [];
+    readonly samples = new RunSamples();
+    private readonly ends: RunEnds;
 
     constructor(private readonly options: FleetOptions) {
+        const { maxAttempts, onChanged } = options;
+        this.ends = new RunEnds({ executors: this.executors, maxAttempts, onChanged });
         for (const open of options.jobs.jobs.values()) {
             this.inherit(open);
         }
@@ -72,7 +63,7 @@
         this.options.logger.log("info", "run.lost", { task: held.task, run: held.run, reason });
         this.drop(held);
         if (open !== undefined) {
-            this.clearPlacement({ ...held, open, checkpoint: "" });
+            this.ends.clearPlacement({ ...held, open, checkpoint: "" });
         }
     }
 
@@ -116,7 +107,7 @@
         for (const held of [...state.runs.values()]) {
             this.applyListed(held, listed.get(held.task), list.clockMs);
         }
-        this.findStrays(state, list);
+        noteStrays(this.options.jobs, state, list);
     }
 
     /** A new incarnation: what ran on the older one is gone. */
@@ -156,7 +147,7 @@
             run,
             executorId: placement.executorId,
             born: placement.born,
-            demand: demandOf(open, key),
+            demand: runDemand(open, key),
             orderedAt: this.options.clock.now(),
             isInherited,
             isClaimed: isInherited,
@@ -198,7 +189,7 @@
             return;
         }
         if (end.kind === "done" && isHeld) {
-            this.noteSample(ended.open, held);
+            this.samples.note(ended.open, held, this.options.clock.now());
         }
         if (end.kind === "done" || end.kind === "failed") {
             state.noteEnd({
@@ -208,7 +199,7 @@
                 at: this.options.clock.now(),
             });
         }
-        endHandlers[end.kind](this, ended);
+        this.ends.apply(end.kind, ended);
     }
 
     /** The run that ended, unless its task is done or the run was never claimed. */
@@ -222,93 +213,6 @@
         return isDone || run > lastRun ? undefined : { open, task, key: place.key, run, checkpoint };
     }
 
-    /** The task is done; a gang is done as a whole, though its other members may be listed a little longer. */
-    conclude(ended: EndedRun): void {
-        const { open, task, key } = ended;
-        const place = parseTaskName(task);
-        const step = place === undefined ? undefined : open.job.steps[place.step];
-        if (place === undefined || step === undefined || step.isLongRunning) {
-            this.clearPlacement(ended);
-            return;
-        }
-        const keys = step.isGang ? stepKeys(step, place.occurrence, place.step) : [key];
-        for (const member of keys) {
-            this.markConcluded(open, member);
-            open.update(member, { isDone: true, placement: undefined, checkpoint: undefined });
-        }
-        this.options.onChanged(open);
-    }
-
-    /** The run failed by its own or the executor's fault; a gang counts one failure a run. */
-    fail(ended: EndedRun): void {
-        const { open, task, key, run } = ended;
-        const place = parseTaskName(task);
-        const step = place === undefined ? undefined : open.job.steps[place.step];
-        const countedKey = step?.isGang === true && place !== undefined
-            ? taskKey({ ...place, index: 0 })
-            : key;
-        const counted = open.task(countedKey);
-        if (counted.failedRun !== run) {
-            open.update(countedKey, { failures: counted.failures + 1, failedRun: run });
-        }
-        this.clearPlacement(ended);
-        const isHopeless = open.task(countedKey).failures >= this.options.maxAttempts(open);
-        if (isHopeless && step?.isLongRunning !== true) {
-            open.conclude("failed");
-        }
-        this.options.onChanged(open);
-    }
-
-    /** The run is over, and its task has to run again, unless a later run of it was started already. */
-    clearPlacement({ open, task, key, run, checkpoint }: EndedRun): void {
-        const progress = open.task(key);
-        if (progress.run !== run || progress.isDone) {
-            return;
-        }
-        open.update(key, { placement: undefined, ...(checkpoint === "" ? {} : { checkpoint }) });
-        if (checkpoint !== "") {
-            this.shareCheckpoint(open, task, checkpoint);
-        }
-        this.options.onChanged(open);
-    }
-
-    /** A checkpoint of one member is good for the whole gang, and all members have to carry the same one. */
-    private shareCheckpoint(open: OpenJob, task: string, checkpoint: string): void {
-        const place = parseTaskName(task);
-        const step = place === undefined ? undefined : open.job.steps[place.step];
-        if (place === undefined || step?.isGang !== true) {
-            return;
-        }
-        for (const key of stepKeys(step, place.occurrence, place.step)) {
-            open.update(key, { checkpoint });
-        }
-    }
-
-    private noteSample(open: OpenJob, held: HeldRun): void {
-        const step = open.job.steps[parseTaskName(held.task)?.step ?? -1];
-        if (step === undefined || held.firstListedAt === undefined) {
-            return;
-        }
-        const share = 1 - (held.firstPercent ?? 0) / 100;
-        const actualMs = (this.options.clock.now() - held.firstListedAt) / Math.max(share, MIN_SAMPLED_SHARE);
-        if (actualMs > 0 && share >= MIN_SAMPLED_SHARE) {
-            this.samples.push({ queue: open.job.queue, declaredMs: step.declaredMs, actualMs });
-            if (this.samples.length > REMEMBERED_SAMPLES) {
-                this.samples.shift();
-            }
-        }
-    }
-
-    private markConcluded(open: OpenJob, key: string): void {
-        const executorId = open.task(key).placement?.executorId;
-        const held = executorId === undefined
-            ? undefined
-            : this.executors.get(executorId)?.runs.get(taskName(open.job.jobId, key));
-        if (held !== undefined) {
-            held.isConcluded = true;
-        }
-    }
-
     private applyListed(held: HeldRun, listed: RunInProgress | undefined, clockMs: number): void {
         if (listed?.run === held.run) {
             this.noteProgress(held, listed);
@@ -337,53 +241,7 @@
         // Kept in memory and written with the next change: a run that is lost then continues from it.
         if (open !== undefined && listed.checkpoint !== "" && open.task(held.key).checkpoint !== listed.checkpoint) {
             open.update(held.key, { checkpoint: listed.checkpoint });
-            this.shareCheckpoint(open, held.task, listed.checkpoint);
+            this.ends.shareCheckpoint(open, held.task, listed.checkpoint);
         }
     }
-
-    private findStrays(state: ExecutorState, list: RunList): void {
-        state.strays.clear();
-        for (const { task, run } of list.running) {
-            if (state.runs.get(task)?.run !== run) {
-                state.strays.set(task, { task, run, demand: this.strayDemand(state, task) });
-            }
-        }
-    }
-
-    /** What a run that no claim covers takes up: all of the executor when its job is not known. */
-    private strayDemand(state: ExecutorState, task: string): Demand {
-        const place = parseTaskName(task);
-        const open = place === undefined ? undefined : this.options.jobs.jobs.get(place.jobId);
-        return place === undefined || open === undefined
-            ? state.info?.capacity ?? { milliCores: 0, memoryMb: 0, accelerators: 0 }
-            : demandOf(open, place.key);
-    }
 }
-
-const demandOf = (open: OpenJob, key: string): Demand => {
-    const step = open.job.steps[Number(key.split(".")[1])];
-    const demand = step?.demand ?? { milliCores: 0, memoryMb: 0, accelerators: 0 };
-    return step?.usesIdleCores === true ? { ...demand, milliCores: 0 } : demand;
-};
-
-/** What each kind of end means for the task. */
-const endHandlers: Readonly<Record<EndKind, (fleet: Fleet, ended: EndedRun) => void>> = {
-    done: (fleet, ended) => {
-        fleet.conclude(ended);
-    },
-    failed: (fleet, ended) => {
-        fleet.fail(ended);
-    },
-    stopped: (fleet, ended) => {
-        fleet.clearPlacement(ended);
-    },
-    lapsed: (fleet, ended) => {
-        fleet.clearPlacement(ended);
-    },
-    broken: (fleet, ended) => {
-        fleet.clearPlacement(ended);
-    },
-    alone: (fleet, ended) => {
-        fleet.clearPlacement(ended);
-    },
-};
--- /dev/null
+++ b/packages/control/src/leaseKeeper.ts
@@ -0,0 +1,75 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { AgentConnection } from "./agentTask.js";
+import type { Authority } from "./authority.js";
+import type { ExecutorState } from "./executorState.js";
+import type { Fleet } from "./fleet.js";
+import { LEASE_MS } from "./leaseRules.js";
+
+/** What a lease keeper works on. */
+export interface LeaseKeeperOptions {
+    readonly fleet: Fleet;
+    readonly clock: Clock;
+    readonly epoch: number;
+    readonly authority: Authority;
+    readonly connectionOf: (vm: string) => AgentConnection | undefined;
+    /** Resolves with true once everything that was noted so far is durable. */
+    readonly flushed: () => Promise<boolean>;
+    /** Called when a lease waits for a renewal of the term. */
+    readonly onHeldBack: () => void;
+    /** Called when an agent knows a newer controller. */
+    readonly onFenced: () => void;
+}
+
+const LEASE_TIMEOUT_MS: Millis = 1_500;
+
+/** Extends the leases of executors and acknowledges ends that are durable. */
+export class LeaseKeeper {
+    constructor(private readonly options: LeaseKeeperOptions) {}
+
+    /** Extends the leases of an agent's executors; returns whether the agent answered. */
+    async renewAll(vm: string, connection: AgentConnection): Promise<boolean> {
+        const states = [...this.options.fleet.executors.values()].filter(state => state.vm === vm && state.isAttached);
+        const answers = await Promise.all(states.map(state => this.renew(state, connection)));
+        return answers.every(Boolean);
+    }
+
+    /** Acknowledges ends once what was noted of them is durable. */
+    async acknowledge(state: ExecutorState, born: number, lastEnd: number): Promise<void> {
+        if (!await this.options.flushed() || state.born !== born || lastEnd <= state.durableEnd) {
+            return;
+        }
+        state.durableEnd = lastEnd;
+        const connection = this.options.connectionOf(state.vm);
+        if (connection !== undefined) {
+            await this.renew(state, connection);
+        }
+    }
+
+    /** Extends the lease of one executor; returns whether its agent answered. */
+    async renew(state: ExecutorState, connection: AgentConnection): Promise<boolean> {
+        const { clock, authority, epoch, onHeldBack, onFenced } = this.options;
+        if (state.clock === undefined) {
+            return true;
+        }
+        if (authority.isFresh && state.authorityEndMs !== undefined) {
+            const now = state.clock.readingMs + clock.now() - state.clock.at;
+            const deadlineMs = Math.floor(Math.min(now, state.authorityEndMs) + LEASE_MS);
+            state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
+        }
+        else {
+            state.isAuthorityAwaited = true;
+            onHeldBack();
+        }
+        const answer = await connection.call("agent.lease", {
+            epoch: epoch,
+            executorId: state.executorId,
+            born: state.born,
+            deadlineMs: state.deadlineMs,
+            durableEnd: state.durableEnd,
+        }, LEASE_TIMEOUT_MS);
+        if (answer.isOk && answer.value.kind === "refused" && answer.value.reason === "fence") {
+            onFenced();
+        }
+        return answer.isOk;
+    }
+}
--- /dev/null
+++ b/packages/control/src/reconciler.ts
@@ -0,0 +1,79 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { parseTaskName } from "@persimmonpitch/workload/taskName.js";
+import type { HeldRun } from "./executorState.js";
+import type { Fleet } from "./fleet.js";
+import type { JobBook } from "./jobBook.js";
+import { inheritedLapsedAt, lapsedAt } from "./leaseRules.js";
+import type { OpenJob } from "./openJob.js";
+import { stepKeys } from "./openJob.js";
+import type { OrderSender } from "./orderSender.js";
+
+/** What a reconciler works on. */
+export interface ReconcilerOptions {
+    readonly fleet: Fleet;
+    readonly jobs: JobBook;
+    readonly orders: OrderSender;
+    readonly clock: Clock;
+    /** When this controller took the role. */
+    readonly takenAt: Millis;
+    readonly maxLeaseMs: Millis;
+}
+
+/** Brings what runs in line with the jobs. */
+export class Reconciler {
+    constructor(private readonly options: ReconcilerOptions) {}
+
+    /** Runs on an executor that cannot be reached are gone once its lease has certainly lapsed. */
+    loseLapsed(): void {
+        const { fleet, clock, takenAt, maxLeaseMs } = this.options;
+        const now = clock.now();
+        for (const state of fleet.executors.values()) {
+            if (state.runs.size === 0 || state.isAttached) {
+                continue;
+            }
+            const lapse = state.clock === undefined
+                ? inheritedLapsedAt(takenAt, maxLeaseMs)
+                : lapsedAt(state.deadlineMs, state.clock);
+            if (now >= lapse) {
+                fleet.loseAll(state, "lapsed");
+            }
+        }
+    }
+
+    /** Ends what must not run on: runs of ended jobs, gangs that lost a member, runs that no claim covers. */
+    reconcile(): void {
+        const { fleet, jobs, orders } = this.options;
+        for (const state of fleet.executors.values()) {
+            for (const held of state.runs.values()) {
+                const open = jobs.jobs.get(held.jobId);
+                if (open === undefined || !open.isOpen || held.isConcluded || isGangBroken(open, held)) {
+                    orders.stop(held);
+                }
+            }
+            for (const stray of state.strays.values()) {
+                orders.stopStray(state, stray);
+            }
+        }
+        const busy = new Set(
+            [...fleet.executors.values()].flatMap(state => [...state.runs.values()].map(({ jobId }) => jobId)),
+        );
+        for (const [jobId, open] of jobs.jobs) {
+            if (!open.isOpen && !busy.has(jobId)) {
+                jobs.release(jobId);
+            }
+        }
+    }
+}
+
+/** Whether a gang lost a member, so that the others must not run on. */
+const isGangBroken = (open: OpenJob, held: HeldRun): boolean => {
+    const place = parseTaskName(held.task);
+    const step = place === undefined ? undefined : open.job.steps[place.step];
+    if (place === undefined || step?.isGang !== true) {
+        return false;
+    }
+    return stepKeys(step, place.occurrence, place.step).some(key => {
+        const task = open.task(key);
+        return task.run !== held.run || (task.placement === undefined && !task.isDone);
+    });
+};
--- /dev/null
+++ b/packages/control/src/runEnds.ts
@@ -0,0 +1,127 @@
+import type { EndKind } from "@persimmonpitch/workload/executorReport.js";
+import { parseTaskName, taskKey, taskName } from "@persimmonpitch/workload/taskName.js";
+import type { ExecutorState } from "./executorState.js";
+import type { OpenJob } from "./openJob.js";
+import { stepKeys } from "./openJob.js";
+
+/** A run that ended or was lost; a late end is of a run that is no longer held. */
+export interface EndedRun {
+    readonly open: OpenJob;
+    readonly task: string;
+    readonly key: string;
+    readonly run: number;
+    readonly checkpoint: string;
+}
+
+/** What the ends of runs work on. */
+export interface RunEndsOptions {
+    readonly executors: ReadonlyMap<string, ExecutorState>;
+    /** Most failures of a task of the job. */
+    readonly maxAttempts: (open: OpenJob) => number;
+    /** Called for each job whose progress changed. */
+    readonly onChanged: (open: OpenJob) => void;
+}
+
+/** What ends of runs mean for the progress of their jobs. */
+export class RunEnds {
+    constructor(private readonly options: RunEndsOptions) {}
+
+    /** Takes in an end that is not acknowledged yet. */
+    apply(kind: EndKind, ended: EndedRun): void {
+        endHandlers[kind](this, ended);
+    }
+
+    /** The task is done; a gang is done as a whole, though its other members may be listed a little longer. */
+    conclude(ended: EndedRun): void {
+        const { open, task, key } = ended;
+        const place = parseTaskName(task);
+        const step = place === undefined ? undefined : open.job.steps[place.step];
+        if (place === undefined || step === undefined || step.isLongRunning) {
+            this.clearPlacement(ended);
+            return;
+        }
+        const keys = step.isGang ? stepKeys(step, place.occurrence, place.step) : [key];
+        for (const member of keys) {
+            this.markConcluded(open, member);
+            open.update(member, { isDone: true, placement: undefined, checkpoint: undefined });
+        }
+        this.options.onChanged(open);
+    }
+
+    /** The run failed by its own or the executor's fault; a gang counts one failure a run. */
+    fail(ended: EndedRun): void {
+        const { open, task, key, run } = ended;
+        const place = parseTaskName(task);
+        const step = place === undefined ? undefined : open.job.steps[place.step];
+        const countedKey = step?.isGang === true && place !== undefined
+            ? taskKey({ ...place, index: 0 })
+            : key;
+        const counted = open.task(countedKey);
+        if (counted.failedRun !== run) {
+            open.update(countedKey, { failures: counted.failures + 1, failedRun: run });
+        }
+        this.clearPlacement(ended);
+        const isHopeless = open.task(countedKey).failures >= this.options.maxAttempts(open);
+        if (isHopeless && step?.isLongRunning !== true) {
+            open.conclude("failed");
+        }
+        this.options.onChanged(open);
+    }
+
+    /** The run is over, and its task has to run again, unless a later run of it was started already. */
+    clearPlacement({ open, task, key, run, checkpoint }: EndedRun): void {
+        const progress = open.task(key);
+        if (progress.run !== run || progress.isDone) {
+            return;
+        }
+        open.update(key, { placement: undefined, ...(checkpoint === "" ? {} : { checkpoint }) });
+        if (checkpoint !== "") {
+            this.shareCheckpoint(open, task, checkpoint);
+        }
+        this.options.onChanged(open);
+    }
+
+    /** A checkpoint of one member is good for the whole gang, and all members have to carry the same one. */
+    shareCheckpoint(open: OpenJob, task: string, checkpoint: string): void {
+        const place = parseTaskName(task);
+        const step = place === undefined ? undefined : open.job.steps[place.step];
+        if (place === undefined || step?.isGang !== true) {
+            return;
+        }
+        for (const key of stepKeys(step, place.occurrence, place.step)) {
+            open.update(key, { checkpoint });
+        }
+    }
+
+    private markConcluded(open: OpenJob, key: string): void {
+        const executorId = open.task(key).placement?.executorId;
+        const held = executorId === undefined
+            ? undefined
+            : this.options.executors.get(executorId)?.runs.get(taskName(open.job.jobId, key));
+        if (held !== undefined) {
+            held.isConcluded = true;
+        }
+    }
+}
+
+/** What each kind of end means for the task. */
+const endHandlers: Readonly<Record<EndKind, (ends: RunEnds, ended: EndedRun) => void>> = {
+    done: (ends, ended) => {
+        ends.conclude(ended);
+    },
+    failed: (ends, ended) => {
+        ends.fail(ended);
+    },
+    stopped: (ends, ended) => {
+        ends.clearPlacement(ended);
+    },
+    lapsed: (ends, ended) => {
+        ends.clearPlacement(ended);
+    },
+    broken: (ends, ended) => {
+        ends.clearPlacement(ended);
+    },
+    alone: (ends, ended) => {
+        ends.clearPlacement(ended);
+    },
+};
--- /dev/null
+++ b/packages/control/src/strayRuns.ts
@@ -0,0 +1,25 @@
+import type { RunList } from "@persimmonpitch/workload/executorReport.js";
+import type { Demand } from "@persimmonpitch/workload/step.js";
+import { parseTaskName } from "@persimmonpitch/workload/taskName.js";
+import type { ExecutorState } from "./executorState.js";
+import type { JobBook } from "./jobBook.js";
+import { runDemand } from "./runDemand.js";
+
+/** Notes the runs that an executor lists and no claim covers. */
+export const noteStrays = (jobs: JobBook, state: ExecutorState, list: RunList): void => {
+    state.strays.clear();
+    for (const { task, run } of list.running) {
+        if (state.runs.get(task)?.run !== run) {
+            state.strays.set(task, { task, run, demand: strayDemand(jobs, state, task) });
+        }
+    }
+};
+
+/** What a run that no claim covers takes up: all of the executor when its job is not known. */
+const strayDemand = (jobs: JobBook, state: ExecutorState, task: string): Demand => {
+    const place = parseTaskName(task);
+    const open = place === undefined ? undefined : jobs.jobs.get(place.jobId);
+    return place === undefined || open === undefined
+        ? state.info?.capacity ?? { milliCores: 0, memoryMb: 0, accelerators: 0 }
+        : runDemand(open, place.key);
+};
