--- a/packages/executor/tests/executorAgent.test.ts
+++ b/packages/executor/tests/executorAgent.test.ts
@@ -235,6 +235,21 @@
         },
         starts: ["a", "b"],
     },
+    {
+        name: "start that an earlier agent passed on",
+        guards: "a run that is taken for refused, so that its task starts again before its end is listed",
+        run: async ({ world, executor, controller, wait }) => {
+            void controller.start(executor, "a", { runMs: 100 });
+            await wait(50);
+            void world.agent.stop();
+            world.newAgent();
+            const again = await world.attached();
+            await wait(100);
+            void again.start(executor, "a", { runMs: 100 });
+            await wait(100);
+        },
+        starts: ["a"],
+    },
     {
         name: "controller that is cut off",
         guards: "a connection that is kept although its controller does not answer",
--- a/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
+++ b/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
@@ -280,6 +280,25 @@
  1100 c1 < report e1 born=1000 running=[] ends=[] draining
 `
 
+exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > start that an earlier agent passed on (guards against a run that is taken for refused, so that its task starts again before its end is listed) > start that an earlier agent passed on 1`] = `
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
+    0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
+    0 c1 > agent.start e1 a#1
+    0     start e1 a#1 fence=1: ok
+    0 c1 < agent.start e1 a#1: {"kind":"started","clockMs":0}
+   50     list e1 fence=1 ack=0 wait=1000: unanswered
+   50 c1 closed
+   50     list e1 fence=1 ack=0 wait=0: born=1000 running=[a#1] ends=[]
+   50 c1 < attach: attached [e1 born=1000 running=[a#1] ends=[]]
+  100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
+  100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
+  100 c1 < report e1 born=1000 running=[] ends=[1:a#1:done]
+  150 c1 > agent.start e1 a#1
+  150     start e1 a#1 fence=1: refused old
+  150     stop e1 a#1 fence=1: ok
+  150 c1 < agent.start e1 a#1: {"kind":"refused","reason":"old","stoppedClockMs":150}
+`
+
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > stop while a start is repeated (guards against a cancelled task that starts after its stop was answered) > stop while a start is repeated 1`] = `
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
