--- a/packages/dispatch/src/seating.ts
+++ b/packages/dispatch/src/seating.ts
@@ -121,18 +121,39 @@
 
 const byCost = (left: Candidate, right: Candidate): number => left.cost - right.cost || left.free - right.free;
 
-/** The candidates by cost with one executor in each; of equal ones the first in the order of the view. */
-function* inOrder(candidates: readonly Candidate[]): Generator<Candidate & { readonly room: ExecutorRoom; }> {
+/** An executor with the candidate that it belongs to. */
+interface Place {
+    readonly candidate: Candidate;
+    readonly room: ExecutorRoom;
+}
+
+/** The executors of candidates of equal cost, in the order of the view. */
+function* placesOf(equal: readonly Candidate[]): Generator<Place> {
+    const [only] = equal;
+    if (only !== undefined && equal.length === 1) {
+        for (const room of only.rooms) {
+            yield { candidate: only, room };
+        }
+        return;
+    }
+    yield* equal
+        .flatMap(candidate => candidate.rooms.map(room => ({ candidate, room })))
+        .sort((left, right) => left.room.index - right.room.index);
+}
+
+/** The executors by cost; of equal ones the first in the order of the view. */
+function* inOrder(candidates: readonly Candidate[]): Generator<Place> {
     const sorted = [...candidates].sort(byCost);
-    for (let from = 0, to = 0; from < sorted.length; from = to) {
-        const [first] = sorted.slice(from, from + 1);
-        while (first !== undefined && sorted[to] !== undefined && byCost(first, sorted[to] ?? first) === 0) {
-            to += 1;
+    let equal: Candidate[] = [];
+    for (const candidate of sorted) {
+        const [first] = equal;
+        if (first !== undefined && byCost(first, candidate) !== 0) {
+            yield* placesOf(equal);
+            equal = [];
         }
-        const equal = sorted.slice(from, to);
-        const placed = equal.flatMap(candidate => candidate.rooms.map(room => ({ ...candidate, room })));
-        yield* equal.length === 1 ? placed : placed.sort((left, right) => left.room.index - right.room.index);
+        equal.push(candidate);
     }
+    yield* placesOf(equal);
 }
 
 /** A way to place tasks, and the weighted room that it leaves on the executors it uses. */
@@ -153,14 +174,14 @@
     const seats: Seat[] = [];
     let placed = 0;
     let remainder = 0;
-    for (const candidate of inOrder(candidatesOf(rooms, unit, count, available, context))) {
-        if (placed === count) {
-            break;
-        }
+    for (const { candidate, room } of inOrder(candidatesOf(rooms, unit, count, available, context))) {
         const taken = Math.min(candidate.seats, count - placed);
-        seats.push({ room: candidate.room, count: taken });
+        seats.push({ room, count: taken });
         placed += taken;
         remainder += candidate.cost;
+        if (placed === count) {
+            break;
+        }
     }
     return { seats, count: placed, remainder };
 };
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -166,9 +166,12 @@
         return keys;
     }
     const available: Available = room => roomNow(room, lengthMs);
-    const whole = fill(state, ranked, spans.preferred, keys.length, available);
-    if (whole !== undefined) {
-        start(state, request, keys, whole.seats);
+    const [only] = spans.preferred;
+    const seating = only !== undefined && spans.preferred.length === 1
+        ? fillSeats(only, unit, keys.length, available, state.seating)
+        : fill(state, ranked, spans.preferred, keys.length, available);
+    if (seating?.count === keys.length) {
+        start(state, request, keys, seating.seats);
         return [];
     }
     if (kind !== undefined) {
@@ -177,7 +180,7 @@
     if (unit.step.isGang) {
         return keys;
     }
-    const part = fillSeats(spans.preferred.flat(), unit, keys.length, available, state.seating);
+    const part = seating ?? fillSeats(spans.preferred.flat(), unit, keys.length, available, state.seating);
     start(state, request, keys, part.seats);
     return keys.slice(part.count);
 };
