--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -1,11 +1,11 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { StartRefusal } from "@persimmonpitch/workload/executorReport.js";
 import type { AgentConnection } from "./agentTask.js";
+import type { Authority } from "./authority.js";
 import type { ControllerContext } from "./controllerContext.js";
 import type { ExecutorState, HeldRun, StrayRun } from "./executorState.js";
 import type { Fleet } from "./fleet.js";
 import type { JobBook } from "./jobBook.js";
-import { LEASE_MS } from "./leaseRules.js";
 
 /** What an order sender works on. */
 export interface OrderSenderOptions {
@@ -13,6 +13,9 @@
     readonly jobs: JobBook;
     readonly context: ControllerContext;
     readonly epoch: number;
+    readonly authority: Authority;
+    /** Called when an order waits for a renewal of the term. */
+    readonly onHeldBack: () => void;
     readonly connectionOf: (vm: string) => AgentConnection | undefined;
     readonly onChanged: () => void;
 }
@@ -46,7 +49,7 @@
         if (state === undefined) {
             return;
         }
-        const isStale = held.isStopping || !state.isAttached || state.born !== held.born
+        const isStale = held.isStopping || held.isConcluded || !state.isAttached || state.born !== held.born
             || state.info?.isDraining === true;
         if (isStale) {
             // Nothing was sent, so nothing can run.
@@ -60,7 +63,8 @@
     /** Sends again the orders of runs that an executor does not list after the connection to its agent broke. */
     resumeStarts(state: ExecutorState): void {
         for (const held of state.runs.values()) {
-            if (held.isClaimed && !held.isInherited && held.firstListedAt === undefined && !held.isStopping) {
+            const isUnlisted = held.isClaimed && !held.isInherited && held.firstListedAt === undefined;
+            if (isUnlisted && !held.isStopping && !held.isConcluded) {
                 void this.sendStart(state, held);
             }
             if (held.isStopping) {
@@ -70,6 +74,16 @@
         }
     }
 
+    /** Sends the starts that waited for a renewal of the term. */
+    releaseHeldBack(state: ExecutorState): void {
+        for (const held of [...state.runs.values()].filter(({ isHeldBack }) => isHeldBack)) {
+            held.isHeldBack = false;
+            if (!held.isStopping && !held.isConcluded) {
+                void this.sendStart(state, held);
+            }
+        }
+    }
+
     /** Ends a run; its room stays taken until the executor lists the end. */
     stop(held: HeldRun): void {
         held.isStopping = true;
@@ -100,13 +114,19 @@
     }
 
     private async sendStart(state: ExecutorState, held: HeldRun): Promise<void> {
-        const { context, epoch, jobs, fleet, onChanged } = this.options;
+        const { context, epoch, jobs, authority, onHeldBack, onChanged } = this.options;
         const connection = this.options.connectionOf(state.vm);
         const open = jobs.jobs.get(held.jobId);
-        if (connection === undefined || open === undefined || state.clock === undefined) {
+        if (connection === undefined || open === undefined) {
+            return;
+        }
+        if (!authority.isFresh || state.authorityEndMs === undefined) {
+            held.isHeldBack = true;
+            state.isAuthorityAwaited = true;
+            onHeldBack();
             return;
         }
-        const deadlineMs = Math.floor(state.clock.readingMs + context.clock.now() - state.clock.at + LEASE_MS);
+        const deadlineMs = state.authorityEndMs;
         state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
         const checkpoint = open.task(held.key).checkpoint;
         const answer = await connection.call("agent.start", {
@@ -117,7 +137,7 @@
             run: held.run,
             payload: open.job.payload,
             ...(checkpoint === undefined ? {} : { checkpoint }),
-            deadlineMs: state.deadlineMs,
+            deadlineMs,
         }, ORDER_TIMEOUT_MS);
         if (answer.isErr || this.stateOf(held) === undefined) {
             return;
@@ -128,7 +148,7 @@
                 break;
             case "refused":
                 state.pausedUntil = context.clock.now() + PAUSE_MS[answer.value.reason];
-                fleet.lose(held, `refused: ${answer.value.reason}`);
+                this.settleRefusal(held, answer.value.reason, answer.value.stoppedClockMs);
                 break;
             case "abandoned":
             case "unclear":
@@ -141,6 +161,17 @@
         onChanged();
     }
 
+    /** A run that may have started counts until a later list shows how it ended, or that it never was there. */
+    private settleRefusal(held: HeldRun, reason: StartRefusal, stoppedClockMs: number | undefined): void {
+        if (stoppedClockMs === undefined) {
+            this.options.fleet.lose(held, `refused: ${reason}`);
+            return;
+        }
+        held.isStopping = true;
+        held.isStopSent = true;
+        held.stopClockMs = stoppedClockMs;
+    }
+
     private async sendStop(state: ExecutorState, held: HeldRun): Promise<void> {
         const clockMs = await this.callStop(state, held);
         if (clockMs === undefined && this.stateOf(held) !== undefined) {
@@ -155,8 +186,9 @@
 
     /** The executor's clock when it answered; undefined while that is not known. */
     private async callStop(state: ExecutorState, { task, run }: StrayRun | HeldRun): Promise<number | undefined> {
-        const { epoch, connectionOf } = this.options;
-        const connection = connectionOf(state.vm);
+        const { epoch, authority, connectionOf } = this.options;
+        // What a successor wants to keep running must not end because of a controller that was paused.
+        const connection = authority.isFresh ? connectionOf(state.vm) : undefined;
         const answer = await connection?.call(
             "agent.stop",
             { epoch, executorId: state.executorId, task, run },
--- a/packages/protocol/src/executorMessages.ts
+++ b/packages/protocol/src/executorMessages.ts
@@ -49,13 +49,23 @@
             payload: z.string(),
             checkpoint: z.string().optional(),
             ticket: z.string().optional(),
-            /** On the executor's clock. */
+            /**
+             * End of the authority behind the order, on the executor's clock: neither the agent nor the executor
+             * starts the run later. It also extends the lease of everything on the executor.
+             */
             deadlineMs: z.number(),
         }),
         result: z.discriminatedUnion("kind", [
             z.object({ kind: z.literal("started"), clockMs: clockSchema }),
-            /** The run will not start; if an unanswered try started it, it was stopped, and lists show it until it ends. */
-            z.object({ kind: z.literal("refused"), reason: startRefusalSchema }),
+            /**
+             * The run will not start. If an earlier try may have started it, it was stopped when the executor's clock
+             * showed `stoppedClockMs`; only a list that is read later says whether it is there or how it ended.
+             */
+            z.object({
+                kind: z.literal("refused"),
+                reason: startRefusalSchema,
+                stoppedClockMs: clockSchema.optional(),
+            }),
             /** The run was ordered to stop before the start was answered. */
             z.object({ kind: z.literal("abandoned") }),
             /** The agent stops; the run may be there or may appear. */
