--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -49,10 +49,10 @@
     const avoided = avoidedExecutors(state.view, state.options);
     const spansOfKind = new Map<string, Spans>();
     for (const { unit, ...rank } of ordered) {
-        const { size } = avoidedBy(unit, avoided);
-        const kind = size === 0 ? unitKind(unit) : undefined;
+        const avoidedHere = avoidedBy(unit, avoided);
+        const kind = avoidedHere.size === 0 ? unitKind(unit) : undefined;
         const known = kind === undefined ? undefined : spansOfKind.get(kind);
-        const spans = known ?? spansOf(unit, avoidedBy(unit, avoided), state.seating.index);
+        const spans = known ?? spansOf(unit, avoidedHere, state.seating.index);
         if (kind !== undefined) {
             spansOfKind.set(kind, spans);
         }
--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -4,7 +4,7 @@
 import type { DispatchView, ExecutorView } from "./dispatchView.js";
 import type { ExecutorHealth } from "./executorHealth.js";
 import type { ReadyUnit } from "./readyUnits.js";
-import type { RunStep, RunSteps } from "./runGroups.js";
+import type { RunSteps } from "./runGroups.js";
 import { stepId } from "./stepId.js";
 
 /** Room kept from a later time on for a unit that does not fit yet. */
@@ -39,12 +39,8 @@
     visits: number;
 }
 
-/** Counts tasks of a step with a limit per executor; nothing asks for those of other steps. */
-const countTasks = ({ tasksOfStep }: ExecutorRoom, { step, view, occurrence, stepIndex }: RunStep, count: number) => {
-    if (step.maxPerExecutor !== undefined) {
-        const id = stepId(view, occurrence, stepIndex);
-        tasksOfStep.set(id, (tasksOfStep.get(id) ?? 0) + count);
-    }
+const countTasks = ({ tasksOfStep }: ExecutorRoom, id: string, count: number): void => {
+    tasksOfStep.set(id, (tasksOfStep.get(id) ?? 0) + count);
 };
 
 /** An executor without a rack is taken as a rack of its own. */
@@ -60,7 +56,9 @@
         }
         const demand = countedDemand(runStep.step);
         addTo(room.free, demand, -1);
-        countTasks(room, runStep, 1);
+        if (runStep.step.maxPerExecutor !== undefined) {
+            countTasks(room, stepId(runStep.view, runStep.occurrence, runStep.stepIndex), 1);
+        }
         if (run.isStopping) {
             addTo(room.coming, demand);
         }
@@ -156,7 +154,9 @@
     room.onChanged();
     addTo(room.free, unit.demand, -count);
     room.taskCount += count;
-    countTasks(room, { ...unit.owner, ...unit }, count);
+    if (unit.step.maxPerExecutor !== undefined) {
+        countTasks(room, unit.stepId, count);
+    }
     if (room.reservation !== undefined && lengthMs > room.reservation.fromMs) {
         addTo(room.reservation.spare, unit.demand, -count);
     }
--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { type ByStep, valueOfStep } from "./byStep.js";
 import type { DispatchOptions } from "./dispatchOptions.js";
 import type { DispatchView, StopReason } from "./dispatchView.js";
 import { groupBy } from "./groupBy.js";
@@ -19,7 +20,7 @@
     readonly runTimes: RunTimes;
     readonly lastProgress: LastProgress;
     readonly measuredOfGroup: ReadonlyMap<RunGroup, readonly MeasuredOnExecutor[]>;
-    readonly measuredOfStep: ReadonlyMap<string, readonly MeasuredOnExecutor[]>;
+    readonly measuredOfStep: ByStep<MeasuredOnExecutor[]>;
     /** How much longer runs take than estimated, by executor; only where runs of different jobs agree. */
     readonly slowness: ReadonlyMap<number, number>;
     readonly usualSlowness: number;
@@ -52,6 +53,9 @@
 /** Share of the unsaved work that a standstill must exceed: what stands still may go on, a restart loses the work. */
 const STANDSTILL_SHARE = 0.25;
 
+/** Number of other runs of a step against which one is judged. */
+const MIN_SIBLINGS = 2;
+
 /** Slowness that no error of the declared time explains. */
 const IMPOSSIBLE_SLOWNESS = 15;
 
@@ -61,20 +65,32 @@
 /** A draining run is stopped so long before the executor leaves, besides the time of the stop. */
 const DRAIN_MARGIN_MS = 500;
 
-const stepId = ({ view, stepIndex }: RunGroup): string => `${view.job.jobId} ${stepIndex}`;
-
 const median = (values: readonly number[]): number =>
-    [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 1;
+    new Float64Array(values).sort()[Math.floor(values.length / 2)] ?? 1;
 
-const measureAll = (groups: readonly RunGroup[], { declaredMs }: RunTimes): readonly MeasuredOnExecutor[] =>
-    groups.filter(({ step }) => !step.isLongRunning).flatMap(group => {
+const measureAll = (groups: readonly RunGroup[], { declaredMs }: RunTimes): readonly MeasuredOnExecutor[] => {
+    const found: MeasuredOnExecutor[] = [];
+    for (const group of groups) {
+        if (group.step.isLongRunning) {
+            continue;
+        }
         const wholeMs = Math.max(1, declaredMs(group.view, group.stepIndex));
-        return group.members.flatMap(({ executor, measured }) =>
-            measured === undefined || measured.durationMs < MIN_MEASURED_MS
-                ? []
-                : [{ executor, group, measured, slowness: measured.totalMs / wholeMs }]
-        );
-    });
+        for (const { executor, measured } of group.members) {
+            if (measured !== undefined && measured.durationMs >= MIN_MEASURED_MS) {
+                found.push({ executor, group, measured, slowness: measured.totalMs / wholeMs });
+            }
+        }
+    }
+    return found;
+};
+
+const byStep = (measured: readonly MeasuredOnExecutor[]): ByStep<MeasuredOnExecutor[]> => {
+    const found: ByStep<MeasuredOnExecutor[]> = new Map();
+    for (const one of measured) {
+        valueOfStep(found, one.group.view, one.group.stepIndex, () => []).push(one);
+    }
+    return found;
+};
 
 const slownessByExecutor = (measured: readonly MeasuredOnExecutor[]): ReadonlyMap<number, number> => {
     const byExecutor = groupBy(measured, ({ executor }) => executor);
@@ -108,9 +124,17 @@
     if (workingSince === undefined) {
         return false;
     }
+    const { now } = context.view;
+    const isMoving = members.every(({ run: { progressAt } }) =>
+        now - Math.max(workingSince, progressAt ?? 0) <= context.options.stallMs
+    );
+    if (isMoving) {
+        // No limit is below `stallMs`.
+        return false;
+    }
     const limitMs = standstillLimit(context, group);
     return members.some(({ executor, run: { percent = 0, progressAt } }) => {
-        const standsFor = context.view.now - Math.max(workingSince, progressAt ?? 0);
+        const standsFor = now - Math.max(workingSince, progressAt ?? 0);
         return percent < 100 && standsFor > limitMs && doNeighboursMove(context, executor, limitMs);
     });
 };
@@ -119,10 +143,13 @@
 const usualTotalMs = (context: MoveContext, own: MeasuredOnExecutor): Millis | undefined => {
     const { measuredOfStep, slowness, usualSlowness, options, runTimes } = context;
     const { group, executor } = own;
-    const siblings = (measuredOfStep.get(stepId(group)) ?? [])
-        .filter(other => other.group !== group && other.executor !== executor);
+    const ofStep = measuredOfStep.get(group.view)?.get(group.stepIndex) ?? [];
+    const areAlone = ofStep.length - (context.measuredOfGroup.get(group)?.length ?? 0) < MIN_SIBLINGS;
+    const siblings = areAlone
+        ? []
+        : ofStep.filter(other => other.group !== group && other.executor !== executor);
     const siblingMs = median(siblings.map(other => other.measured.totalMs));
-    if (siblings.length >= 2 && own.measured.totalMs > options.slowFactor * siblingMs) {
+    if (siblings.length >= MIN_SIBLINGS && own.measured.totalMs > options.slowFactor * siblingMs) {
         return siblingMs;
     }
     const estimatedMs = runTimes.declaredMs(group.view, group.stepIndex) * Math.max(1, usualSlowness);
@@ -199,7 +226,7 @@
         runTimes,
         lastProgress: lastProgressOf(view),
         measuredOfGroup: groupBy(measured, ({ group }) => group),
-        measuredOfStep: groupBy(measured, ({ group }) => stepId(group)),
+        measuredOfStep: byStep(measured),
         slowness: slownessByExecutor(measured),
         usualSlowness: median(measured.map(({ slowness }) => slowness)),
     };
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -20,11 +20,14 @@
 
 const freeKeys = (owner: OpenOccurrence, stepIndex: number, step: Step): readonly string[] => {
     const keys = stepKeys(owner.occurrence, stepIndex, step);
-    const free = keys.filter(key => {
+    const isFree = (key: string): boolean => {
         const { placement, isDone } = progressOf(owner.view, key);
         return placement === undefined && !isDone;
-    });
-    return step.isGang && free.length < keys.length ? [] : free;
+    };
+    if (keys.every(isFree)) {
+        return keys;
+    }
+    return step.isGang ? [] : keys.filter(isFree);
 };
 
 const isStepReady = ({ doneSteps }: OpenOccurrence, { after }: Step, stepIndex: number): boolean =>
--- a/packages/dispatch/src/roomIndex.ts
+++ b/packages/dispatch/src/roomIndex.ts
@@ -70,6 +70,7 @@
     private readonly classOfRack = new Map<string, RackClass>();
     private readonly changed: Set<ExecutorRoom>;
     private readonly pools = new Map<string, RoomPool>();
+    private readonly emptyKeys = new Map<Rooms, string>();
     private readonly poolOfRooms = new Map<Rooms, RoomPool>();
     private readonly poolOfRacks = new Map<readonly Rooms[], RoomPool>();
 
@@ -121,7 +122,13 @@
 
     /** Shape and health of each executor of a rack; racks with the same hold the same number of tasks when empty. */
     emptyKey(rooms: Rooms): string {
-        return rooms.map(({ index, health }) => `${this.shapeOfRoom[index] ?? ""} ${health}`).join(",");
+        const known = this.emptyKeys.get(rooms);
+        if (known !== undefined) {
+            return known;
+        }
+        const key = rooms.map(({ index, health }) => `${this.shapeOfRoom[index] ?? ""} ${health}`).join(",");
+        this.emptyKeys.set(rooms, key);
+        return key;
     }
 
     /** The classes of executors that may have room for the demand, if the list is a whole pool. */
--- a/packages/dispatch/src/runGroups.ts
+++ b/packages/dispatch/src/runGroups.ts
@@ -88,26 +88,35 @@
     };
 };
 
+interface FoundGroup {
+    readonly runStep: RunStep;
+    readonly members: PlacedRun[];
+}
+
 /** Groups the runs of all executors that their jobs' progress names. */
 export const runGroups = (executors: readonly ExecutorView[], runSteps: RunSteps): readonly RunGroup[] => {
-    const found = new Map<string | RunStep, { readonly runStep: RunStep; readonly members: PlacedRun[]; }>();
+    const found: FoundGroup[] = [];
+    const byStep = new Map<RunStep, Map<string, FoundGroup>>();
     executors.forEach(({ runs }, executor) => {
         runs.forEach((run, index) => {
             const runStep = runSteps[executor]?.[index];
             if (runStep === undefined || !isCurrent(runStep, run)) {
                 return;
             }
-            const id = runStep.step.isGang ? runStep : taskName(run.jobId, run.key);
-            const group = found.get(id);
+            const ofStep = byStep.get(runStep) ?? new Map<string, FoundGroup>();
+            const id = runStep.step.isGang ? "" : run.key;
+            const group = ofStep.get(id);
             if (group === undefined) {
-                found.set(id, { runStep, members: [{ executor, run }] });
+                const created = { runStep, members: [{ executor, run }] };
+                found.push(created);
+                byStep.set(runStep, ofStep.set(id, created));
             }
             else {
                 group.members.push({ executor, run });
             }
         });
     });
-    return [...found.values()].map(({ runStep, members }) => groupOf(runStep, members));
+    return found.map(({ runStep, members }) => groupOf(runStep, members));
 };
 
 /** The groups that have a member on each executor. */
--- a/packages/dispatch/src/runTimes.ts
+++ b/packages/dispatch/src/runTimes.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
+import { type ByStep, valueOfStep } from "./byStep.js";
 import type { JobView, RunSample } from "./dispatchView.js";
 import { expectedMs, queueModels } from "./queueModel.js";
 import type { GroupMember, RunGroup } from "./runGroups.js";
@@ -28,17 +29,6 @@
     count: number;
 }
 
-/** Values of the steps of jobs, by the job and the index of the step. */
-type ByStep<Value> = Map<JobView, Map<number, Value>>;
-
-const valueOf = <Value>(values: ByStep<Value>, view: JobView, stepIndex: number, create: () => Value): Value => {
-    const ofJob = values.get(view) ?? new Map<number, Value>();
-    values.set(view, ofJob);
-    const value = ofJob.get(stepIndex) ?? create();
-    ofJob.set(stepIndex, value);
-    return value;
-};
-
 const remainingOf = ({ run, measured }: GroupMember, stepMs: Millis, now: Millis): Millis => {
     const percent = run.percent ?? 0;
     const expected = stepMs * (1 - percent / 100);
@@ -69,7 +59,7 @@
     for (const { view, step, stepIndex, members } of groups) {
         for (const { measured } of members) {
             if (isFinite(step) && measured !== undefined && measured.percent >= TRUSTED_PERCENT) {
-                const mean = valueOf(siblings, view, stepIndex, () => ({ sum: 0, count: 0 }));
+                const mean = valueOfStep(siblings, view, stepIndex, () => ({ sum: 0, count: 0 }));
                 mean.sum += measured.totalMs;
                 mean.count += 1;
             }
@@ -78,7 +68,7 @@
     const models = queueModels(declared, samples);
     const declaredTimes: ByStep<Millis> = new Map();
     const declaredMs = (view: JobView, stepIndex: number): Millis =>
-        valueOf(
+        valueOfStep(
             declaredTimes,
             view,
             stepIndex,
