--- a/packages/dispatch/src/roomIndex.ts
+++ b/packages/dispatch/src/roomIndex.ts
@@ -1,5 +1,6 @@
 import type { Demand } from "@persimmonpitch/workload/step.js";
 import { type ExecutorRoom, laterRoom } from "./executorRoom.js";
+import { groupBy } from "./groupBy.js";
 import type { ReadyUnit } from "./readyUnits.js";
 
 /** Executors in the order of the view. */
@@ -17,8 +18,18 @@
 /** All executors that accept the units of one service and label. */
 export interface RoomPool {
     readonly rooms: Rooms;
+    readonly members: ReadonlySet<ExecutorRoom>;
     /** The executors of each rack, in the order of the first of them. */
     readonly racks: ReadonlyMap<string, Rooms>;
+    /** The racks by what they hold when they are empty. */
+    readonly rackKinds: ReadonlyMap<string, readonly Rooms[]>;
+}
+
+/** Executors of which the same number of accelerators is left, now or later. */
+interface Level {
+    readonly classes: Set<RoomClass>;
+    /** In the order of the view. */
+    readonly rooms: ExecutorRoom[];
 }
 
 /** Racks whose executors are alike one by one. */
@@ -64,13 +75,13 @@
     private readonly shapeOfRoom: readonly number[];
     private readonly classes = new Map<string, RoomClass>();
     private readonly classOfRoom: (RoomClass | undefined)[] = [];
-    private readonly byAccelerators = new Map<number, Set<RoomClass>>();
+    private readonly levels = new Map<number, Level>();
     private readonly rackRooms = new Map<string, ExecutorRoom[]>();
     private readonly rackClasses = new Map<string, RackClass>();
+    private readonly rackLevels = new Map<number, Set<RackClass>>();
     private readonly classOfRack = new Map<string, RackClass>();
     private readonly changed: Set<ExecutorRoom>;
     private readonly pools = new Map<string, RoomPool>();
-    private readonly emptyKeys = new Map<Rooms, string>();
     private readonly poolOfRooms = new Map<Rooms, RoomPool>();
     private readonly poolOfRacks = new Map<readonly Rooms[], RoomPool>();
 
@@ -100,37 +111,29 @@
             return known;
         }
         const rooms = this.rooms.filter(accepts);
-        const racks = new Map<string, ExecutorRoom[]>();
-        for (const room of rooms) {
-            const ofRack = racks.get(room.rack) ?? [];
-            ofRack.push(room);
-            racks.set(room.rack, ofRack);
-        }
-        const pool = { rooms, racks };
+        const pool = { ...this.racksOf(rooms), rooms, members: new Set(rooms) };
         this.pools.set(key, pool);
         this.poolOfRooms.set(rooms, pool);
         return pool;
     }
 
+    /** The racks of executors, also by what they hold when they are empty. */
+    racksOf(rooms: Rooms): Pick<RoomPool, "racks" | "rackKinds"> {
+        const racks = groupBy(rooms, ({ rack }) => rack);
+        const emptyKey = (ofRack: Rooms): string =>
+            ofRack.map(({ index, health }) => `${this.shapeOfRoom[index] ?? ""} ${health}`).join(",");
+        return { racks, rackKinds: groupBy(racks.values(), emptyKey) };
+    }
+
     /** Notes that the list holds all racks of the pool whose empty executors are of certain shapes and health. */
-    noteRacks(racks: readonly Rooms[], pool: RoomPool): void {
+    noteRacks(racks: readonly Rooms[], { rooms }: Pick<RoomPool, "rooms">): void {
+        const pool = this.poolOfRooms.get(rooms);
         // Racks of the same class need not be alike where single executors were left out.
-        if (this.poolOfRooms.get(pool.rooms) === pool) {
+        if (pool !== undefined) {
             this.poolOfRacks.set(racks, pool);
         }
     }
 
-    /** Shape and health of each executor of a rack; racks with the same hold the same number of tasks when empty. */
-    emptyKey(rooms: Rooms): string {
-        const known = this.emptyKeys.get(rooms);
-        if (known !== undefined) {
-            return known;
-        }
-        const key = rooms.map(({ index, health }) => `${this.shapeOfRoom[index] ?? ""} ${health}`).join(",");
-        this.emptyKeys.set(rooms, key);
-        return key;
-    }
-
     /** The classes of executors that may have room for the demand, if the list is a whole pool. */
     classesWith(rooms: Rooms, demand: Demand): readonly RoomClass[] | undefined {
         if (!this.poolOfRooms.has(rooms)) {
@@ -138,7 +141,7 @@
         }
         this.update();
         const found: RoomClass[] = [];
-        for (const [accelerators, classes] of this.byAccelerators) {
+        for (const [accelerators, { classes }] of this.levels) {
             if (accelerators < demand.accelerators) {
                 continue;
             }
@@ -151,6 +154,28 @@
         return found;
     }
 
+    /** So many executors with the most accelerators left, now or later, if the list is a whole pool. */
+    withMostLeft(rooms: Rooms, count: number): Rooms | undefined {
+        const members = this.poolOfRooms.get(rooms)?.members;
+        if (members === undefined) {
+            return undefined;
+        }
+        this.update();
+        const found: ExecutorRoom[] = [];
+        const levels = [...this.levels].sort(([left], [right]) => right - left);
+        for (const [, level] of levels) {
+            for (const room of level.rooms) {
+                if (found.length === count) {
+                    return found;
+                }
+                if (members.has(room)) {
+                    found.push(room);
+                }
+            }
+        }
+        return found;
+    }
+
     /** One rack, the first, of each class that may have so many accelerators left, if the list came by `noteRacks`. */
     racksWith(racks: readonly Rooms[], accelerators: number): readonly Rooms[] | undefined {
         const pool = this.poolOfRacks.get(racks);
@@ -159,10 +184,8 @@
         }
         this.update();
         const found: Rooms[] = [];
-        for (const rackClass of this.rackClasses.values()) {
-            if (rackClass.accelerators < accelerators) {
-                continue;
-            }
+        const classes = [...this.rackLevels].flatMap(([left, ofLevel]) => left >= accelerators ? [...ofLevel] : []);
+        for (const rackClass of classes) {
             let first: Rooms | undefined;
             for (const rack of rackClass.racks) {
                 const rooms = pool.racks.get(rack);
@@ -199,9 +222,11 @@
             return;
         }
         known.rooms.splice(placeOf(known.rooms, room), 1);
+        const level = this.levels.get(known.most.accelerators);
+        level?.rooms.splice(placeOf(level.rooms, room), 1);
         if (known.rooms.length === 0) {
             this.classes.delete(known.key);
-            this.byAccelerators.get(known.most.accelerators)?.delete(known);
+            level?.classes.delete(known);
         }
     }
 
@@ -210,10 +235,12 @@
         const known = this.classes.get(key) ?? { key, rooms: [], most: laterRoom(room) };
         known.rooms.splice(placeOf(known.rooms, room), 0, room);
         this.classOfRoom[room.index] = known;
+        const level = this.levels.get(known.most.accelerators) ?? { classes: new Set(), rooms: [] };
+        this.levels.set(known.most.accelerators, level);
+        level.rooms.splice(placeOf(level.rooms, room), 0, room);
         if (known.rooms.length === 1) {
             this.classes.set(key, known);
-            const { accelerators } = known.most;
-            this.byAccelerators.set(accelerators, (this.byAccelerators.get(accelerators) ?? new Set()).add(known));
+            level.classes.add(known);
         }
     }
 
@@ -222,6 +249,7 @@
         before?.racks.delete(rack);
         if (before?.racks.size === 0) {
             this.rackClasses.delete(before.key);
+            this.rackLevels.get(before.accelerators)?.delete(before);
         }
         const classes = (this.rackRooms.get(rack) ?? []).flatMap(({ index }) => this.classOfRoom[index] ?? []);
         const key = classes.map(one => one.key).join(",");
@@ -229,6 +257,7 @@
         const known = this.rackClasses.get(key) ?? { key, racks: new Set(), accelerators };
         known.racks.add(rack);
         this.rackClasses.set(key, known);
+        this.rackLevels.set(accelerators, (this.rackLevels.get(accelerators) ?? new Set()).add(known));
         this.classOfRack.set(rack, known);
     }
 }
--- a/packages/dispatch/src/seating.ts
+++ b/packages/dispatch/src/seating.ts
@@ -1,6 +1,5 @@
 import type { Demand } from "@persimmonpitch/workload/step.js";
 import { accepts, capacitySeats, type ExecutorRoom, seatsIn } from "./executorRoom.js";
-import { groupBy } from "./groupBy.js";
 import type { ReadyUnit } from "./readyUnits.js";
 import type { RoomIndex, RoomPool, Rooms } from "./roomIndex.js";
 
@@ -216,8 +215,6 @@
 /** Scales the free accelerators of a rack, so that they only decide between racks of equal remainder. */
 const MAX_RACK_ACCELERATORS = 1_000;
 
-const byRack = (rooms: Rooms): ReadonlyMap<string, Rooms> => groupBy(rooms, ({ rack }) => rack);
-
 /** Number of tasks that the executors would hold if they ran nothing else. */
 const totalSeats = (rooms: readonly ExecutorRoom[], unit: ReadyUnit): number =>
     rooms.reduce((sum, room) => sum + capacitySeats(room, unit), 0);
@@ -231,31 +228,32 @@
     return dataRack === undefined ? "plain" : "data";
 };
 
-const isDataRack = ({ step: { dataRack } }: ReadyUnit, rooms: readonly ExecutorRoom[]): boolean =>
-    rooms[0]?.rack === dataRack;
+type RackedRooms = Omit<RoomPool, "members">;
 
-/** The racks that hold so many tasks of the unit when they are empty. */
-const racksFor = (racks: ReadonlyMap<string, Rooms>, unit: ReadyUnit, needed: number, index: RoomIndex) => {
-    const seatsOfKind = new Map<string, number>();
-    return [...racks.values()].filter(rooms => {
-        const kind = index.emptyKey(rooms);
-        const seats = seatsOfKind.get(kind) ?? totalSeats(rooms, unit);
-        seatsOfKind.set(kind, seats);
-        return seats >= needed;
-    });
+const dataRackOf = ({ racks }: RackedRooms, { step: { dataRack } }: ReadyUnit): Rooms | undefined =>
+    dataRack === undefined ? undefined : racks.get(dataRack);
+
+const byFirst = (left: Rooms, right: Rooms): number => (left[0]?.index ?? 0) - (right[0]?.index ?? 0);
+
+/** The racks that hold all tasks of the unit when they are empty; the list is the same where all racks do. */
+const racksFor = ({ rackKinds }: RackedRooms, unit: ReadyUnit): readonly Rooms[] => {
+    const kinds = [...rackKinds.values()]
+        .filter(([rooms = []]) => totalSeats(rooms, unit) >= unit.step.count);
+    const [only] = kinds;
+    return only !== undefined && kinds.length === 1 ? only : kinds.flat().sort(byFirst);
 };
 
-type SpansHandler = (pool: RoomPool, unit: ReadyUnit, index: RoomIndex) => Spans;
+type SpansHandler = (pool: RackedRooms, unit: ReadyUnit, index: RoomIndex) => Spans;
 
 /** Sets of executors for a unit, by what its tasks run slower for. */
 const SPANS: { readonly [K in SpanKind]: SpansHandler; } = {
     tight: (pool, unit, index) => {
         const { rooms } = pool;
-        const racks = racksFor(pool.racks, unit, unit.step.count, index);
-        const dataRacks = racks.filter(rack => isDataRack(unit, rack));
-        if (dataRacks.length > 0) {
-            return { preferred: dataRacks, fallback: rooms };
+        const dataRack = dataRackOf(pool, unit);
+        if (dataRack !== undefined && totalSeats(dataRack, unit) >= unit.step.count) {
+            return { preferred: [dataRack], fallback: rooms };
         }
+        const racks = racksFor(pool, unit);
         if (unit.step.maxPerExecutor === undefined) {
             index.noteRacks(racks, pool);
         }
@@ -263,12 +261,12 @@
             ? { preferred: racks, fallback: rooms }
             : { preferred: [rooms], fallback: undefined };
     },
-    data: ({ rooms, racks }, unit) => {
+    data: (pool, unit) => {
         const needed = unit.step.isGang ? unit.step.count : 1;
-        const rack = racks.get(unit.step.dataRack ?? "");
-        return rack !== undefined && totalSeats(rack, unit) >= needed
-            ? { preferred: [rack], fallback: rooms }
-            : { preferred: [rooms], fallback: undefined };
+        const dataRack = dataRackOf(pool, unit);
+        return dataRack !== undefined && totalSeats(dataRack, unit) >= needed
+            ? { preferred: [dataRack], fallback: pool.rooms }
+            : { preferred: [pool.rooms], fallback: undefined };
     },
     plain: ({ rooms }) => ({ preferred: [rooms], fallback: undefined }),
 };
@@ -288,5 +286,5 @@
     const needed = unit.step.isGang ? unit.step.count : 1;
     return totalSeats(others, unit) < needed
         ? handler(pool, unit, index)
-        : handler({ rooms: others, racks: byRack(others) }, unit, index);
+        : handler({ ...index.racksOf(others), rooms: others }, unit, index);
 };
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -67,6 +67,12 @@
         .slice(0, count)
         .map(({ item }) => item);
 
+/** The executors of a set that have the most room left. */
+const roomiest = ({ seating: { index } }: PassState, rooms: readonly ExecutorRoom[], count: number) =>
+    rooms.length <= count
+        ? rooms
+        : index.withMostLeft(rooms, count) ?? mostRoom(rooms, room => [room], count);
+
 /** Whether an equal or smaller request of the kind did not fit before in this pass. */
 const isMisfit = ({ misfits }: PassState, kind: string | undefined, count: number, lengthMs: Millis): boolean => {
     const misfit = kind === undefined ? undefined : misfits.get(kind);
@@ -97,7 +103,7 @@
     const chooseInSpan = (rooms: readonly ExecutorRoom[]): VictimSet | undefined =>
         rooms.length <= maxSearchedExecutors
             ? chooseIn(rooms)
-            : chooseIn(mostRoom(rooms, room => [room], maxSearchedExecutors)) ?? chooseIn(rooms);
+            : chooseIn(roomiest(state, rooms, maxSearchedExecutors)) ?? chooseIn(rooms);
     const cheapest = (some: readonly (readonly ExecutorRoom[])[]): VictimSet | undefined =>
         some
             .map(chooseInSpan)
@@ -126,7 +132,7 @@
 const soonestFit = (state: PassState, { ranked, spans }: Request, count: number): LaterFit | undefined => {
     const { maxSearchedSpans, maxSearchedExecutors } = state.options;
     return mostRoom(spans.preferred, rooms => rooms, maxSearchedSpans)
-        .map(rooms => mostRoom(rooms, room => [room], maxSearchedExecutors))
+        .map(rooms => roomiest(state, rooms, maxSearchedExecutors))
         .map(rooms => earliestFit(rooms, ranked.unit, count, state.releases))
         .reduce((best, fit) => fit !== undefined && fit.inMs < (best?.inMs ?? Infinity) ? fit : best, undefined);
 };
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -18,10 +18,14 @@
 
 interface Search {
     readonly unit: ReadyUnit;
-    readonly rooms: readonly ExecutorRoom[];
+    /** By their index. */
+    readonly rooms: ReadonlyMap<number, ExecutorRoom>;
     readonly available: Map<number, MutableDemand>;
     readonly victims: ReadonlyMap<number, readonly Victim[]>;
     readonly chosen: Set<Victim>;
+    /** Tasks that fit on each executor with what the chosen victims give back, and on all together. */
+    readonly seats: Map<number, number>;
+    total: number;
 }
 
 const costPerAccelerator = ({ group, cost }: Victim): number =>
@@ -42,8 +46,12 @@
     addTo(available, countedDemand(victim.group.step), factor * here);
 };
 
-const seatsOf = ({ unit, available }: Search, room: ExecutorRoom): number =>
-    seatsIn(room, unit, available.get(room.index) ?? noDemand());
+const countSeats = (search: Search, room: ExecutorRoom): void => {
+    const { unit, available, seats } = search;
+    const now = seatsIn(room, unit, available.get(room.index) ?? noDemand());
+    search.total += now - (seats.get(room.index) ?? 0);
+    seats.set(room.index, now);
+};
 
 /** Drops the victims without which there is still enough room, the most expensive first. */
 const withoutNeedless = (
@@ -58,7 +66,7 @@
 /** The cheapest victims found that make room for one more task on an executor. */
 const nextSeat = (search: Search, room: ExecutorRoom): readonly Victim[] | undefined => {
     const { unit, available, victims, chosen } = search;
-    const seats = seatsOf(search, room);
+    const seats = search.seats.get(room.index) ?? 0;
     const roomWith = (some: readonly Victim[]): number => {
         const part = { ...available.get(room.index) ?? noDemand() };
         some.forEach(victim => {
@@ -88,8 +96,10 @@
     }
     for (const executor of new Set(victim.group.members.map(member => member.executor))) {
         const part = search.available.get(executor);
-        if (part !== undefined) {
+        const room = search.rooms.get(executor);
+        if (part !== undefined && room !== undefined) {
             giveBack(victim, executor, part, factor);
+            countSeats(search, room);
         }
     }
 };
@@ -103,7 +113,7 @@
 
 const cheapestStep = (search: Search, cache: Map<number, SeatGain | undefined>): SeatGain | undefined => {
     let best: SeatGain | undefined;
-    for (const room of search.rooms) {
+    for (const room of search.rooms.values()) {
         if (!cache.has(room.index)) {
             const victims = nextSeat(search, room);
             cache.set(room.index, victims && { victims, cost: totalCost(victims) });
@@ -125,14 +135,18 @@
 ): VictimSet | undefined => {
     const search: Search = {
         unit,
-        rooms,
+        rooms: new Map(rooms.map(room => [room.index, room])),
         available: new Map(rooms.map(room => [room.index, laterRoom(room)])),
         victims: victimsByRoom(victims),
         chosen: new Set(),
+        seats: new Map(),
+        total: 0,
     };
-    const total = (): number => rooms.reduce((sum, room) => sum + seatsOf(search, room), 0);
+    rooms.forEach(room => {
+        countSeats(search, room);
+    });
     const cache = new Map<number, SeatGain | undefined>();
-    while (total() < count) {
+    while (search.total < count) {
         const step = cheapestStep(search, cache);
         if (step === undefined) {
             return undefined;
@@ -144,7 +158,7 @@
     }
     for (const victim of [...search.chosen].sort((left, right) => right.cost - left.cost)) {
         choose(search, victim, -1);
-        if (total() < count) {
+        if (search.total < count) {
             choose(search, victim, 1);
         }
     }
