--- a/packages/dispatch/src/prospects.ts
+++ b/packages/dispatch/src/prospects.ts
@@ -79,10 +79,12 @@
 /** Number of tasks of a step that neither run nor are done. */
 const freeTasks = ({ view, occurrence }: OpenOccurrence, stepIndex: number): number => {
     const step = view.job.steps[stepIndex];
-    return step === undefined ? 0 : stepKeys(occurrence, stepIndex, step).filter(key => {
+    let free = 0;
+    for (const key of step === undefined ? [] : stepKeys(occurrence, stepIndex, step)) {
         const { placement, isDone } = progressOf(view, key);
-        return placement === undefined && !isDone;
-    }).length;
+        free += Number(placement === undefined && !isDone);
+    }
+    return free;
 };
 
 /** Judges each occurrence by its deadlines and the work that is left. */
@@ -98,6 +100,7 @@
     const running = runningSteps(groups, runTimes);
     const prospectOf = (owner: OpenOccurrence): Prospect => {
         const { view, startAt, doneSteps } = owner;
+        const id = occurrenceId(owner);
         const { queue, job } = view;
         const isFinite = (index: number): boolean => job.steps[index]?.isLongRunning !== true;
         const isOpen = (index: number): boolean => isFinite(index) && doneSteps[index] === false;
@@ -106,7 +109,7 @@
             index => isFinite(index) ? waves.allowed(view, index) * runTimes.stepMs(view, index) : 0,
         );
         const restMs = (index: number): Millis => {
-            const runningMs = running.get(`${occurrenceId(owner)} ${index}`) ?? 0;
+            const runningMs = running.get(`${id} ${index}`) ?? 0;
             const free = freeTasks(owner, index);
             return free === 0
                 ? runningMs
--- a/packages/dispatch/src/roomIndex.ts
+++ b/packages/dispatch/src/roomIndex.ts
@@ -21,6 +21,7 @@
     readonly members: ReadonlySet<ExecutorRoom>;
     /** The executors of each rack, in the order of the first of them. */
     readonly racks: ReadonlyMap<string, Rooms>;
+    readonly rackList: readonly Rooms[];
     /** The racks by what they hold when they are empty. */
     readonly rackKinds: ReadonlyMap<string, readonly Rooms[]>;
 }
@@ -118,11 +119,12 @@
     }
 
     /** The racks of executors, also by what they hold when they are empty. */
-    racksOf(rooms: Rooms): Pick<RoomPool, "racks" | "rackKinds"> {
+    racksOf(rooms: Rooms): Pick<RoomPool, "racks" | "rackList" | "rackKinds"> {
         const racks = groupBy(rooms, ({ rack }) => rack);
         const emptyKey = (ofRack: Rooms): string =>
             ofRack.map(({ index, health }) => `${this.shapeOfRoom[index] ?? ""} ${health}`).join(",");
-        return { racks, rackKinds: groupBy(racks.values(), emptyKey) };
+        const rackList = [...racks.values()];
+        return { racks, rackList, rackKinds: groupBy(rackList, emptyKey) };
     }
 
     /** Notes that the list holds all racks of the pool whose empty executors are of certain shapes and health. */
--- a/packages/dispatch/src/seating.ts
+++ b/packages/dispatch/src/seating.ts
@@ -236,11 +236,10 @@
 const byFirst = (left: Rooms, right: Rooms): number => (left[0]?.index ?? 0) - (right[0]?.index ?? 0);
 
 /** The racks that hold all tasks of the unit when they are empty; the list is the same where all racks do. */
-const racksFor = ({ rackKinds }: RackedRooms, unit: ReadyUnit): readonly Rooms[] => {
-    const kinds = [...rackKinds.values()]
-        .filter(([rooms = []]) => totalSeats(rooms, unit) >= unit.step.count);
-    const [only] = kinds;
-    return only !== undefined && kinds.length === 1 ? only : kinds.flat().sort(byFirst);
+const racksFor = ({ rackKinds, rackList }: RackedRooms, unit: ReadyUnit): readonly Rooms[] => {
+    const kinds = [...rackKinds.values()];
+    const holding = kinds.filter(([rooms = []]) => totalSeats(rooms, unit) >= unit.step.count);
+    return holding.length === kinds.length ? rackList : holding.flat().sort(byFirst);
 };
 
 type SpansHandler = (pool: RackedRooms, unit: ReadyUnit, index: RoomIndex) => Spans;
