--- a/packages/control/src/openJob.ts
+++ b/packages/control/src/openJob.ts
@@ -1,12 +1,8 @@
 import type { JobProgress, Outcome, TaskProgress } from "@persimmonpitch/workload/progress.js";
 import { NO_TASK_PROGRESS } from "@persimmonpitch/workload/progress.js";
-import type { Step } from "@persimmonpitch/workload/step.js";
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
-import { taskKey } from "@persimmonpitch/workload/taskName.js";
 
-/** Keys of the tasks of one step in one occurrence. */
-export const stepKeys = (step: Step, occurrence: number, number: number): readonly string[] =>
-    Array.from({ length: step.count }, (_, index) => taskKey({ occurrence, step: number, index }));
+export { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 
 /** Number of copies of the steps of a job. */
 export const occurrenceCount = (job: StepJob): number => job.repetition?.count ?? 1;
--- a/packages/dispatch/src/openOccurrences.ts
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { NO_TASK_PROGRESS, type TaskProgress } from "@persimmonpitch/workload/progress.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
-import { taskKey } from "@persimmonpitch/workload/taskName.js";
+import { stepKeys as keysOfStep } from "@persimmonpitch/workload/stepKeys.js";
 import type { JobView } from "./dispatchView.js";
 
 /** One occurrence of the steps of an open job that is due. */
@@ -17,20 +17,9 @@
 /** Progress of one task. */
 export const progressOf = ({ progress }: JobView, key: string): TaskProgress => progress.tasks[key] ?? NO_TASK_PROGRESS;
 
-/** Keys of the tasks of each step, so that they are not built in every pass; steps never change. */
-const knownKeys = new WeakMap<Step, Map<number, Map<number, readonly string[]>>>();
-
 /** The keys of all tasks of a step. */
-export const stepKeys = (occurrence: number, step: number, definition: Step): readonly string[] => {
-    const ofStep = knownKeys.get(definition) ?? new Map<number, Map<number, readonly string[]>>();
-    knownKeys.set(definition, ofStep);
-    const ofIndex = ofStep.get(step) ?? new Map<number, readonly string[]>();
-    ofStep.set(step, ofIndex);
-    const keys = ofIndex.get(occurrence)
-        ?? Array.from({ length: definition.count }, (_, index) => taskKey({ occurrence, step, index }));
-    ofIndex.set(occurrence, keys);
-    return keys;
-};
+export const stepKeys = (occurrence: number, stepIndex: number, step: Step): readonly string[] =>
+    keysOfStep(step, occurrence, stepIndex);
 
 /** Whether all tasks of a step are done; one end stands for all members of a gang. */
 const isStepDone = (view: JobView, occurrence: number, stepIndex: number, step: Step): boolean => {
--- a/packages/workload/src/taskName.ts
+++ b/packages/workload/src/taskName.ts
@@ -11,20 +11,6 @@
 /** Name of a task towards executors. */
 export const taskName = (jobId: string, key: string): string => `${jobId}.${key}`;
 
-const NAME = /^(.+)\.(\d+)\.(\d+)\.(\d+)$/;
-
-/** Parts of the name of a task; undefined for a name of another form. */
-export const parseTaskName = (
-    name: string,
-): (TaskPlace & { readonly jobId: string; readonly key: string; }) | undefined => {
-    const [, jobId, occurrence, step, index] = NAME.exec(name) ?? [];
-    if (jobId === undefined || occurrence === undefined || step === undefined || index === undefined) {
-        return undefined;
-    }
-    const place = { occurrence: Number(occurrence), step: Number(step), index: Number(index) };
-    return { ...place, jobId, key: taskKey(place) };
-};
-
 const ZERO = 48;
 const NINE = 57;
 const DOT = 46;
@@ -51,3 +37,19 @@
     const [occurrence, step, index] = numbers;
     return part === numbers.length - 1 && digits > 0 ? { occurrence, step, index } : undefined;
 };
+
+const LINE_END = /[\n\r\u2028\u2029]/;
+
+/** Parts of the name of a task; undefined for a name of another form. */
+export const parseTaskName = (
+    name: string,
+): (TaskPlace & { readonly jobId: string; readonly key: string; }) | undefined => {
+    const indexDot = name.lastIndexOf(".");
+    const stepDot = name.lastIndexOf(".", indexDot - 1);
+    const occurrenceDot = name.lastIndexOf(".", stepDot - 1);
+    const place = parseTaskKey(name.slice(occurrenceDot + 1));
+    const jobId = name.slice(0, Math.max(0, occurrenceDot));
+    return place === undefined || jobId === "" || LINE_END.test(jobId)
+        ? undefined
+        : { ...place, jobId, key: taskKey(place) };
+};
