--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -72,7 +72,7 @@
     const groups = runGroups(view.executors, runSteps);
     const runTimes = estimateRunTimes(view.jobs, groups, view.samples, view.now);
     const moves = findMoves(view, groups, runTimes, options);
-    const units = occurrences.flatMap(readyUnits);
+    const units = occurrences.flatMap(owner => readyUnits(owner, view.advised));
     if (units.length === 0 && moves.length === 0) {
         // Most passes are of this kind: the controller runs one every 250 ms also when nothing happens.
         return { decisions: [], rooms: [] };
--- a/packages/dispatch/src/roomIndex.ts
+++ b/packages/dispatch/src/roomIndex.ts
@@ -104,17 +104,23 @@
         }
     }
 
-    /** The executors that accept the unit; the same for all units of a service and label. */
-    poolFor({ owner, step: { requiredLabel } }: ReadyUnit, accepts: (room: ExecutorRoom) => boolean): RoomPool {
+    /** The executors that accept the unit; the same for all units of a service and label that need no advice. */
+    poolFor(
+        { owner, allowed, step: { requiredLabel } }: ReadyUnit,
+        accepts: (room: ExecutorRoom) => boolean,
+    ): RoomPool {
         const key = JSON.stringify([owner.view.queue.service, requiredLabel]);
-        const known = this.pools.get(key);
+        const known = allowed === undefined ? this.pools.get(key) : undefined;
         if (known !== undefined) {
             return known;
         }
         const rooms = this.rooms.filter(accepts);
         const pool = { ...this.racksOf(rooms), rooms, members: new Set(rooms) };
-        this.pools.set(key, pool);
-        this.poolOfRooms.set(rooms, pool);
+        // Executors that advice allows need not be all of their class, so they are compared one by one.
+        if (allowed === undefined) {
+            this.pools.set(key, pool);
+            this.poolOfRooms.set(rooms, pool);
+        }
         return pool;
     }
 
