--- a/packages/dispatch/src/runTimes.ts
+++ b/packages/dispatch/src/runTimes.ts
@@ -81,7 +81,8 @@
             ? prior
             : SIBLING_WEIGHT * measured.sum / measured.count + (1 - SIBLING_WEIGHT) * prior;
     };
-    const remainingMs = ({ view, step, stepIndex, members }: RunGroup): Millis => {
+    const knownRemaining = new Map<RunGroup, Millis>();
+    const estimateRemaining = ({ view, step, stepIndex, members }: RunGroup): Millis => {
         if (step.isLongRunning) {
             return Infinity;
         }
@@ -91,5 +92,10 @@
             MIN_REMAINING_MS,
         );
     };
+    const remainingMs = (group: RunGroup): Millis => {
+        const remaining = knownRemaining.get(group) ?? estimateRemaining(group);
+        knownRemaining.set(group, remaining);
+        return remaining;
+    };
     return { stepMs, declaredMs, remainingMs };
 };
