--- a/packages/capacity/src/measurements/dispatchPasses.ts
+++ b/packages/capacity/src/measurements/dispatchPasses.ts
@@ -12,6 +12,7 @@
 /** Most time for the passes of one case; slow ones are then repeated less often. */
 const MAX_WARM_UP_MS = 1_000;
 const MAX_TIMED_MS = 10_000;
+const MICROSECONDS_PER_MS = 1_000;
 
 const percentile = (ascending: readonly number[], share: number): number =>
     ascending[Math.min(ascending.length - 1, Math.ceil(ascending.length * share) - 1)] ?? 0;
@@ -33,11 +34,14 @@
 const measureCase = (executors: number, dispatchCase: DispatchCase): readonly (readonly [string, number])[] => {
     const view = makeDispatchView(executors, dispatchCase, SEED);
     timePasses(view, WARM_UP_PASSES, MAX_WARM_UP_MS);
+    const before = process.cpuUsage();
     const times = [...timePasses(view, TIMED_PASSES, MAX_TIMED_MS)].sort((left, right) => left - right);
+    const { user, system } = process.cpuUsage(before);
     const { decisions, rooms } = runPass(view);
     return [
         [`${dispatchCase} p50 ms`, percentile(times, 0.5)],
         [`${dispatchCase} p99 ms`, percentile(times, 0.99)],
+        [`${dispatchCase} cpu ms`, (user + system) / times.length / MICROSECONDS_PER_MS],
         [`${dispatchCase} decisions`, decisions.length],
         [`${dispatchCase} visits`, rooms.reduce((sum, { visits }) => sum + visits, 0)],
     ];
--- a/packages/capacity/src/verdictTable.ts
+++ b/packages/capacity/src/verdictTable.ts
@@ -19,6 +19,11 @@
 
 /** Shortest time between two scheduling turns, as the scheduler has it. */
 const MIN_TURN_INTERVAL_MS = 50;
+
+/** A pass of the controller over jobs of steps, and how often one runs when nothing happens. */
+const PASS_P99_MS = 20;
+const IDLE_PASS_MS = 250;
+
 const URGENT_START_MS = 3_400;
 const IN_FORCE_MS = 4_000;
 const TASKS_PER_WORKER = PLAN.runningTasks / PLAN.workers;
@@ -138,6 +143,24 @@
         from: ["schedulingTurn"],
         value: book => book.at("schedulingTurn", "state KB", PLAN.workers) / 1_024,
     },
+    {
+        role: "controller, 930 executors, 1,000 waiting jobs",
+        figure: "one pass, 99th percentile",
+        unit: "ms",
+        budget: PASS_P99_MS,
+        from: ["dispatchPasses"],
+        value: book => book.at("dispatchPasses", "saturated p99 ms", PLAN.workers),
+    },
+    {
+        role: "controller, 930 executors, nothing waits",
+        figure: "passes, one every 250 ms",
+        unit: "% of a core",
+        budget: BUDGET.corePercent,
+        from: ["dispatchPasses"],
+        value: book =>
+            book.at("dispatchPasses", "nothingWaits cpu ms", PLAN.workers) * PERCENT_OF_CORE_PER_MS
+            * MS_PER_SECOND / IDLE_PASS_MS,
+    },
     {
         role: "new holder, 930 agents, 4,500 tasks",
         figure: "all agents fenced after the role is taken",
--- a/packages/capacity/tests/plannedFigures.ts
+++ b/packages/capacity/tests/plannedFigures.ts
@@ -22,6 +22,7 @@
         "configuration B": [300, 200],
     },
     schedulingTurn: { "turn cpu ms": [1, 0.01], "state KB": [100, 2] },
+    dispatchPasses: { "saturated p99 ms": [1, 0.01], "nothingWaits cpu ms": [0, 0.002] },
     region: {
         ...ofProcess("idle entry", [[1, 0.002], [90, 0.1], [500, 10], [1_000, 100]]),
         ...ofProcess("loaded entry", [[1, 0.003], [90, 0.2], [500, 20], [1_000, 200]]),
--- a/tap-snapshots/packages/capacity/dist/tests/verdicts.test.js.test.cjs
+++ b/tap-snapshots/packages/capacity/dist/tests/verdicts.test.js.test.cjs
@@ -55,6 +55,8 @@
 holder, 930 workers, 4,500 tasks                         turns, one a second                                           1.03       % of a core           1.5     within      schedulingTurn
 holder, 930 workers, 4,500 tasks                         turns, as often as reports can wake them                      17.08      % of a core           1.5     over        schedulingTurn
 holder, 930 workers, 4,500 tasks                         books of jobs and agents                                      1.914      MB                    256     within      schedulingTurn
+controller, 930 executors, 1,000 waiting jobs            one pass, 99th percentile                                     10.3       ms                    20      within      dispatchPasses
+controller, 930 executors, nothing waits                 passes, one every 250 ms                                      0.744      % of a core           1.5     within      dispatchPasses
 new holder, 930 agents, 4,500 tasks                      all agents fenced after the role is taken                     1,030      ms                    3,400   within      region
 new holder, 930 agents, 4,500 tasks                      urgent job started after the role is taken                    1,960      ms                    3,400   within      region
 new holder, 930 agents, 4,500 tasks                      urgent job started after the loss of the holder               9,460      ms                    3,400   over        region
