--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -33,9 +33,11 @@
     return avoided;
 };
 
+const NONE: ReadonlySet<number> = new Set();
+
 const avoidedBy = ({ owner, keys }: ReadyUnit, avoided: Avoided): ReadonlySet<number> =>
     avoided.size === 0
-        ? new Set()
+        ? NONE
         : new Set(keys.flatMap(key => [...avoided.get(`${owner.view.job.jobId} ${key}`) ?? []]));
 
 const unhealthyExecutors = (moves: readonly Move[]): ReadonlySet<number> =>
@@ -48,7 +50,8 @@
 const placeAll = (state: PassState, ordered: readonly RankedUnit[]): void => {
     const avoided = avoidedExecutors(state.view, state.options);
     const spansOfKind = new Map<string, Spans>();
-    for (const { unit, ...rank } of ordered) {
+    for (const ranked of ordered) {
+        const { unit } = ranked;
         const avoidedHere = avoidedBy(unit, avoided);
         const kind = avoidedHere.size === 0 ? unitKind(unit) : undefined;
         const known = kind === undefined ? undefined : spansOfKind.get(kind);
@@ -56,7 +59,7 @@
         if (kind !== undefined) {
             spansOfKind.set(kind, spans);
         }
-        placeUnit(state, { ...rank, unit }, spans, kind);
+        placeUnit(state, ranked, spans, kind);
     }
 };
 
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -74,7 +74,9 @@
     const { milliCores, memoryMb, accelerators } = demand;
     const limit = maxPerExecutor === undefined ? "" : `${maxPerExecutor} ${owner.view.job.jobId} ${owner.occurrence}`;
     const gang = isGang ? `${isTight} ${keys.length}` : "";
-    const places = JSON.stringify([owner.view.queue.service, dataRack, requiredLabel]);
+    const isAnywhere = dataRack === undefined && requiredLabel === undefined;
+    const { service } = owner.view.queue;
+    const places = isAnywhere ? service : JSON.stringify([service, dataRack, requiredLabel]);
     const advised = allowed === undefined ? "" : stepName(owner.view.job.jobId, owner.occurrence, stepIndex);
     return [milliCores, memoryMb, accelerators, gang, limit, places, advised].join(";");
 };
--- a/packages/dispatch/src/reservations.ts
+++ b/packages/dispatch/src/reservations.ts
@@ -57,20 +57,22 @@
     releases: Releases,
 ): LaterFit | undefined => {
     const available = new Map(rooms.map(room => [room, unreservedRoom(room)]));
-    const seatsOf = (room: ExecutorRoom): number => seatsIn(room, unit, available.get(room) ?? noDemand());
-    const events = rooms
-        .flatMap(room => (releases.get(room.index) ?? []).map(release => ({ room, ...release })))
-        .sort((left, right) => left.inMs - right.inMs);
-    let total = rooms.reduce((sum, room) => sum + seatsOf(room), 0);
+    const seats = new Map(rooms.map(room => [room, seatsIn(room, unit, available.get(room) ?? noDemand())]));
+    let total = [...seats.values()].reduce((sum, some) => sum + some, 0);
     let inMs = 0;
-    for (const { room, demand, inMs: at } of events) {
+    const events = total >= count ? [] : rooms
+        .flatMap(room => (releases.get(room.index) ?? []).map(release => ({ room, release })))
+        .sort((left, right) => left.release.inMs - right.release.inMs);
+    for (const { room, release } of events) {
         if (total >= count) {
             break;
         }
-        total -= seatsOf(room);
-        addTo(available.get(room) ?? noDemand(), demand);
-        total += seatsOf(room);
-        inMs = at;
+        const part = available.get(room) ?? noDemand();
+        addTo(part, release.demand);
+        const seatsThen = seatsIn(room, unit, part);
+        total += seatsThen - (seats.get(room) ?? 0);
+        seats.set(room, seatsThen);
+        inMs = release.inMs;
     }
     return total < count ? undefined : { inMs, available };
 };
--- a/packages/dispatch/src/seating.ts
+++ b/packages/dispatch/src/seating.ts
@@ -72,50 +72,59 @@
     readonly cost: number;
 }
 
-const candidateOf = (
-    room: ExecutorRoom,
+interface Wanted {
+    readonly unit: ReadyUnit;
+    readonly count: number;
+    readonly available: Available;
+}
+
+/** Adds executors that are alike; the first stands for all. */
+const addCandidate = (
+    found: Candidate[],
     rooms: Rooms,
-    unit: ReadyUnit,
-    count: number,
-    available: Available,
+    { unit, count, available }: Wanted,
     { scarcity }: SeatingContext,
-): readonly Candidate[] => {
+): void => {
+    const [room] = rooms;
+    if (room === undefined) {
+        return;
+    }
     const part = available(room);
     const seats = seatsIn(room, unit, part);
-    if (seats === 0) {
-        return [];
+    if (seats > 0) {
+        const remainder = remainderOf(room, part, unit, Math.min(seats, count), scarcity);
+        const penalty = room.health === "healthy" ? 0 : SUSPECT_PENALTY;
+        found.push({ rooms, seats, free: part.accelerators, cost: remainder + penalty });
     }
-    const remainder = remainderOf(room, part, unit, Math.min(seats, count), scarcity);
-    const penalty = room.health === "healthy" ? 0 : SUSPECT_PENALTY;
-    return [{ rooms, seats, free: part.accelerators, cost: remainder + penalty }];
 };
 
-/** Candidates of a whole pool by classes of executors; those with tasks of the step have other seats than their class. */
-const candidatesOf = (
-    rooms: Rooms,
-    unit: ReadyUnit,
-    count: number,
-    available: Available,
-    context: SeatingContext,
-): readonly Candidate[] => {
-    const isSeparate = unit.step.maxPerExecutor === undefined
-        ? () => false
-        : ({ tasksOfStep }: ExecutorRoom) => tasksOfStep.has(unit.stepId);
-    const classes = context.index.classesWith(rooms, unit.demand);
-    const groups = classes === undefined
-        ? rooms.map(room => [room])
-        : classes.flatMap(one => {
-            if (!one.rooms.some(isSeparate)) {
-                return [one.rooms];
+/** Executors of a class, apart from those that have tasks of the step and so other seats than their class. */
+const splitClass = (rooms: Rooms, { step: { maxPerExecutor }, stepId }: ReadyUnit): readonly Rooms[] => {
+    const isSeparate = ({ tasksOfStep }: ExecutorRoom): boolean => tasksOfStep.has(stepId);
+    return maxPerExecutor === undefined || !rooms.some(isSeparate)
+        ? [rooms]
+        : [rooms.filter(room => !isSeparate(room)), ...rooms.filter(isSeparate).map(room => [room])];
+};
+
+/** Candidates of a whole pool by classes of executors, otherwise one by one. */
+const candidatesOf = (rooms: Rooms, wanted: Wanted, context: SeatingContext): readonly Candidate[] => {
+    const found: Candidate[] = [];
+    const classes = context.index.classesWith(rooms, wanted.unit.demand);
+    if (classes === undefined) {
+        for (const room of rooms) {
+            addCandidate(found, [room], wanted, context);
+        }
+        return found;
+    }
+    for (const { rooms: alike } of classes) {
+        const [first] = alike;
+        if (first !== undefined && accepts(first, wanted.unit)) {
+            for (const some of splitClass(alike, wanted.unit)) {
+                addCandidate(found, some, wanted, context);
             }
-            return [one.rooms.filter(room => !isSeparate(room)), ...one.rooms.filter(isSeparate).map(room => [room])];
-        });
-    return groups.flatMap(group => {
-        const [first] = group;
-        return first === undefined || classes !== undefined && !accepts(first, unit)
-            ? []
-            : candidateOf(first, group, unit, count, available, context);
-    });
+        }
+    }
+    return found;
 };
 
 const byCost = (left: Candidate, right: Candidate): number => left.cost - right.cost || left.free - right.free;
@@ -142,7 +151,7 @@
 
 /** The executors by cost; of equal ones the first in the order of the view. */
 function* inOrder(candidates: readonly Candidate[]): Generator<Place> {
-    const sorted = [...candidates].sort(byCost);
+    const sorted = candidates.length > 1 ? [...candidates].sort(byCost) : candidates;
     let equal: Candidate[] = [];
     for (const candidate of sorted) {
         const [first] = equal;
@@ -173,7 +182,7 @@
     const seats: Seat[] = [];
     let placed = 0;
     let remainder = 0;
-    for (const { candidate, room } of inOrder(candidatesOf(rooms, unit, count, available, context))) {
+    for (const { candidate, room } of inOrder(candidatesOf(rooms, { unit, count, available }, context))) {
         const taken = Math.min(candidate.seats, count - placed);
         seats.push({ room, count: taken });
         placed += taken;
