--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -25,11 +25,14 @@
 /** The tasks of a step that can start together: all members of a gang or none of them. */
 export const freeKeys = (owner: OpenOccurrence, stepIndex: number, step: Step): readonly string[] => {
     const keys = stepKeys(owner.occurrence, stepIndex, step);
-    const free = keys.filter(key => {
+    const isFree = (key: string): boolean => {
         const { placement, isDone } = progressOf(owner.view, key);
         return placement === undefined && !isDone;
-    });
-    return step.isGang && free.length < keys.length ? [] : free;
+    };
+    if (keys.every(isFree)) {
+        return keys;
+    }
+    return step.isGang ? [] : keys.filter(isFree);
 };
 
 /** Whether a step may start by the order of the steps. */
@@ -71,7 +74,9 @@
     const { milliCores, memoryMb, accelerators } = demand;
     const limit = maxPerExecutor === undefined ? "" : `${maxPerExecutor} ${owner.view.job.jobId} ${owner.occurrence}`;
     const gang = isGang ? `${isTight} ${keys.length}` : "";
-    const places = JSON.stringify([owner.view.queue.service, dataRack, requiredLabel]);
+    const isAnywhere = dataRack === undefined && requiredLabel === undefined;
+    const { service } = owner.view.queue;
+    const places = isAnywhere ? service : JSON.stringify([service, dataRack, requiredLabel]);
     const advised = allowed === undefined ? "" : stepName(owner.view.job.jobId, owner.occurrence, stepIndex);
     return [milliCores, memoryMb, accelerators, gang, limit, places, advised].join(";");
 };
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -67,6 +67,12 @@
         .slice(0, count)
         .map(({ item }) => item);
 
+/** The executors of a set that have the most room left. */
+const roomiest = ({ seating: { index } }: PassState, rooms: readonly ExecutorRoom[], count: number) =>
+    rooms.length <= count
+        ? rooms
+        : index.withMostLeft(rooms, count) ?? mostRoom(rooms, room => [room], count);
+
 /** Whether an equal or smaller request of the kind did not fit before in this pass. */
 const isMisfit = ({ misfits }: PassState, kind: string | undefined, count: number, lengthMs: Millis): boolean => {
     const misfit = kind === undefined ? undefined : misfits.get(kind);
@@ -97,7 +103,7 @@
     const chooseInSpan = (rooms: readonly ExecutorRoom[]): VictimSet | undefined =>
         rooms.length <= maxSearchedExecutors
             ? chooseIn(rooms)
-            : chooseIn(mostRoom(rooms, room => [room], maxSearchedExecutors)) ?? chooseIn(rooms);
+            : chooseIn(roomiest(state, rooms, maxSearchedExecutors)) ?? chooseIn(rooms);
     const cheapest = (some: readonly (readonly ExecutorRoom[])[]): VictimSet | undefined =>
         some
             .map(chooseInSpan)
@@ -126,7 +132,7 @@
 const soonestFit = (state: PassState, { ranked, spans }: Request, count: number): LaterFit | undefined => {
     const { maxSearchedSpans, maxSearchedExecutors } = state.options;
     return mostRoom(spans.preferred, rooms => rooms, maxSearchedSpans)
-        .map(rooms => mostRoom(rooms, room => [room], maxSearchedExecutors))
+        .map(rooms => roomiest(state, rooms, maxSearchedExecutors))
         .map(rooms => earliestFit(rooms, ranked.unit, count, state.releases))
         .reduce((best, fit) => fit !== undefined && fit.inMs < (best?.inMs ?? Infinity) ? fit : best, undefined);
 };
@@ -166,9 +172,12 @@
         return keys;
     }
     const available: Available = room => roomNow(room, lengthMs);
-    const whole = fill(state, ranked, spans.preferred, keys.length, available);
-    if (whole !== undefined) {
-        start(state, request, keys, whole.seats);
+    const [only] = spans.preferred;
+    const seating = only !== undefined && spans.preferred.length === 1
+        ? fillSeats(only, unit, keys.length, available, state.seating)
+        : fill(state, ranked, spans.preferred, keys.length, available);
+    if (seating?.count === keys.length) {
+        start(state, request, keys, seating.seats);
         return [];
     }
     if (kind !== undefined) {
@@ -177,7 +186,7 @@
     if (unit.step.isGang) {
         return keys;
     }
-    const part = fillSeats(spans.preferred.flat(), unit, keys.length, available, state.seating);
+    const part = seating ?? fillSeats(spans.preferred.flat(), unit, keys.length, available, state.seating);
     start(state, request, keys, part.seats);
     return keys.slice(part.count);
 };
