--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -10,6 +10,8 @@
     readonly lostCoreSecondCost: number;
     /** By what factor the gain of a preemption must exceed its cost; below 2, estimates that are off cause losses. */
     readonly preemptionMargin: number;
+    /** Whether urgent work that would be late where it runs slower may stop other work before it starts there. */
+    readonly preemptsBeforeSlower: boolean;
     /** Slack at which the urgency of a job falls to 1/e. */
     readonly urgencyScaleMs: Millis;
     /** How much negative slack still counts as on time, as a share of the estimated run time, which is often off. */
@@ -43,6 +45,7 @@
     lateShareByPriority: [0.15, 0.33],
     lostCoreSecondCost: 0.0022,
     preemptionMargin: 2,
+    preemptsBeforeSlower: true,
     urgencyScaleMs: 4_000,
     outlookTolerance: 0.6,
     maxReservations: 4,
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -182,6 +182,10 @@
     return keys.slice(part.count);
 };
 
+/** How much longer the tasks take where they run slower. */
+const slowerExtraMs = ({ view: { timings } }: PassState, { lengthMs }: Request): Millis =>
+    (timings.spreadSlowdown - 1) * lengthMs;
+
 /** Starts the tasks where they run slower, if waiting for the preferred executors costs more. */
 const startSlower = (
     state: PassState,
@@ -190,7 +194,7 @@
     waitMs: Millis,
 ): readonly string[] => {
     const { ranked: { unit }, spans: { fallback }, lengthMs } = request;
-    const extraMs = (state.view.timings.spreadSlowdown - 1) * lengthMs;
+    const extraMs = slowerExtraMs(state, request);
     if (fallback === undefined || waitMs <= extraMs) {
         return keys;
     }
@@ -271,6 +275,11 @@
     const { ranked } = request;
     const fit = soonestFit(state, request, keys.length);
     const waitMs = fit?.inMs ?? Infinity;
+    const isLateSlower = ranked.prospect.slackMs < slowerExtraMs(state, request);
+    const isPreemptedFirst = state.options.preemptsBeforeSlower && isLateSlower;
+    if (isPreemptedFirst && tryPreempt(state, request, keys.length, waitMs)) {
+        return;
+    }
     const blocked = startSlower(state, request, keys, waitMs);
     if (blocked.length === 0 || tryPreempt(state, request, blocked.length, waitMs)) {
         return;
--- a/packages/dispatch/tests/dispatchPass.test.ts
+++ b/packages/dispatch/tests/dispatchPass.test.ts
@@ -210,3 +210,25 @@
     t.equal(first?.jobId, "wide");
     t.end();
 });
+
+// Guards against an urgent tight gang that is spread over racks, where it is late, although a cheap stop frees a rack.
+void t.test("an urgent gang stops lower work before it starts where it would be late", t => {
+    const executorsPerRack = 3;
+    const previewOn = (executor: number) =>
+        jobOf({
+            ...{ id: `preview${executor}`, queue: "preview", tasks: placedOn(executor, ...keys(8)) },
+            steps: [{ count: 8, isGang: true, hasCheckpoints: true }],
+        });
+    const tight = jobOf({
+        ...{ id: "tight", queue: "counter", team: "potters" },
+        steps: [{ ...gang, count: executorsPerRack, demand: { accelerators: 8 } }],
+    });
+    const executors = executorsOf(12, index => ({
+        runs: index % executorsPerRack === 0 ? runsOf(`preview${index}`, 8, 1_000, 1) : [],
+    }));
+    const view = viewOf([previewOn(0), previewOn(3), previewOn(6), previewOn(9), tight], executors);
+    const kinds = (decisions: ReturnType<typeof dispatchPass>) => [...new Set(decisions.map(({ kind }) => kind))];
+    t.strictSame(kinds(dispatchPass(view)), ["stop"]);
+    t.strictSame(kinds(dispatchPass(view, { preemptsBeforeSlower: false })), ["start"]);
+    t.end();
+});
