--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -63,6 +63,7 @@
     readonly store = new MemoryRowStore(this.clock);
     readonly executors = new Map<string, MemoryStepExecutor>();
     readonly nodes = new Map<string, ControlNode>();
+    readonly configs = new Map<string, ConfigBook>();
     readonly runs: ObservedRun[] = [];
     /** When the outcome of each job was first seen in the store. */
     readonly endedJobs = new Map<string, Millis>();
@@ -107,6 +108,7 @@
     startNode(name: string): ControlNode {
         this.instances += 1;
         const config = new ConfigBook(silentLogger);
+        this.configs.set(name, config);
         const { policy: advice } = this.options;
         config.offer({
             ...CONFIG,
