--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -108,12 +108,12 @@
     startNode(name: string): ControlNode {
         this.instances += 1;
         const config = new ConfigBook(silentLogger);
+        this.configs.set(name, config);
         const { policy: advice } = this.options;
         config.offer({
             ...CONFIG,
             queues: CONFIG.queues.map(queue => advice === undefined ? queue : { ...queue, advice }),
         });
-        this.configs.set(name, config);
         const process = new PausableProcess(this.clock);
         this.processes.set(name, process);
         const store = process.store(this.store.client(name));
--- a/packages/dispatch/src/seating.ts
+++ b/packages/dispatch/src/seating.ts
@@ -1,6 +1,5 @@
 import type { Demand } from "@persimmonpitch/workload/step.js";
 import { accepts, capacitySeats, type ExecutorRoom, seatsIn } from "./executorRoom.js";
-import { groupBy } from "./groupBy.js";
 import type { ReadyUnit } from "./readyUnits.js";
 import type { RoomIndex, RoomPool, Rooms } from "./roomIndex.js";
 
@@ -73,66 +72,96 @@
     readonly cost: number;
 }
 
-const candidateOf = (
-    room: ExecutorRoom,
+interface Wanted {
+    readonly unit: ReadyUnit;
+    readonly count: number;
+    readonly available: Available;
+}
+
+/** Adds executors that are alike; the first stands for all. */
+const addCandidate = (
+    found: Candidate[],
     rooms: Rooms,
-    unit: ReadyUnit,
-    count: number,
-    available: Available,
+    { unit, count, available }: Wanted,
     { scarcity }: SeatingContext,
-): readonly Candidate[] => {
+): void => {
+    const [room] = rooms;
+    if (room === undefined) {
+        return;
+    }
     const part = available(room);
     const seats = seatsIn(room, unit, part);
-    if (seats === 0) {
-        return [];
+    if (seats > 0) {
+        const remainder = remainderOf(room, part, unit, Math.min(seats, count), scarcity);
+        const penalty = room.health === "healthy" ? 0 : SUSPECT_PENALTY;
+        found.push({ rooms, seats, free: part.accelerators, cost: remainder + penalty });
     }
-    const remainder = remainderOf(room, part, unit, Math.min(seats, count), scarcity);
-    const penalty = room.health === "healthy" ? 0 : SUSPECT_PENALTY;
-    return [{ rooms, seats, free: part.accelerators, cost: remainder + penalty }];
 };
 
-/** Candidates of a whole pool by classes of executors; those with tasks of the step have other seats than their class. */
-const candidatesOf = (
-    rooms: Rooms,
-    unit: ReadyUnit,
-    count: number,
-    available: Available,
-    context: SeatingContext,
-): readonly Candidate[] => {
-    const isSeparate = unit.step.maxPerExecutor === undefined
-        ? () => false
-        : ({ tasksOfStep }: ExecutorRoom) => tasksOfStep.has(unit.stepId);
-    const classes = context.index.classesWith(rooms, unit.demand);
-    const groups = classes === undefined
-        ? rooms.map(room => [room])
-        : classes.flatMap(one => {
-            if (!one.rooms.some(isSeparate)) {
-                return [one.rooms];
+/** Executors of a class, apart from those that have tasks of the step and so other seats than their class. */
+const splitClass = (rooms: Rooms, { step: { maxPerExecutor }, stepId }: ReadyUnit): readonly Rooms[] => {
+    const isSeparate = ({ tasksOfStep }: ExecutorRoom): boolean => tasksOfStep.has(stepId);
+    return maxPerExecutor === undefined || !rooms.some(isSeparate)
+        ? [rooms]
+        : [rooms.filter(room => !isSeparate(room)), ...rooms.filter(isSeparate).map(room => [room])];
+};
+
+/** Candidates of a whole pool by classes of executors, otherwise one by one. */
+const candidatesOf = (rooms: Rooms, wanted: Wanted, context: SeatingContext): readonly Candidate[] => {
+    const found: Candidate[] = [];
+    const classes = context.index.classesWith(rooms, wanted.unit.demand);
+    if (classes === undefined) {
+        for (const room of rooms) {
+            addCandidate(found, [room], wanted, context);
+        }
+        return found;
+    }
+    for (const { rooms: alike } of classes) {
+        const [first] = alike;
+        if (first !== undefined && accepts(first, wanted.unit)) {
+            for (const some of splitClass(alike, wanted.unit)) {
+                addCandidate(found, some, wanted, context);
             }
-            return [one.rooms.filter(room => !isSeparate(room)), ...one.rooms.filter(isSeparate).map(room => [room])];
-        });
-    return groups.flatMap(group => {
-        const [first] = group;
-        return first === undefined || classes !== undefined && !accepts(first, unit)
-            ? []
-            : candidateOf(first, group, unit, count, available, context);
-    });
+        }
+    }
+    return found;
 };
 
 const byCost = (left: Candidate, right: Candidate): number => left.cost - right.cost || left.free - right.free;
 
-/** The candidates by cost with one executor in each; of equal ones the first in the order of the view. */
-function* inOrder(candidates: readonly Candidate[]): Generator<Candidate & { readonly room: ExecutorRoom; }> {
-    const sorted = [...candidates].sort(byCost);
-    for (let from = 0, to = 0; from < sorted.length; from = to) {
-        const [first] = sorted.slice(from, from + 1);
-        while (first !== undefined && sorted[to] !== undefined && byCost(first, sorted[to] ?? first) === 0) {
-            to += 1;
+/** An executor with the candidate that it belongs to. */
+interface Place {
+    readonly candidate: Candidate;
+    readonly room: ExecutorRoom;
+}
+
+/** The executors of candidates of equal cost, in the order of the view. */
+function* placesOf(equal: readonly Candidate[]): Generator<Place> {
+    const [only] = equal;
+    if (only !== undefined && equal.length === 1) {
+        for (const room of only.rooms) {
+            yield { candidate: only, room };
         }
-        const equal = sorted.slice(from, to);
-        const placed = equal.flatMap(candidate => candidate.rooms.map(room => ({ ...candidate, room })));
-        yield* equal.length === 1 ? placed : placed.sort((left, right) => left.room.index - right.room.index);
+        return;
     }
+    yield* equal
+        .flatMap(candidate => candidate.rooms.map(room => ({ candidate, room })))
+        .sort((left, right) => left.room.index - right.room.index);
+}
+
+/** The executors by cost; of equal ones the first in the order of the view. */
+function* inOrder(candidates: readonly Candidate[]): Generator<Place> {
+    const sorted = candidates.length > 1 ? [...candidates].sort(byCost) : candidates;
+    let equal: Candidate[] = [];
+    for (const candidate of sorted) {
+        const [first] = equal;
+        if (first !== undefined && byCost(first, candidate) !== 0) {
+            yield* placesOf(equal);
+            equal = [];
+        }
+        equal.push(candidate);
+    }
+    yield* placesOf(equal);
 }
 
 /** A way to place tasks, and the weighted room that it leaves on the executors it uses. */
@@ -153,14 +182,14 @@
     const seats: Seat[] = [];
     let placed = 0;
     let remainder = 0;
-    for (const candidate of inOrder(candidatesOf(rooms, unit, count, available, context))) {
-        if (placed === count) {
-            break;
-        }
+    for (const { candidate, room } of inOrder(candidatesOf(rooms, { unit, count, available }, context))) {
         const taken = Math.min(candidate.seats, count - placed);
-        seats.push({ room: candidate.room, count: taken });
+        seats.push({ room, count: taken });
         placed += taken;
         remainder += candidate.cost;
+        if (placed === count) {
+            break;
+        }
     }
     return { seats, count: placed, remainder };
 };
@@ -195,8 +224,6 @@
 /** Scales the free accelerators of a rack, so that they only decide between racks of equal remainder. */
 const MAX_RACK_ACCELERATORS = 1_000;
 
-const byRack = (rooms: Rooms): ReadonlyMap<string, Rooms> => groupBy(rooms, ({ rack }) => rack);
-
 /** Number of tasks that the executors would hold if they ran nothing else. */
 const totalSeats = (rooms: readonly ExecutorRoom[], unit: ReadyUnit): number =>
     rooms.reduce((sum, room) => sum + capacitySeats(room, unit), 0);
@@ -210,31 +237,31 @@
     return dataRack === undefined ? "plain" : "data";
 };
 
-const isDataRack = ({ step: { dataRack } }: ReadyUnit, rooms: readonly ExecutorRoom[]): boolean =>
-    rooms[0]?.rack === dataRack;
-
-/** The racks that hold so many tasks of the unit when they are empty. */
-const racksFor = (racks: ReadonlyMap<string, Rooms>, unit: ReadyUnit, needed: number, index: RoomIndex) => {
-    const seatsOfKind = new Map<string, number>();
-    return [...racks.values()].filter(rooms => {
-        const kind = index.emptyKey(rooms);
-        const seats = seatsOfKind.get(kind) ?? totalSeats(rooms, unit);
-        seatsOfKind.set(kind, seats);
-        return seats >= needed;
-    });
+type RackedRooms = Omit<RoomPool, "members">;
+
+const dataRackOf = ({ racks }: RackedRooms, { step: { dataRack } }: ReadyUnit): Rooms | undefined =>
+    dataRack === undefined ? undefined : racks.get(dataRack);
+
+const byFirst = (left: Rooms, right: Rooms): number => (left[0]?.index ?? 0) - (right[0]?.index ?? 0);
+
+/** The racks that hold all tasks of the unit when they are empty; the list is the same where all racks do. */
+const racksFor = ({ rackKinds, rackList }: RackedRooms, unit: ReadyUnit): readonly Rooms[] => {
+    const kinds = [...rackKinds.values()];
+    const holding = kinds.filter(([rooms = []]) => totalSeats(rooms, unit) >= unit.step.count);
+    return holding.length === kinds.length ? rackList : holding.flat().sort(byFirst);
 };
 
-type SpansHandler = (pool: RoomPool, unit: ReadyUnit, index: RoomIndex) => Spans;
+type SpansHandler = (pool: RackedRooms, unit: ReadyUnit, index: RoomIndex) => Spans;
 
 /** Sets of executors for a unit, by what its tasks run slower for. */
 const SPANS: { readonly [K in SpanKind]: SpansHandler; } = {
     tight: (pool, unit, index) => {
         const { rooms } = pool;
-        const racks = racksFor(pool.racks, unit, unit.step.count, index);
-        const dataRacks = racks.filter(rack => isDataRack(unit, rack));
-        if (dataRacks.length > 0) {
-            return { preferred: dataRacks, fallback: rooms };
+        const dataRack = dataRackOf(pool, unit);
+        if (dataRack !== undefined && totalSeats(dataRack, unit) >= unit.step.count) {
+            return { preferred: [dataRack], fallback: rooms };
         }
+        const racks = racksFor(pool, unit);
         if (unit.step.maxPerExecutor === undefined) {
             index.noteRacks(racks, pool);
         }
@@ -242,12 +269,12 @@
             ? { preferred: racks, fallback: rooms }
             : { preferred: [rooms], fallback: undefined };
     },
-    data: ({ rooms, racks }, unit) => {
+    data: (pool, unit) => {
         const needed = unit.step.isGang ? unit.step.count : 1;
-        const rack = racks.get(unit.step.dataRack ?? "");
-        return rack !== undefined && totalSeats(rack, unit) >= needed
-            ? { preferred: [rack], fallback: rooms }
-            : { preferred: [rooms], fallback: undefined };
+        const dataRack = dataRackOf(pool, unit);
+        return dataRack !== undefined && totalSeats(dataRack, unit) >= needed
+            ? { preferred: [dataRack], fallback: pool.rooms }
+            : { preferred: [pool.rooms], fallback: undefined };
     },
     plain: ({ rooms }) => ({ preferred: [rooms], fallback: undefined }),
 };
@@ -267,5 +294,5 @@
     const needed = unit.step.isGang ? unit.step.count : 1;
     return totalSeats(others, unit) < needed
         ? handler(pool, unit, index)
-        : handler({ rooms: others, racks: byRack(others) }, unit, index);
+        : handler({ ...index.racksOf(others), rooms: others }, unit, index);
 };
