--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -60,7 +60,7 @@
     [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 1;
 
 const measureAll = (groups: readonly RunGroup[], { declaredMs }: RunTimes): readonly MeasuredOnExecutor[] =>
-    groups.filter(({ step }) => !step.isLongRunning).flatMap(group => {
+    groups.filter(({ step }) => !step.isLongRunning && !step.usesIdleCores).flatMap(group => {
         const wholeMs = Math.max(1, declaredMs(group.view, group.stepIndex));
         return group.members.flatMap(({ executor, run }) => {
             const measured = measuredRun(run, group.workingSince);
@@ -192,8 +192,9 @@
         usualSlowness: median(measured.map(({ slowness }) => slowness)),
     };
     const findMove = (group: RunGroup): readonly Move[] => {
-        const isLongRunning = group.step.isLongRunning;
-        const reason = REASONS.find(one => (one === "draining" || !isLongRunning) && CHECKS[one](context, group));
+        // A filler works at the pace that the tasks beside it leave, so its progress says nothing of the executor.
+        const hasOwnPace = !group.step.isLongRunning && !group.step.usesIdleCores;
+        const reason = REASONS.find(one => (one === "draining" || hasOwnPace) && CHECKS[one](context, group));
         return reason === undefined ? [] : [{ group, reason }];
     };
     return groups.filter(({ isStopping }) => !isStopping).flatMap(findMove);
--- /dev/null
+++ b/packages/dispatch/tests/pacing.test.ts
@@ -0,0 +1,96 @@
+import t from "tap";
+import type { PacingState } from "../src/pacing.js";
+import { decidePacing, NO_PACING } from "../src/pacing.js";
+
+t.formatSnapshot = value => String(value);
+
+/** What one list shows, and when it arrives. */
+interface Moment {
+    readonly at: number;
+    /** Latency of each serving task; undefined without a measurement. */
+    readonly latencies: readonly (number | undefined)[];
+    readonly fillers?: readonly string[];
+    /** When the latencies were measured, if not now. */
+    readonly measuredAt?: number;
+}
+
+interface Case {
+    readonly guardsAgainst: string;
+    readonly moments: readonly Moment[];
+    /** Percentages of fillers that an earlier controller ordered and nobody knows. */
+    readonly isInherited?: boolean;
+}
+
+const TARGET_MS = 100;
+const series = (from: number, ...latencies: readonly number[]): readonly Moment[] =>
+    latencies.map((latency, index) => ({ at: from + index * 1_000, latencies: [latency] }));
+
+const CASES: readonly Case[] = [
+    { guardsAgainst: "fillers that stay held back without a serving task", moments: [{ at: 0, latencies: [] }] },
+    { guardsAgainst: "a task that stays above its target", moments: series(0, 50, 95, 120, 95, 80, 60, 60, 60, 50) },
+    { guardsAgainst: "a rise after one measurement", moments: series(0, 60, 80, 60, 80, 60, 60) },
+    {
+        guardsAgainst: "one change of the load that counts twice",
+        moments: [
+            ...series(0, 60, 95),
+            { at: 1_300, latencies: [95] },
+            { at: 1_500, latencies: [95] },
+            ...series(2_000, 80),
+        ],
+    },
+    { guardsAgainst: "the worst task that is outweighed by others", moments: [{ at: 0, latencies: [10, 95, 10] }] },
+    {
+        guardsAgainst: "fillers that go on although nothing is measured",
+        moments: [
+            { at: 0, latencies: [50] },
+            { at: 1_500, latencies: [undefined], measuredAt: 0 },
+            { at: 2_100, latencies: [50], measuredAt: 0 },
+            ...series(3_000, 50, 50, 50),
+        ],
+    },
+    {
+        guardsAgainst: "fillers that start at full speed beside a serving task, or under a task above its target",
+        moments: [
+            { at: 0, latencies: [60] },
+            { at: 100, latencies: [60], fillers: ["f", "g"], measuredAt: 0 },
+            { at: 1_000, latencies: [95], fillers: ["f", "g"] },
+            { at: 1_100, latencies: [95], fillers: ["f", "g", "h"], measuredAt: 1_000 },
+        ],
+    },
+    {
+        guardsAgainst: "a serving task that starts beside fillers at full speed",
+        moments: [{ at: 0, latencies: [] }, { at: 100, latencies: [undefined], measuredAt: 100 }],
+    },
+    {
+        guardsAgainst: "percentages of an earlier controller that stay for ever",
+        isInherited: true,
+        moments: [{ at: 0, latencies: [] }],
+    },
+];
+
+for (const { guardsAgainst, moments, isInherited = false } of CASES) {
+    void t.test(guardsAgainst, t => {
+        let state: PacingState = NO_PACING;
+        const ordered = new Map<string, number | undefined>();
+        const lines = moments.map(({ at, latencies, fillers = ["f"], measuredAt = at }) => {
+            const pacing = decidePacing(state, {
+                now: at,
+                paceMs: 100,
+                disruptionMs: 4_000,
+                serving: latencies.map((latencyMs, index) => ({
+                    id: `s${index}`,
+                    targetMs: TARGET_MS,
+                    latencyMs,
+                    measuredAt,
+                })),
+                fillers: fillers.map(id => ({ id, percentage: ordered.get(id) ?? (isInherited ? undefined : 100) })),
+            });
+            state = pacing.state;
+            pacing.percentages.forEach((percentage, id) => ordered.set(id, percentage));
+            const shown = [...pacing.percentages].map(([id, percentage]) => `${id} ${percentage}%`).join(", ");
+            return `${String(at).padStart(5)} [${latencies.map(latency => latency ?? "-").join(" ")}] ${shown}`;
+        });
+        t.matchSnapshot(lines.join("\n"));
+        t.end();
+    });
+}
--- a/packages/workload/src/timings.ts
+++ b/packages/workload/src/timings.ts
@@ -15,6 +15,10 @@
     heartbeatMs: z.number().positive().default(1_500),
     /** How much longer a task takes away from its data, or spread over racks. */
     spreadSlowdown: z.number().min(1).default(3),
+    /** Time until a change of the pace of a task takes effect. */
+    paceMs: z.number().nonnegative().default(100),
+    /** How long fillers may keep a task that serves users above its target. */
+    disruptionMs: z.number().positive().default(4_000),
     /** How long the state of an ended job can be asked for. */
     statusRetentionMs: z.number().positive().default(120_000),
 });
