--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -17,6 +17,7 @@
 import type { OpenJob } from "./openJob.js";
 import { stepKeys } from "./openJob.js";
 import { OrderSender } from "./orderSender.js";
+import { Pacer } from "./pacer.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { TermKeeper } from "./termKeeper.js";
 
@@ -36,6 +37,7 @@
     private readonly term: TermKeeper;
     private readonly orders: OrderSender;
     private readonly advice: AdviceBook;
+    private readonly pacer: Pacer;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks = new Map<string, Promise<void>>();
     private readonly wake = new WakeSignal();
@@ -79,6 +81,9 @@
             },
             onRoleLost,
         });
+        const { timings } = context;
+        const connectionOf = (vm: string) => this.connections.get(vm);
+        this.pacer = new Pacer({ fleet: this.fleet, timings, clock, logger, epoch: role.epoch, connectionOf });
         this.orders = new OrderSender({
             fleet: this.fleet,
             advice: this.advice,
@@ -89,7 +94,7 @@
             onHeldBack: () => {
                 this.term.renewSoon();
             },
-            connectionOf: vm => this.connections.get(vm),
+            connectionOf,
             onChanged: () => {
                 this.wake.wake();
             },
@@ -278,6 +283,7 @@
             this.loseLapsed();
             this.reconcile();
             this.decide();
+            this.pacer.apply();
             await this.wake.wait(this.context.clock, IDLE_PASS_MS, signal);
             await this.context.clock.sleep(PASS_DELAY_MS, signal);
         }
--- a/packages/control/src/executorState.ts
+++ b/packages/control/src/executorState.ts
@@ -12,6 +12,10 @@
     readonly executorId: string;
     readonly born: number;
     readonly demand: Demand;
+    /** It uses the millicores that others leave idle. */
+    readonly isFiller: boolean;
+    /** Bound of the tail latency of a task that serves users. */
+    readonly servingTargetMs: Millis | undefined;
     /** On the controller's clock. */
     readonly orderedAt: Millis;
     /** The claim was written by an earlier controller, so no order of this one is under way. */
@@ -31,6 +35,17 @@
     firstPercent?: number;
     firstListedAt?: Millis;
     progressAt?: Millis;
+    measurement?: Measurement;
+}
+
+/** A rough measurement over the half second before the list that had it. */
+export interface Measurement {
+    /** Tail latency in milliseconds of a task that serves users, otherwise millicores in use. */
+    readonly load: number;
+    /** The executor's clock in the list. */
+    readonly clockMs: number;
+    /** When the list arrived. */
+    readonly at: Millis;
 }
 
 /** A run that an executor lists and no claim covers; it is stopped and takes up room until it is gone. */
--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { EndKind, RunEnd, RunInProgress, RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { Placement } from "@persimmonpitch/workload/progress.js";
-import type { Demand } from "@persimmonpitch/workload/step.js";
+import type { Demand, Step } from "@persimmonpitch/workload/step.js";
 import { parseTaskName, taskKey, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { HeldRun } from "./executorState.js";
 import { ExecutorState } from "./executorState.js";
@@ -157,6 +157,8 @@
             executorId: placement.executorId,
             born: placement.born,
             demand: demandOf(open, key),
+            isFiller: stepOfKey(open, key)?.usesIdleCores ?? false,
+            servingTargetMs: servingTargetOf(stepOfKey(open, key)),
             orderedAt: this.options.clock.now(),
             isInherited,
             isClaimed: isInherited,
@@ -312,6 +314,7 @@
     private applyListed(held: HeldRun, listed: RunInProgress | undefined, clockMs: number): void {
         if (listed?.run === held.run) {
             this.noteProgress(held, listed);
+            this.noteMeasurement(held, listed, clockMs);
             return;
         }
         if (held.isInherited) {
@@ -341,6 +344,13 @@
         }
     }
 
+    /** A list that is reported again brings no new measurement. */
+    private noteMeasurement(held: HeldRun, { load }: RunInProgress, clockMs: number): void {
+        if (load !== undefined && clockMs > (held.measurement?.clockMs ?? -Infinity)) {
+            held.measurement = { load, clockMs, at: this.options.clock.now() };
+        }
+    }
+
     private findStrays(state: ExecutorState, list: RunList): void {
         state.strays.clear();
         for (const { task, run } of list.running) {
@@ -360,8 +370,13 @@
     }
 }
 
+const stepOfKey = (open: OpenJob, key: string): Step | undefined => open.job.steps[Number(key.split(".")[1])];
+
+const servingTargetOf = (step: Step | undefined): number | undefined =>
+    step?.isLongRunning === true && (step.targetMs ?? 0) > 0 ? step.targetMs : undefined;
+
 const demandOf = (open: OpenJob, key: string): Demand => {
-    const step = open.job.steps[Number(key.split(".")[1])];
+    const step = stepOfKey(open, key);
     const demand = step?.demand ?? { milliCores: 0, memoryMb: 0, accelerators: 0 };
     return step?.usesIdleCores === true ? { ...demand, milliCores: 0 } : demand;
 };
--- /dev/null
+++ b/packages/control/src/pacer.ts
@@ -0,0 +1,137 @@
+import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { PacingState } from "@persimmonpitch/dispatch/pacing.js";
+import { decidePacing, NO_PACING } from "@persimmonpitch/dispatch/pacing.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
+import type { Timings } from "@persimmonpitch/workload/timings.js";
+import type { AgentConnection } from "./agentTask.js";
+import type { ExecutorState, HeldRun } from "./executorState.js";
+import type { Fleet } from "./fleet.js";
+
+/** What a pacer works on. */
+export interface PacerOptions {
+    readonly fleet: Fleet;
+    readonly timings: Timings;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly epoch: number;
+    readonly connectionOf: (vm: string) => AgentConnection | undefined;
+}
+
+/** The orders to one filler. */
+interface PaceOrders {
+    /** Undefined until this controller orders it: the run starts at 100, but an earlier controller may have changed it. */
+    ordered: number | undefined;
+    /** Whether the executor answered the last order. */
+    isConfirmed: boolean;
+    isInFlight: boolean;
+    retryAt: Millis;
+    /** Until then an order without an answer may take effect, so the last one is repeated. */
+    repeatUntil: Millis;
+}
+
+const ORDER_TIMEOUT_MS: Millis = 2_500;
+const RETRY_MS: Millis = 1_000;
+const LATE_EFFECT_MS: Millis = 10_000;
+
+const START_PERCENTAGE = 100;
+
+const isFillerAtWork = ({ isFiller, isStopping, isConcluded, startClockMs, firstListedAt }: HeldRun): boolean =>
+    isFiller && !isStopping && !isConcluded && (startClockMs !== undefined || firstListedAt !== undefined);
+
+const runId = ({ task, run }: HeldRun): string => `${task}#${run}`;
+
+/** Holds back fillers that disturb tasks that serve users. */
+export class Pacer {
+    private readonly states = new Map<string, PacingState>();
+    private readonly orders = new WeakMap<HeldRun, PaceOrders>();
+
+    constructor(private readonly options: PacerOptions) {}
+
+    /** Decides for each executor and sends what changed. */
+    apply(): void {
+        for (const state of this.options.fleet.executors.values()) {
+            const fillers = [...state.runs.values()].filter(isFillerAtWork);
+            if (fillers.length === 0 || !state.isAttached) {
+                this.states.delete(state.executorId);
+            }
+            else {
+                this.pace(state, fillers);
+            }
+        }
+    }
+
+    private pace(state: ExecutorState, fillers: readonly HeldRun[]): void {
+        const { clock, timings: { paceMs, disruptionMs } } = this.options;
+        const serving = [...state.runs.values()].flatMap(held => {
+            const { servingTargetMs: targetMs, measurement, orderedAt } = held;
+            return targetMs === undefined
+                ? []
+                : [{
+                    id: runId(held),
+                    targetMs,
+                    latencyMs: measurement?.load,
+                    measuredAt: measurement?.at ?? orderedAt,
+                }];
+        });
+        const pacing = decidePacing(this.states.get(state.executorId) ?? NO_PACING, {
+            now: clock.now(),
+            paceMs,
+            disruptionMs,
+            serving,
+            fillers: fillers.map(held => ({ id: runId(held), percentage: this.ordersOf(held).ordered })),
+        });
+        this.states.set(state.executorId, pacing.state);
+        for (const held of fillers) {
+            this.order(state, held, pacing.percentages.get(runId(held)) ?? 0);
+        }
+    }
+
+    private ordersOf(held: HeldRun): PaceOrders {
+        const known = this.orders.get(held);
+        if (known !== undefined) {
+            return known;
+        }
+        const ordered = held.isInherited ? undefined : START_PERCENTAGE;
+        const orders = { ordered, isConfirmed: !held.isInherited, isInFlight: false, retryAt: 0, repeatUntil: 0 };
+        this.orders.set(held, orders);
+        return orders;
+    }
+
+    private order(state: ExecutorState, held: HeldRun, percentage: number): void {
+        const orders = this.ordersOf(held);
+        const now = this.options.clock.now();
+        const isChanged = percentage !== orders.ordered;
+        if (isChanged) {
+            this.options.logger.log("info", "run.paced", { task: held.task, run: held.run, percentage });
+            orders.ordered = percentage;
+            orders.isConfirmed = false;
+            orders.retryAt = now;
+        }
+        const isDue = now >= orders.retryAt && (!orders.isConfirmed || now < orders.repeatUntil);
+        // Two orders for one run could arrive in the other order.
+        if (isDue && !orders.isInFlight) {
+            void this.send(state, held, orders, percentage);
+        }
+    }
+
+    private async send(state: ExecutorState, held: HeldRun, orders: PaceOrders, percentage: number): Promise<void> {
+        const { clock, epoch, connectionOf } = this.options;
+        orders.isInFlight = true;
+        const answer = await connectionOf(state.vm)?.call("agent.pace", {
+            epoch,
+            executorId: state.executorId,
+            task: held.task,
+            run: held.run,
+            percentage,
+        }, ORDER_TIMEOUT_MS);
+        orders.isInFlight = false;
+        const kind = answer?.isOk === true ? answer.value.kind : "unclear";
+        if (kind === "unclear") {
+            orders.repeatUntil = clock.now() + LATE_EFFECT_MS;
+        }
+        if (percentage === orders.ordered) {
+            orders.isConfirmed = kind === "paced";
+            orders.retryAt = clock.now() + RETRY_MS;
+        }
+    }
+}
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -292,6 +292,7 @@
         return {
             start: order => port.start(order),
             stop: order => port.stop(order),
+            pace: order => port.pace(order),
             list: async (request, signal) => {
                 const listed = await port.list(request, signal);
                 if (listed.isOk) {
--- /dev/null
+++ b/packages/control/tests/pacer.test.ts
@@ -0,0 +1,84 @@
+import t from "tap";
+import { rowKeys } from "../src/rows.js";
+import { Deployment } from "./deploymentFixture.js";
+
+const TARGET_MS = 100;
+const DISRUPTION_MS = 4_000;
+const SERVING = "s.0.0.0";
+const servingStep = { count: 1, demand: {}, isLongRunning: true, targetMs: TARGET_MS };
+const servingWork = { isLongRunning: true, servesUsers: true, load: 40 };
+const fillerStep = { count: 1, demand: { milliCores: 4_000 }, usesIdleCores: true, declaredMs: 6_000 };
+
+interface Case {
+    readonly guardsAgainst: string;
+    /** What the filler adds to the latency at full speed. */
+    readonly disturbanceMs: number;
+    readonly cause?: (d: Deployment) => Promise<void> | void;
+    /** Whether the filler can complete in the time. */
+    readonly completes: boolean;
+}
+
+const CASES: readonly Case[] = [
+    { guardsAgainst: "a harmless filler that stays held back", disturbanceMs: 10, completes: true },
+    { guardsAgainst: "a filler that disturbs at any share", disturbanceMs: 4_000, completes: false },
+    {
+        guardsAgainst: "a filler that is held back for good although a part of it fits",
+        disturbanceMs: 120,
+        completes: true,
+    },
+    {
+        guardsAgainst: "a lost order that leaves the filler at full speed",
+        disturbanceMs: 300,
+        cause: d => {
+            d.executor("x1").setFaults({ unansweredOrders: 1, orderDelayMs: 100_000 });
+        },
+        completes: true,
+    },
+    {
+        guardsAgainst: "a filler that nobody holds back after a change of the controller",
+        disturbanceMs: 300,
+        cause: d => {
+            d.killNode(d.controller);
+        },
+        completes: true,
+    },
+    {
+        guardsAgainst: "a filler that works beside a task that is not measured",
+        disturbanceMs: 10,
+        cause: d => {
+            d.executor("x1").setFaults({ measuresNothing: true });
+        },
+        completes: false,
+    },
+    {
+        guardsAgainst: "a filler that stays held back after the serving task has gone",
+        disturbanceMs: 4_000,
+        cause: async d => {
+            await d.pass(5_000);
+            await d.putRow(rowKeys.cancel("s"), JSON.stringify({ at: 1 }));
+        },
+        completes: true,
+    },
+];
+
+for (const { guardsAgainst, disturbanceMs, cause, completes } of CASES) {
+    void t.test(guardsAgainst, async t => {
+        const d = new Deployment(["n1", "n2"], ["x1"]);
+        await d.pass(3_000);
+        await d.putJob("s", [servingStep], servingWork);
+        await d.pass(3_000);
+        await d.putJob("f", [fillerStep], { runMs: 6_000, disturbanceMs });
+        await d.pass(500);
+        await cause?.(d);
+        let aboveMs = 0;
+        let longestMs = 0;
+        for (let passed = 0; passed < 90_000; passed += 100) {
+            await d.pass(100);
+            aboveMs = (d.executor("x1").latencyOf(SERVING) ?? 0) > TARGET_MS ? aboveMs + 100 : 0;
+            longestMs = Math.max(longestMs, aboveMs);
+        }
+        t.ok(longestMs <= DISRUPTION_MS, `longest time above the target: ${longestMs} ms`);
+        t.equal(d.outcome("f"), completes ? "completed" : "open");
+        t.ok(d.executor("x1").counts.paces <= 90, `an order a second at most: ${d.executor("x1").counts.paces}`);
+    });
+}
--- a/packages/executor/src/controllerHandlers.ts
+++ b/packages/executor/src/controllerHandlers.ts
@@ -5,6 +5,7 @@
 import type { AgentContext } from "./agentContext.js";
 import type { ExecutorOrders } from "./executorOrders.js";
 import type { ObservedExecutor } from "./observedExecutor.js";
+import { sendPace } from "./sendPace.js";
 
 /** What the calls of a controller work on. */
 export interface ControllerHandlerContext extends AgentContext {
@@ -53,5 +54,6 @@
         },
         "agent.start": params => orders.start(params),
         "agent.stop": params => orders.stop(params),
+        "agent.pace": params => sendPace(context, params),
     };
 };
--- a/packages/executor/src/executorPort.ts
+++ b/packages/executor/src/executorPort.ts
@@ -26,6 +26,14 @@
     readonly run: number;
 }
 
+/** An order to let a run work at a share of its full speed. */
+export interface PaceOrder extends OrderTarget {
+    readonly task: string;
+    readonly run: number;
+    /** From 0 to 100. */
+    readonly percentage: number;
+}
+
 /** A request for the lists of an executor. */
 export interface ListRequest extends OrderTarget {
     /** Extends the lease of everything on the executor. */
@@ -54,5 +62,6 @@
 export interface ExecutorPort {
     start(order: StartOrder): Promise<Result<Answered, ExecutorFailure>>;
     stop(order: StopOrder): Promise<Result<Answered, ExecutorFailure>>;
+    pace(order: PaceOrder): Promise<Result<Answered, ExecutorFailure>>;
     list(request: ListRequest, signal?: AbortSignal): Promise<Result<RunList, ExecutorFailure>>;
 }
--- a/packages/executor/tests/agentWorld.ts
+++ b/packages/executor/tests/agentWorld.ts
@@ -95,6 +95,11 @@
         return this.call("agent.stop", { epoch: this.epoch, executorId, task, run }, `${executorId} ${task}#${run}`);
     }
 
+    pace({ executorId }: MemoryStepExecutor, task: string, percentage: number, run = 1) {
+        const params = { epoch: this.epoch, executorId, task, run, percentage };
+        return this.call("agent.pace", params, `${executorId} ${task}#${run} ${percentage}%`);
+    }
+
     private async call<Name extends keyof ControllerToAgentMethods>(
         name: Name,
         params: Params<Name>,
@@ -179,6 +184,12 @@
                     await port.stop(order),
                     () => "ok",
                 ),
+            pace: async order =>
+                answered(
+                    `pace ${order.executorId} ${order.task}#${order.run} ${order.percentage}% fence=${order.fence}`,
+                    await port.pace(order),
+                    () => "ok",
+                ),
             list: async (request, signal) => {
                 this.requests.push(request);
                 this.onList(request);
--- a/packages/executor/tests/executorAgent.test.ts
+++ b/packages/executor/tests/executorAgent.test.ts
@@ -258,6 +258,27 @@
             await wait(100);
         },
     },
+    {
+        name: "pace",
+        guards: "a pace that is reported as set although the executor refused or never answered it",
+        run: async ({ executor, controller, world, wait }) => {
+            void controller.start(executor, "a", LONG);
+            await wait(100);
+            void controller.pace(executor, "a", 20);
+            void controller.pace(executor, "b", 20);
+            executor.setFaults({ unansweredOrders: 1 });
+            void controller.pace(executor, "a", 50);
+            await wait(100);
+            const newer = await world.attached(2);
+            void controller.pace(executor, "a", 100);
+            void newer.pace(executor, "a", 10);
+            await wait(100);
+            executor.setFaults({ gone: true });
+            void newer.pace(executor, "a", 0);
+            await wait(50);
+        },
+        starts: ["a"],
+    },
 ];
 
 for (const { name, guards, executors = [{}], run, starts = [] } of CASES) {
--- a/packages/protocol/src/executorMessages.ts
+++ b/packages/protocol/src/executorMessages.ts
@@ -84,6 +84,18 @@
             z.object({ kind: z.literal("unclear") }),
         ]),
     },
+    /** Lets a run work at a share of its full speed. */
+    "agent.pace": {
+        params: runSchema.extend({ percentage: z.number().int().min(0).max(100) }),
+        result: z.discriminatedUnion("kind", [
+            z.object({ kind: z.literal("paced"), clockMs: clockSchema }),
+            z.object({ kind: z.literal("refused"), reason: startRefusalSchema }),
+            /** Nothing listens at the executor's address, so nothing runs there. */
+            z.object({ kind: z.literal("gone") }),
+            /** No answer: it may take effect seconds later. */
+            z.object({ kind: z.literal("unclear") }),
+        ]),
+    },
 } as const;
 export type ControllerToAgentMethods = typeof controllerToAgentMethods;
 
--- a/packages/standins/src/executorRouter.ts
+++ b/packages/standins/src/executorRouter.ts
@@ -8,6 +8,7 @@
     return {
         start: order => find(order.executorId)?.start(order) ?? GONE,
         stop: order => find(order.executorId)?.stop(order) ?? GONE,
+        pace: order => find(order.executorId)?.pace(order) ?? GONE,
         list: (request, signal) => find(request.executorId)?.list(request, signal) ?? GONE,
     };
 };
--- a/packages/standins/src/memoryRun.ts
+++ b/packages/standins/src/memoryRun.ts
@@ -44,6 +44,7 @@
     private settledAt: Millis;
     private stopAt = Infinity;
     private hasEnded = false;
+    private share = 1;
 
     constructor(private readonly host: RunHost, readonly order: RunOrder) {
         this.gang = order.gang;
@@ -76,6 +77,18 @@
         this.host.gangs.wakeGangOf(this);
     }
 
+    /** Lets the run work at a share of its full speed. */
+    setShare(share: number): void {
+        this.host.gangs.settleGangOf(this);
+        this.share = share;
+        this.host.gangs.wakeGangOf(this);
+    }
+
+    /** What it adds now to the latency of a serving task beside it. */
+    get disturbanceMs(): Millis {
+        return this.order.work.disturbanceMs * this.share;
+    }
+
     /** Ends the run without a listed end, with its executor. */
     vanish(): void {
         this.hasEnded = true;
@@ -93,7 +106,7 @@
     }
 
     pace(): number {
-        return this.stopAt === Infinity ? this.host.pace() : 0;
+        return this.stopAt === Infinity ? this.host.pace() * this.share : 0;
     }
 
     settle(): void {
@@ -147,7 +160,8 @@
         const targetMs = failsAll ? Math.min(wholeMs, FAIL_AFTER_MS) : wholeMs;
         const remainingMs = Math.max(0, targetMs - this.workMs);
         const pace = this.host.gangs.pace(this);
-        const at = pace === 0 ? Infinity : Math.max(this.settledAt, this.readyAt) + remainingMs / pace;
+        // A fraction of a millisecond would be lost to rounding on the fake clock, and waits of 0 would never end.
+        const at = pace === 0 ? Infinity : Math.ceil(Math.max(this.settledAt, this.readyAt) + remainingMs / pace);
         return { at, kind: fails || failsAll ? "failed" : "done" };
     }
 }
--- a/packages/standins/src/memoryStepExecutor.ts
+++ b/packages/standins/src/memoryStepExecutor.ts
@@ -5,10 +5,11 @@
     ExecutorFailure,
     ExecutorPort,
     ListRequest,
+    PaceOrder,
     StartOrder,
     StopOrder,
 } from "@persimmonpitch/executor/executorPort.js";
-import type { EndKind, ExecutorInfo, RunEnd, RunList } from "@persimmonpitch/workload/executorReport.js";
+import type { EndKind, ExecutorInfo, RunEnd, RunInProgress, RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { Demand } from "@persimmonpitch/workload/step.js";
 import { Result } from "true-myth";
 import { z } from "zod";
@@ -30,6 +31,8 @@
     orderDelayMs: z.number().nonnegative(),
     /** Every run fails soon after its start. */
     failAll: z.boolean(),
+    /** Lists have no measurements. */
+    measuresNothing: z.boolean(),
     /** No run makes progress. */
     standsStill: z.boolean(),
     /** Work takes this many times as long. */
@@ -43,6 +46,7 @@
     unansweredOrders: 0,
     orderDelayMs: 0,
     failAll: false,
+    measuresNothing: false,
     standsStill: false,
     slowFactor: 1,
 };
@@ -68,6 +72,8 @@
     readonly gangTimeoutMs?: Millis;
     readonly checkpointIntervalMs?: Millis;
     readonly restoreMs?: Millis;
+    /** Time until a change of the pace takes effect. */
+    readonly paceMs?: Millis;
 }
 
 const DEFAULT_BORN = 1_764_000_000_000;
@@ -75,6 +81,8 @@
 const DEFAULT_STOP_MS: Millis = 100;
 const DEFAULT_GANG_TIMEOUT_MS: Millis = 3_000;
 const DEFAULT_CHECKPOINT_INTERVAL_MS: Millis = 1_000;
+const DEFAULT_PACE_MS: Millis = 100;
+const FULL_PERCENTAGE = 100;
 const MAX_LEASE_MS: Millis = 10_000;
 
 /** A silent executor's callers give up after this time. */
@@ -116,7 +124,7 @@
     readonly starts: AcceptedStart[] = [];
     /** Every end, in all incarnations; runs that vanished with theirs have none. */
     readonly allEnds: NotedEnd[] = [];
-    readonly counts = { lists: 0, starts: 0, stops: 0 };
+    readonly counts = { lists: 0, starts: 0, stops: 0, paces: 0 };
     readonly executorId: string;
     born: number;
     private readonly faults: StepExecutorFaults = { ...NO_FAULTS };
@@ -227,6 +235,17 @@
         return this.order(() => this.acceptStop(order));
     }
 
+    pace(order: PaceOrder): Promise<Result<Answered, ExecutorFailure>> {
+        this.counts.paces += 1;
+        return this.order(() => this.acceptPace(order));
+    }
+
+    /** Tail latency of a serving task at this moment; undefined if the task does not run here. */
+    latencyOf(task: string): Millis | undefined {
+        const serving = [...this.running.values()].find(({ order }) => order.task === task);
+        return serving === undefined ? undefined : this.loadOf(serving);
+    }
+
     async list(request: ListRequest, signal?: AbortSignal): Promise<Result<RunList, ExecutorFailure>> {
         this.counts.lists += 1;
         const fault = await this.failCall(signal);
@@ -251,11 +270,22 @@
         return {
             born: this.born,
             clockMs: this.now(),
-            running: [...this.running.values()].map(run => run.report()),
+            running: [...this.running.values()].map(run => this.reportOf(run)),
             ends: structuredClone(this.ends),
         };
     }
 
+    private reportOf(run: MemoryRun): RunInProgress {
+        const { load, ...report } = run.report();
+        return this.faults.measuresNothing ? report : { ...report, load: this.loadOf(run) ?? load };
+    }
+
+    private loadOf({ order: { work } }: MemoryRun): Millis | undefined {
+        return work.servesUsers
+            ? [...this.running.values()].reduce((sum, other) => sum + other.disturbanceMs, work.load ?? 0)
+            : undefined;
+    }
+
     private async waitForEnd(waitMs: Millis, signal: AbortSignal | undefined): Promise<void> {
         const { clock } = this.options;
         const until = clock.now() + waitMs;
@@ -336,6 +366,21 @@
         return Result.ok({ clockMs: this.now() });
     }
 
+    private acceptPace({ task, run, fence, percentage }: PaceOrder): Result<Answered, ExecutorFailure> {
+        if (!this.admits(fence)) {
+            return refusal("fence");
+        }
+        const paced = this.running.get(runKey(task, run));
+        if (paced === undefined) {
+            return refusal("old");
+        }
+        const { clock, paceMs = DEFAULT_PACE_MS } = this.options;
+        void clock.sleep(paceMs).then(() => {
+            paced.setShare(percentage / FULL_PERCENTAGE);
+        });
+        return Result.ok({ clockMs: this.now() });
+    }
+
     private host(): RunHost {
         const { clock, gangTimeoutMs, checkpointIntervalMs } = this.options;
         return {
--- a/packages/standins/src/stepWork.ts
+++ b/packages/standins/src/stepWork.ts
@@ -15,6 +15,10 @@
     /** Members of the gang that the run belongs to; 1 is no gang. */
     gangSize: z.number().int().positive().default(1),
     load: z.number().optional(),
+    /** The run serves users: its load is their tail latency, to which the runs beside it add. */
+    servesUsers: z.boolean().default(false),
+    /** What the run adds to the latency of each serving task beside it while it works at full speed. */
+    disturbanceMs: z.number().nonnegative().default(0),
 });
 export type StepWork = z.infer<typeof stepWorkSchema>;
 
--- a/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
+++ b/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
@@ -245,6 +245,37 @@
   400 c1 < agent.start e1 a#1: {"kind":"started","clockMs":400}
 `
 
+exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > pace (guards against a pace that is reported as set although the executor refused or never answered it) > pace 1`] = `
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
+    0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
+    0 c1 > agent.start e1 a#1
+    0     start e1 a#1 fence=1: ok
+    0 c1 < agent.start e1 a#1: {"kind":"started","clockMs":0}
+  100 c1 > agent.pace e1 a#1 20%
+  100 c1 > agent.pace e1 b#1 20%
+  100 c1 > agent.pace e1 a#1 50%
+  100     pace e1 a#1 20% fence=1: unanswered
+  100     pace e1 b#1 20% fence=1: refused old
+  100     pace e1 a#1 50% fence=1: ok
+  100 c1 < agent.pace e1 a#1 20%: {"kind":"unclear"}
+  100 c1 < agent.pace e1 b#1 20%: {"kind":"refused","reason":"old"}
+  100 c1 < agent.pace e1 a#1 50%: {"kind":"paced","clockMs":100}
+  200     list e1 fence=1 ack=0 wait=1000: unanswered
+  200     list e1 fence=2 ack=0 wait=0: born=1000 running=[a#1] ends=[]
+  200 c2 < attach: attached [e1 born=1000 running=[a#1] ends=[]]
+  200 c1 > agent.pace e1 a#1 100%
+  200 c2 > agent.pace e1 a#1 10%
+  200     pace e1 a#1 10% fence=2: ok
+  200 c1 < agent.pace e1 a#1 100%: {"kind":"refused","reason":"fence"}
+  200 c2 < agent.pace e1 a#1 10%: {"kind":"paced","clockMs":200}
+  300 c2 > agent.pace e1 a#1 0%
+  300     list e1 fence=2 ack=0 wait=1000: gone
+  300     pace e1 a#1 0% fence=2: gone
+  300     list e1 fence=2 ack=0 wait=0: gone
+  300 c2 < report e1 born=1000 no list gone
+  300 c2 < agent.pace e1 a#1 0%: {"kind":"gone"}
+`
+
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > refusal after an unanswered try (guards against a first try that takes effect after the second one was refused) > refusal after an unanswered try 1`] = `
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
