--- a/tap-snapshots/platform/dist/tests/executorClient.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/executorClient.test.js.test.cjs
@@ -12,6 +12,24 @@
 }
 `
 
+exports[`platform/dist/tests/executorClient.test.js > TAP > answers of the executor > list, a row without a measurement 1`] = `
+{
+  result: {
+    value: {
+      born: 1,
+      clockMs: 5,
+      ends: [ { checkpoint: '', kind: 'done', number: 9, run: 1, task: 'j.0.0.1' } ],
+      running: [
+        { checkpoint: 'c', percent: 40, run: 2, task: 'j.0.0.0' },
+        { checkpoint: '', percent: 0, run: 1, task: 'j.0.0.1' }
+      ]
+    },
+    variant: 'Ok'
+  },
+  sent: [ { body: { fencing_token: 3, last_seen: 4 }, instance: 'x1', method: 'POST', url: '/-/hold' } ]
+}
+`
+
 exports[`platform/dist/tests/executorClient.test.js > TAP > answers of the executor > list, done 1`] = `
 {
   result: {
@@ -55,6 +73,34 @@
 }
 `
 
+exports[`platform/dist/tests/executorClient.test.js > TAP > answers of the executor > pace, done 1`] = `
+{
+  result: { value: { clockMs: 5 }, variant: 'Ok' },
+  sent: [
+    {
+      body: { fencing_token: 3, percentage: 20, run_id: 2, task_id: 'j.0.0.0' },
+      instance: 'x1',
+      method: 'POST',
+      url: '/-/pace'
+    }
+  ]
+}
+`
+
+exports[`platform/dist/tests/executorClient.test.js > TAP > answers of the executor > pace, refused 1`] = `
+{
+  result: { error: { kind: 'refused', reason: 'old' }, variant: 'Err' },
+  sent: [
+    {
+      body: { fencing_token: 3, percentage: 20, run_id: 2, task_id: 'j.0.0.0' },
+      instance: 'x1',
+      method: 'POST',
+      url: '/-/pace'
+    }
+  ]
+}
+`
+
 exports[`platform/dist/tests/executorClient.test.js > TAP > answers of the executor > start from a checkpoint 1`] = `
 {
   result: { value: { clockMs: 5 }, variant: 'Ok' },
