--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -17,6 +17,7 @@
 import { LeaseKeeper } from "./leaseKeeper.js";
 import type { OpenJob } from "./openJob.js";
 import { OrderSender } from "./orderSender.js";
+import { Pacer } from "./pacer.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { Reconciler } from "./reconciler.js";
 import { TermKeeper } from "./termKeeper.js";
@@ -39,6 +40,7 @@
     private readonly reconciler: Reconciler;
     private readonly applier: DecisionApplier;
     private readonly advice: AdviceBook;
+    private readonly pacer: Pacer;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks = new KeyedTasks();
     private readonly wake = new WakeSignal();
@@ -88,7 +90,9 @@
         };
         const { fleet, jobs, writer, authority } = this;
         const { epoch, takenAt } = role;
-        const { maxLeaseMs } = context.timings;
+        const { timings } = context;
+        const { maxLeaseMs } = timings;
+        this.pacer = new Pacer({ fleet, timings, clock, logger, epoch, connectionOf });
         this.orders = new OrderSender({
             fleet,
             advice: this.advice,
@@ -262,6 +266,7 @@
             this.reconciler.loseLapsed();
             this.reconciler.reconcile();
             this.decide();
+            this.pacer.apply();
             await this.wake.wait(this.context.clock, IDLE_PASS_MS, signal);
             await this.context.clock.sleep(PASS_DELAY_MS, signal);
         }
--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { RunEnd, RunInProgress, RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { Placement } from "@persimmonpitch/workload/progress.js";
+import type { Step } from "@persimmonpitch/workload/step.js";
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { HeldRun } from "./executorState.js";
 import { ExecutorState } from "./executorState.js";
@@ -148,6 +149,8 @@
             executorId: placement.executorId,
             born: placement.born,
             demand: runDemand(open, key),
+            isFiller: stepOfKey(open, key)?.usesIdleCores ?? false,
+            servingTargetMs: servingTargetOf(stepOfKey(open, key)),
             orderedAt: this.options.clock.now(),
             isInherited,
             isClaimed: isInherited,
@@ -216,6 +219,7 @@
     private applyListed(held: HeldRun, listed: RunInProgress | undefined, clockMs: number): void {
         if (listed?.run === held.run) {
             this.noteProgress(held, listed);
+            this.noteMeasurement(held, listed, clockMs);
             return;
         }
         if (held.isInherited) {
@@ -244,4 +248,16 @@
             this.ends.shareCheckpoint(open, held.task, listed.checkpoint);
         }
     }
+
+    /** A list that is reported again brings no new measurement. */
+    private noteMeasurement(held: HeldRun, { load }: RunInProgress, clockMs: number): void {
+        if (load !== undefined && clockMs > (held.measurement?.clockMs ?? -Infinity)) {
+            held.measurement = { load, clockMs, at: this.options.clock.now() };
+        }
+    }
 }
+
+const stepOfKey = (open: OpenJob, key: string): Step | undefined => open.job.steps[Number(key.split(".")[1])];
+
+const servingTargetOf = (step: Step | undefined): number | undefined =>
+    step?.isLongRunning === true && (step.targetMs ?? 0) > 0 ? step.targetMs : undefined;
--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -71,7 +71,7 @@
 const measureAll = (groups: readonly RunGroup[], { declaredMs }: RunTimes): readonly MeasuredOnExecutor[] => {
     const found: MeasuredOnExecutor[] = [];
     for (const group of groups) {
-        if (group.step.isLongRunning) {
+        if (group.step.isLongRunning || group.step.usesIdleCores) {
             continue;
         }
         const wholeMs = Math.max(1, declaredMs(group.view, group.stepIndex));
@@ -231,8 +231,9 @@
         usualSlowness: median(measured.map(({ slowness }) => slowness)),
     };
     const findMove = (group: RunGroup): readonly Move[] => {
-        const isLongRunning = group.step.isLongRunning;
-        const reason = REASONS.find(one => (one === "draining" || !isLongRunning) && CHECKS[one](context, group));
+        // A filler works at the pace that the tasks beside it leave, so its progress says nothing of the executor.
+        const hasOwnPace = !group.step.isLongRunning && !group.step.usesIdleCores;
+        const reason = REASONS.find(one => (one === "draining" || hasOwnPace) && CHECKS[one](context, group));
         return reason === undefined ? [] : [{ group, reason }];
     };
     return groups.filter(({ isStopping }) => !isStopping).flatMap(findMove);
