--- a/packages/verification/src/brokenRules.ts
+++ b/packages/verification/src/brokenRules.ts
@@ -1,20 +1,9 @@
 import type { Guards } from "./guards.js";
-import { GUARDS } from "./guards.js";
 import type { InvariantName } from "./modelInvariants.js";
-import type { Bounds } from "./modelState.js";
 import { LEASE_TICKS } from "./modelState.js";
-import type { Model } from "./rule.js";
+import type { BrokenRuleOf } from "./protocolSpecification.js";
 import type { ScopeName } from "./scopes.js";
 
-/** A rule that is wrong on purpose, and the invariant that shows it. */
-interface BrokenRule {
-    readonly description: string;
-    readonly violates: InvariantName;
-    /** Scope in which the counterexample is found. */
-    readonly scope: ScopeName;
-    readonly guards: Partial<Guards>;
-}
-
 /** One fault of the protocol each; the exploration has to find a counterexample to every one. */
 export const BROKEN_RULES = {
     claimWithoutEpochCheck: {
@@ -89,13 +78,5 @@
         scope: "configuration",
         guards: { acceptsConfig: () => true },
     },
-} as const satisfies Readonly<Record<string, BrokenRule>>;
+} as const satisfies Readonly<Record<string, BrokenRuleOf<InvariantName, ScopeName, Guards>>>;
 export type BrokenRuleName = keyof typeof BROKEN_RULES;
-
-export const isBrokenRule = (name: string): name is BrokenRuleName => Object.hasOwn(BROKEN_RULES, name);
-
-/** The model with all rules right, or with one broken. */
-export const modelOf = (broken: BrokenRuleName | undefined, bounds: Bounds): Model => ({
-    bounds,
-    guards: { ...GUARDS, ...(broken === undefined ? {} : BROKEN_RULES[broken].guards) },
-});
--- a/packages/verification/src/rule.ts
+++ b/packages/verification/src/rule.ts
@@ -1,4 +1,5 @@
 import type { Guards } from "./guards.js";
+import { mergeMessages } from "./mergeMessages.js";
 import type { Bounds, Holder, JobState, Message, ModelAgent, ModelState } from "./modelState.js";
 
 /** What rules depend on besides the state. */
@@ -45,11 +46,11 @@
     agents: state.agents.map((agent, at) => at === index ? { ...agent, ...change } : agent),
 });
 
-/** Adds messages to those in flight; equal messages count once and their order carries no meaning. */
-export const send = (state: ModelState, added: readonly Message[]): ModelState => {
-    const byText = new Map([...state.messages, ...added].map(message => [JSON.stringify(message), message]));
-    return { ...state, messages: [...byText].sort(([a], [b]) => a < b ? -1 : 1).map(([, message]) => message) };
-};
+/** Adds messages to those in flight. */
+export const send = (state: ModelState, added: readonly Message[]): ModelState => ({
+    ...state,
+    messages: mergeMessages(state.messages, added),
+});
 
 /** Spends one fault; undefined when none is left. */
 export const spendFault = (state: ModelState): ModelState | undefined =>
--- a/packages/verification/src/scopes.ts
+++ b/packages/verification/src/scopes.ts
@@ -1,17 +1,11 @@
 import type { Bounds, ModelState } from "./modelState.js";
 import { CONTACT_TICKS, initialState, LEASE_TICKS } from "./modelState.js";
+import type { ScopeOf } from "./protocolSpecification.js";
 import { changeAgent, changeHolder, changeJob } from "./rule.js";
 import type { RuleName } from "./specification.js";
 
-/** One part of the protocol with bounds small enough to be explored exhaustively, or nearly so. */
-export interface Scope {
-    readonly description: string;
-    readonly bounds: Bounds;
-    /** Rules that this scope leaves to others. */
-    readonly without: readonly RuleName[];
-    /** Whether the run begins with a holder whose agents are fenced and with all jobs accepted. */
-    readonly isReady: boolean;
-}
+/** One part of the core protocol. */
+export type Scope = ScopeOf<Bounds, RuleName>;
 
 const GANG = { members: 2, idempotent: false } as const;
 const IDEMPOTENT_GANG = { members: 2, idempotent: true } as const;
@@ -65,38 +59,32 @@
 } as const satisfies Readonly<Record<string, Scope>>;
 export type ScopeName = keyof typeof SMALL;
 
-/** Sets of scopes, by the name of their bounds. */
-export const BOUNDS: { readonly [B in "small" | "large"]: Readonly<Record<string, Scope>>; } = {
-    small: SMALL,
-    large: {
-        ...SMALL,
-        whole: {
-            description: "everything together, from an empty store",
-            bounds: {
-                holders: 2,
-                agents: 3,
-                accelerators: 2,
-                jobs: [GANG, { members: 3, idempotent: true }, SINGLE],
-                maxEpoch: 3,
-                maxTries: 2,
-                maxConfig: 2,
-                faults: 3,
-            },
-            without: [],
-            isReady: false,
-        },
-        takeover: {
-            description: "a second holder takes over while a gang of three runs",
-            bounds: { ...SIZES, holders: 2, agents: 3, jobs: [{ members: 3, idempotent: false }], maxEpoch: 2 },
-            without: [...CONFIG_RULES, "releaseRole"],
-            isReady: true,
+/** Larger scopes, which are explored on request. */
+export const LARGE_SCOPES: Readonly<Record<string, Scope>> = {
+    whole: {
+        description: "everything together, from an empty store",
+        bounds: {
+            holders: 2,
+            agents: 3,
+            accelerators: 2,
+            jobs: [GANG, { members: 3, idempotent: true }, SINGLE],
+            maxEpoch: 3,
+            maxTries: 2,
+            maxConfig: 2,
+            faults: 3,
         },
+        without: [],
+        isReady: false,
+    },
+    takeover: {
+        description: "a second holder takes over while a gang of three runs",
+        bounds: { ...SIZES, holders: 2, agents: 3, jobs: [{ members: 3, idempotent: false }], maxEpoch: 2 },
+        without: [...CONFIG_RULES, "releaseRole"],
+        isReady: true,
     },
 };
-export type BoundsName = keyof typeof BOUNDS;
 
 export const SCOPES: Readonly<Record<ScopeName, Scope>> = SMALL;
-export const SCOPE_NAMES = Object.keys(SMALL) as readonly ScopeName[];
 
 /** Holder 0 has the role, all agents are fenced and hold a lease, and all jobs wait. */
 const makeReady = (state: ModelState): ModelState => {
--- a/packages/verification/tests/brokenRules.test.ts
+++ b/packages/verification/tests/brokenRules.test.ts
@@ -1,20 +1,27 @@
 import t from "tap";
-import type { BrokenRuleName } from "../src/brokenRules.js";
-import { BROKEN_RULES, modelOf } from "../src/brokenRules.js";
+import { CORE_SPECIFICATION } from "../src/coreSpecification.js";
 import { explore } from "../src/explorer.js";
 import { formatTrace } from "../src/formatTrace.js";
-import { SCOPES, startOf } from "../src/scopes.js";
+import type { ProtocolSpecification, ProtocolTypes } from "../src/protocolSpecification.js";
+import { modelOf } from "../src/protocolSpecification.js";
 
 const MAX_STATES = 100_000;
 
 // Guards against invariants and scopes that would not notice a wrong protocol.
-for (const [name, { violates, scope }] of Object.entries(BROKEN_RULES)) {
-    void t.test(`broken rule ${name}`, t => {
-        const { bounds, without } = SCOPES[scope];
-        const limits = { maxDepth: Infinity, maxStates: MAX_STATES, without };
-        const { counterexample } = explore(modelOf(name as BrokenRuleName, bounds), startOf(SCOPES[scope]), limits);
-        t.equal(counterexample?.invariant, violates);
-        t.matchSnapshot(formatTrace(counterexample?.steps ?? []));
-        t.end();
-    });
-}
+const testBrokenRules = <P extends ProtocolTypes>(specification: ProtocolSpecification<P>): void => {
+    const { brokenRules, scopes, startOf } = specification;
+    for (const name of Object.keys(brokenRules) as P["brokenRule"][]) {
+        void t.test(`broken rule ${name}`, t => {
+            const { violates, scope } = brokenRules[name];
+            const { bounds, without } = scopes[scope];
+            const limits = { maxDepth: Infinity, maxStates: MAX_STATES, without };
+            const model = modelOf(specification, name, bounds);
+            const { counterexample } = explore(specification, model, startOf(scopes[scope]), limits);
+            t.equal(counterexample?.invariant, violates);
+            t.matchSnapshot(formatTrace(specification, counterexample?.steps ?? []));
+            t.end();
+        });
+    }
+};
+
+testBrokenRules(CORE_SPECIFICATION);
--- a/packages/verification/tests/replayTrace.test.ts
+++ b/packages/verification/tests/replayTrace.test.ts
@@ -1,9 +1,11 @@
 import fc from "fast-check";
 import t from "tap";
 import type { BrokenRuleName } from "../src/brokenRules.js";
-import { BROKEN_RULES, modelOf } from "../src/brokenRules.js";
+import { BROKEN_RULES } from "../src/brokenRules.js";
+import { CORE_SPECIFICATION } from "../src/coreSpecification.js";
 import { explore } from "../src/explorer.js";
 import { formatTrace } from "../src/formatTrace.js";
+import { modelOf } from "../src/protocolSpecification.js";
 import { randomWalk } from "../src/randomWalk.js";
 import type { Difference } from "../src/replayTrace.js";
 import { replayTrace } from "../src/replayTrace.js";
@@ -32,7 +34,8 @@
     const random = seededRandom(SEED);
     const { bounds } = SCOPES[name];
     const limits = { maxDepth: Infinity, maxStates: STATES, without };
-    const { rules, traceTo } = explore(modelOf(undefined, bounds), startOf(SCOPES[name]), limits);
+    const model = modelOf(CORE_SPECIFICATION, undefined, bounds);
+    const { rules, traceTo } = explore(CORE_SPECIFICATION, model, startOf(SCOPES[name]), limits);
     return RULE_NAMES.flatMap(rule => {
         const found = [...rules.keys()].filter(index => rules[index] === rule);
         const chosen = Array.from({ length: TRACES_PER_RULE }, () => found[Math.floor(random() * found.length)]);
@@ -41,7 +44,7 @@
 };
 
 const walks = (name: ScopeName, without: readonly RuleName[]): readonly (readonly Step[])[] => {
-    const model = modelOf(undefined, SCOPES[name].bounds);
+    const model = modelOf(CORE_SPECIFICATION, undefined, SCOPES[name].bounds);
     return Array.from(
         { length: WALKS },
         (_, walk) => randomWalk(model, startOf(SCOPES[name]), without, WALK_LENGTH, seededRandom(SEED + walk)),
@@ -60,7 +63,10 @@
             const difference = await replayTrace(SCOPES[name], trace);
             trace.forEach(({ rule }) => replayed.add(rule));
             if (difference !== undefined) {
-                t.fail(`trace ${index}`, { ...difference, trace: formatTrace(trace.slice(0, difference.step)) });
+                t.fail(`trace ${index}`, {
+                    ...difference,
+                    trace: formatTrace(CORE_SPECIFICATION, trace.slice(0, difference.step)),
+                });
             }
         }
     });
@@ -81,7 +87,7 @@
 for (const name of CONTRADICTED) {
     void t.test(`the code does not follow the broken rule ${name}`, async t => {
         const scope = SCOPES[BROKEN_RULES[name].scope];
-        const model = modelOf(name, scope.bounds);
+        const model = modelOf(CORE_SPECIFICATION, name, scope.bounds);
         let difference: Difference | undefined;
         for (let seed = 1; seed <= MAX_BROKEN_WALKS && difference === undefined; seed += 1) {
             const walk = randomWalk(model, startOf(scope), scope.without, WALK_LENGTH, seededRandom(seed));
