--- /dev/null
+++ b/packages/verification/src/control/listRules.ts
@@ -0,0 +1,163 @@
+import { loseRun, takeEnd } from "./controllerView.js";
+import type { ControlModel, ControlRule } from "./controlRule.js";
+import {
+    changeController,
+    changeExecutor,
+    forEachLink,
+    isSame,
+    replaceAt,
+    sendAll,
+    spendFault,
+} from "./controlRule.js";
+import type { Controller, ControlMessage, ControlState, Executor } from "./controlState.js";
+import { LEASE_TICKS, observer } from "./controlState.js";
+
+/** Tasks whose run the controller holds at an executor. */
+const tasksAt = ({ held }: Controller, executor: number): readonly number[] =>
+    [...held.keys()].filter(task => held[task]?.at === executor);
+
+/** A new incarnation: what ran on the older one is gone. */
+const meetLife = (controller: Controller, executor: number, life: number): Controller => {
+    const gone = tasksAt(controller, executor).filter(task => controller.held[task]?.life !== life);
+    const left = gone.reduce(loseRun, controller);
+    return controller.lives[executor] === life ? left : {
+        ...left,
+        lives: replaceAt(left.lives, executor, life),
+        seen: replaceAt(left.seen, executor, 0),
+        durable: replaceAt(left.durable, executor, 0),
+        acknowledged: replaceAt(left.acknowledged, executor, 0),
+    };
+};
+
+const takeEnds = (
+    controller: Controller,
+    executor: number,
+    { ends }: Executor,
+    { guards }: ControlModel,
+): Controller => {
+    const durable = controller.durable[executor] ?? 0;
+    const taken = ends.filter(({ number }) => number > durable)
+        .reduce((next, end) => takeEnd(next, executor, end, guards), controller);
+    // An end `done` that waits is not acknowledged, and neither is any end after it.
+    const waiting = ends.filter(({ kind, run }) => kind === "done" && run === taken.lateDone);
+    const seen = Math.min(ends.at(-1)?.number ?? 0, ...waiting.map(({ number }) => number - 1));
+    return { ...taken, seen: replaceAt(taken.seen, executor, Math.max(seen, durable)) };
+};
+
+const takeRunning = (
+    controller: Controller,
+    executor: number,
+    { running }: Executor,
+    { guards }: ControlModel,
+): Controller =>
+    tasksAt(controller, executor)
+        .filter(task => {
+            const held = controller.held[task];
+            const isRunning = running.some(active => active.task === task && active.run === held?.run);
+            return held !== undefined && guards.isGone(held, isRunning);
+        })
+        .reduce(loseRun, controller);
+
+const markDurable = (controller: Controller, { guards }: ControlModel): Controller => {
+    const isWritten = controller.pending === undefined && isSame(controller.row, controller.written);
+    return isWritten || !guards.acknowledgesDurable ? { ...controller, durable: controller.seen } : controller;
+};
+
+/** What a controller knows once an executor has listed its runs. */
+const takeList = (
+    state: ControlState,
+    index: number,
+    executor: number,
+    listed: Executor,
+    model: ControlModel,
+): Controller | undefined => {
+    const controller = state.controllers[index];
+    if (controller === undefined) {
+        return undefined;
+    }
+    const met = meetLife(controller, executor, listed.life);
+    const isFirst = met.isListed[executor] !== true;
+    const attached = isFirst
+        ? {
+            ...met,
+            isListed: replaceAt(met.isListed, executor, true),
+            // Another controller may have given a lease of any length that the executor takes.
+            deadlines: replaceAt(
+                met.deadlines,
+                executor,
+                Math.max(met.deadlines[executor] ?? 0, state.tick + LEASE_TICKS),
+            ),
+        }
+        : met;
+    return markDurable(
+        takeRunning(takeEnds(attached, executor, listed, model), executor, listed, model),
+        model,
+    );
+};
+
+/** Starts that are sent again after the connection to an agent broke. */
+const resumed = (
+    { tick }: ControlState,
+    before: Controller,
+    after: Controller,
+    executor: number,
+    { running }: Executor,
+    { guards }: ControlModel,
+): readonly ControlMessage[] =>
+    before.isListed[executor] === true || !guards.hasAuthority(after, tick)
+        ? []
+        : tasksAt(after, executor).flatMap(task => {
+            const held = after.held[task];
+            const isDue = held?.isSent === true && !held.isInherited && !held.isStopping
+                && running.every(active => active.task !== task) && guards.mayOrder(after, task, held);
+            return isDue
+                ? [{
+                    kind: "start" as const,
+                    executor,
+                    epoch: after.epoch,
+                    life: held.life,
+                    task,
+                    run: held.run,
+                    deadline: tick + LEASE_TICKS,
+                }]
+                : [];
+        });
+
+/** How a controller learns what is on an executor. */
+export const LIST_RULES = {
+    // The first list is the answer to `agent.attach`; the agent lists under the token of the controller.
+    list: (state, model) =>
+        forEachLink(state, (controller, index, executor) => {
+            const listed = state.executors[executor];
+            if (listed === undefined) {
+                return undefined;
+            }
+            if (!model.guards.acceptsToken(listed, controller.epoch)) {
+                return changeController(state, index, observer(model.bounds));
+            }
+            const after = takeList(state, index, executor, listed, model);
+            if (after === undefined || (isSame(after, controller) && listed.token === controller.epoch)) {
+                return undefined;
+            }
+            const shown = changeExecutor(state, executor, { token: Math.max(listed.token, controller.epoch) });
+            const next = changeController(shown, index, after);
+            return sendAll(next, resumed(state, controller, after, executor, listed, model));
+        }),
+    detach: state => {
+        const next = spendFault(state);
+        return next === undefined
+            ? []
+            : forEachLink(next, ({ isListed }, index, executor) =>
+                isListed[executor] === true
+                    ? changeController(next, index, { isListed: replaceAt(isListed, executor, false) })
+                    : undefined);
+    },
+    // An executor that is not listed counts as silent; its runs are gone once its lease has certainly lapsed.
+    giveUp: (state, { guards }) =>
+        forEachLink(state, (controller, index, executor) => {
+            const tasks = tasksAt(controller, executor);
+            const isGone = tasks.length > 0 && controller.isListed[executor] !== true
+                && guards.mayGiveUp(controller, executor, state.tick);
+            return isGone ? changeController(state, index, tasks.reduce(loseRun, controller)) : undefined;
+        }),
+} satisfies Readonly<Record<string, ControlRule>>;
--- a/packages/verification/src/explore.ts
+++ b/packages/verification/src/explore.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import meow from "meow";
+import { CONTROL_SPECIFICATION } from "./control/controlSpecification.js";
 import { CORE_SPECIFICATION } from "./coreSpecification.js";
 import type { ExploreOptions } from "./explorer.js";
 import { explore } from "./explorer.js";
@@ -36,6 +37,9 @@
 
 Broken rules of the core protocol:
 ${formatBrokenRules(CORE_SPECIFICATION)}
+
+Broken rules of jobs of steps:
+${formatBrokenRules(CONTROL_SPECIFICATION)}
 `;
 
 const isBrokenRuleOf = <P extends ProtocolTypes>(
@@ -82,7 +86,8 @@
             break: { type: "string" },
         },
     });
-    const isKnown = flags.break === undefined || isBrokenRuleOf(CORE_SPECIFICATION, flags.break);
+    const isKnown = flags.break === undefined || isBrokenRuleOf(CORE_SPECIFICATION, flags.break)
+        || isBrokenRuleOf(CONTROL_SPECIFICATION, flags.break);
     if (!["small", "large"].includes(flags.bounds) || !isKnown) {
         process.stderr.write(HELP);
         process.exitCode = EXIT_USAGE;
@@ -90,7 +95,7 @@
     }
     const limits = { maxDepth: flags.depth, maxStates: flags.states };
     const request = { isLarge: flags.bounds === "large", broken: flags.break, limits };
-    const total = runScopes(CORE_SPECIFICATION, request);
+    const total = runScopes(CORE_SPECIFICATION, request) + runScopes(CONTROL_SPECIFICATION, request);
     process.stdout.write(`${total} distinct states in all.\n`);
 };
 
--- a/packages/verification/tests/brokenRules.test.ts
+++ b/packages/verification/tests/brokenRules.test.ts
@@ -1,4 +1,5 @@
 import t from "tap";
+import { CONTROL_SPECIFICATION } from "../src/control/controlSpecification.js";
 import { CORE_SPECIFICATION } from "../src/coreSpecification.js";
 import { explore } from "../src/explorer.js";
 import { formatTrace } from "../src/formatTrace.js";
@@ -25,3 +26,4 @@
 };
 
 testBrokenRules(CORE_SPECIFICATION);
+testBrokenRules(CONTROL_SPECIFICATION);
--- a/packages/verification/tests/explorer.test.ts
+++ b/packages/verification/tests/explorer.test.ts
@@ -1,4 +1,5 @@
 import t from "tap";
+import { CONTROL_SPECIFICATION } from "../src/control/controlSpecification.js";
 import { CORE_SPECIFICATION } from "../src/coreSpecification.js";
 import { explore } from "../src/explorer.js";
 import { formatTrace } from "../src/formatTrace.js";
@@ -6,6 +7,8 @@
 import { modelOf } from "../src/protocolSpecification.js";
 
 const CORE_STATES_PER_SCOPE = 25_000;
+/** Enough for three of the scopes to be complete. */
+const CONTROL_STATES_PER_SCOPE = 20_000;
 const MIN_STATES = 100_000;
 
 /** Explores the small scopes; `unused` names the rules that only a broken rule enables. */
@@ -35,3 +38,4 @@
 
 // deferClaim is enabled only by the broken rule that starts a job without a claim.
 testSpecification("core protocol", CORE_SPECIFICATION, CORE_STATES_PER_SCOPE, ["deferClaim"]);
+testSpecification("protocol of jobs of steps", CONTROL_SPECIFICATION, CONTROL_STATES_PER_SCOPE, []);
