--- a/packages/verification/src/control/controlSpecification.ts
+++ b/packages/verification/src/control/controlSpecification.ts
@@ -29,6 +29,7 @@
 /** The protocol of jobs of steps: sections 15.4 and 15.5 of the design. */
 export const CONTROL_SPECIFICATION: ProtocolSpecification<ControlTypes> = {
     ruleNames: CONTROL_RULE_NAMES,
+    advancing: new Set(["list", "place", "write", "repeatWrite", "order", "deliver", "finish", "endStopped"]),
     guards: CONTROL_GUARDS,
     brokenRules: CONTROL_BROKEN_RULES,
     scopes: CONTROL_SCOPES,
--- a/packages/verification/src/control/roleRules.ts
+++ b/packages/verification/src/control/roleRules.ts
@@ -61,9 +61,13 @@
         state.store.isCancelRequested
             ? []
             : [{ subject: {}, state: changeStore(state, { isCancelRequested: true }) }],
+    // A job that has ended is not cancelled any more.
     seeCancel: state =>
-        forEachController(state, ({ row }, index) =>
-            state.store.isCancelRequested && !row.isCancelled
-                ? changeController(state, index, { row: { ...row, isCancelled: true } })
-                : undefined),
+        forEachController(
+            state,
+            ({ row }, index) =>
+                state.store.isCancelRequested && !row.isCancelled && row.tasks.some(({ isDone }) => !isDone)
+                    ? changeController(state, index, { row: { ...row, isCancelled: true } })
+                    : undefined,
+        ),
 } satisfies Readonly<Record<string, ControlRule>>;
--- a/packages/verification/src/coreSpecification.ts
+++ b/packages/verification/src/coreSpecification.ts
@@ -29,6 +29,17 @@
 /** The core protocol: sections 8 and 9 of the design. */
 export const CORE_SPECIFICATION: ProtocolSpecification<CoreTypes> = {
     ruleNames: RULE_NAMES,
+    advancing: new Set([
+        "fence",
+        "reserve",
+        "claim",
+        "claimAnswerLost",
+        "settleClaim",
+        "deferClaim",
+        "deliver",
+        "finish",
+        "conclude",
+    ]),
     guards: GUARDS,
     brokenRules: BROKEN_RULES,
     scopes: SCOPES,
--- a/packages/verification/src/protocolSpecification.ts
+++ b/packages/verification/src/protocolSpecification.ts
@@ -46,6 +46,8 @@
 /** A protocol as the explorer sees it: states, rules over them, invariants, scopes and rules broken on purpose. */
 export interface ProtocolSpecification<P extends ProtocolTypes> {
     readonly ruleNames: readonly P["rule"][];
+    /** Rules that begin or advance work; the others mostly undo it, so walks that choose evenly get nowhere. */
+    readonly advancing: ReadonlySet<P["rule"]>;
     /** The conditions that safety rests on; a broken rule replaces one of them. */
     readonly guards: P["guards"];
     readonly brokenRules: Readonly<
