--- a/packages/verification/src/attemptRules.ts
+++ b/packages/verification/src/attemptRules.ts
@@ -92,7 +92,8 @@
         return { status: "finished", ran: "yes", version, attempts };
     }
     if (job.cancelRequested) {
-        return { status: "cancelled", ran: neverStarted ? "no" : "unknown", version, attempts };
+        // An earlier attempt may have run; one that never started does not count.
+        return { status: "cancelled", ran: neverStarted && attempts <= 1 ? "no" : "unknown", version, attempts };
     }
     if (neverStarted) {
         return { status: "queued", attempt: "", members: [], version, attempts: attempts - 1 };
