--- a/packages/verification/src/control/controlBrokenRules.ts
+++ b/packages/verification/src/control/controlBrokenRules.ts
@@ -9,19 +9,19 @@
     writeWithoutConditions: {
         description: "A claim is written whatever the role and the row have become.",
         violates: "oneRunAtOneTime",
-        scope: "takeover",
+        scope: "twoControllers",
         guards: { mayWrite: () => true },
     },
     orderBeforeWrite: {
         description: "A start is ordered before its claim is durable.",
         violates: "startIsClaimed",
-        scope: "takeover",
+        scope: "twoControllers",
         guards: { isClaimSafe: () => true },
     },
     orderAfterAuthority: {
         description: "A controller orders starts however long ago it renewed its term.",
         violates: "orderedWithinAuthority",
-        scope: "takeover",
+        scope: "twoControllers",
         guards: { hasAuthority: () => true },
     },
     orderAfterCancellation: {
@@ -33,13 +33,13 @@
     orderWithoutToken: {
         description: "Executors take orders under any token.",
         violates: "oneRunAtOneTime",
-        scope: "takeover",
+        scope: "twoControllers",
         guards: { acceptsToken: () => true },
     },
     placeBeforeListing: {
         description: "A new controller takes runs of executors that it has not listed as gone.",
         violates: "oneRunAtOneTime",
-        scope: "takeover",
+        scope: "twoControllers",
         guards: {
             mayGiveUp: (controller, executor, tick) =>
                 controller.lives[executor] === 0 || CONTROL_GUARDS.mayGiveUp(controller, executor, tick),
@@ -87,7 +87,7 @@
     acknowledgeBeforeWrite: {
         description: "An end is acknowledged before it is in the row.",
         violates: "acknowledgedIsRecorded",
-        scope: "takeover",
+        scope: "twoControllers",
         guards: { acknowledgesDurable: false },
     },
     dropLateDone: {
@@ -99,7 +99,7 @@
     dropLateDoneAfterTakeover: {
         description: "The same, when a new controller took the run as lost.",
         violates: "acknowledgedIsRecorded",
-        scope: "takeover",
+        scope: "twoControllers",
         guards: { lateDone: () => "drop" },
     },
     dropDoneAfterRefusal: {
--- a/packages/verification/src/control/controlScopes.ts
+++ b/packages/verification/src/control/controlScopes.ts
@@ -21,7 +21,7 @@
 const ONE_CONTROLLER = { ...SIZES, controllers: 1, maxEpoch: 1 } as const;
 
 const SMALL = {
-    takeover: {
+    twoControllers: {
         description: "two controllers, late orders and lapsing leases under one task",
         bounds: { ...SIZES, faults: 0 },
         without: ["cancel"],
@@ -89,6 +89,12 @@
         without: [],
         isReady: false,
     },
+    silentTakeover: {
+        description: "a second controller while an executor falls silent, restarts or repeats an order",
+        bounds: { ...SIZES, maxLives: 2, faults: 1 },
+        without: ["cancel"],
+        isReady: true,
+    },
     gangTakeover: {
         description: "a second controller takes over while a gang runs",
         bounds: { ...SIZES, tasks: 2, faults: 2 },
--- a/packages/verification/tests/replayControlTrace.test.ts
+++ b/packages/verification/tests/replayControlTrace.test.ts
@@ -28,7 +28,7 @@
 
 /** Cancellation is left out: the controller's own tasks act on it. */
 const REPLAYED = [
-    "takeover",
+    "twoControllers",
     "store",
     "silence",
     "repetition",
