--- a/packages/verification/src/control/controlBrokenRules.ts
+++ b/packages/verification/src/control/controlBrokenRules.ts
@@ -56,9 +56,16 @@
         violates: "oneRunAtOneTime",
         scope: "repetition",
         guards: {
-            isGone: (held, isRunning) => held.isStopAnswered || CONTROL_GUARDS.isGone(held, isRunning),
+            isGone: (held, isRunning, isOlder) =>
+                held.isStopAnswered || CONTROL_GUARDS.isGone(held, isRunning, isOlder),
         },
     },
+    goneByOlderList: {
+        description: "A stopped run counts as gone by a list that is older than the answer to the stop.",
+        violates: "oneRunAtOneTime",
+        scope: "reports",
+        guards: { isGone: (held, isRunning) => CONTROL_GUARDS.isGone(held, isRunning, false) },
+    },
     startStoppedRun: {
         description: "Executors start a run that was stopped or has ended there.",
         violates: "noStartAfterDone",
--- a/packages/verification/src/control/controlGuards.ts
+++ b/packages/verification/src/control/controlGuards.ts
@@ -27,8 +27,8 @@
     readonly acknowledgesLife: (executor: Executor, life: number) => boolean;
     /** Whether the runs of an executor that is not listed count as gone. */
     readonly mayGiveUp: (controller: Controller, executor: number, tick: number) => boolean;
-    /** Whether a run counts as gone by a list. */
-    readonly isGone: (held: HeldRun, isRunning: boolean) => boolean;
+    /** Whether a run counts as gone by a list, which may be older than the answer to its stop. */
+    readonly isGone: (held: HeldRun, isRunning: boolean, isOlder: boolean) => boolean;
     /** Whether ends are acknowledged only when they are in the row. */
     readonly acknowledgesDurable: boolean;
     readonly lateDone: (controller: Controller) => LateDone;
@@ -47,7 +47,8 @@
     reachesLife: (executor, life) => executor.life === life,
     acknowledgesLife: (executor, life) => executor.life === life,
     mayGiveUp: ({ deadlines }, executor, tick) => tick > (deadlines[executor] ?? 0),
-    isGone: ({ isInherited, isStopAnswered }, isRunning) => !isRunning && (isInherited || isStopAnswered),
+    isGone: ({ isInherited, isStopAnswered }, isRunning, isOlder) =>
+        !isRunning && (isInherited || (isStopAnswered && !isOlder)),
     acknowledgesDurable: true,
     // Recording it at once would let another run start after its acknowledgement, or end a gang beside another run.
     lateDone: ({ held }) => held.every(other => other === undefined) ? "record" : "wait",
--- a/packages/verification/src/control/controlRules.ts
+++ b/packages/verification/src/control/controlRules.ts
@@ -4,7 +4,7 @@
 import type { ControlMessage, ControlMessageOf, ControlState } from "./controlState.js";
 import { dropDeadOrders } from "./dropDeadOrders.js";
 import { deliverLease, deliverStart, deliverStop, EXECUTOR_RULES } from "./executorRules.js";
-import { LIST_RULES } from "./listRules.js";
+import { deliverReport, LIST_RULES } from "./listRules.js";
 import { ORDER_RULES } from "./orderRules.js";
 import { ROLE_RULES } from "./roleRules.js";
 import { deliverWrite, WRITE_RULES } from "./writeRules.js";
@@ -20,6 +20,7 @@
     start: deliverStart,
     stop: deliverStop,
     lease: deliverLease,
+    report: deliverReport,
     write: deliverWrite,
 };
 
--- a/packages/verification/src/control/controlState.ts
+++ b/packages/verification/src/control/controlState.ts
@@ -122,6 +122,9 @@
     readonly lastEnd: number;
 }
 
+/** What an executor lists at one moment. */
+export type ListedRuns = Pick<Executor, "life" | "running" | "ends">;
+
 interface Order {
     readonly executor: number;
     readonly epoch: number;
@@ -141,6 +144,14 @@
         readonly deadline: number;
         readonly acknowledged: number;
     }
+    /** A list that the executor gave to its agent; `before` names the tasks whose stop was answered after it. */
+    | {
+        readonly kind: "report";
+        readonly executor: number;
+        readonly epoch: number;
+        readonly listed: ListedRuns;
+        readonly before: readonly number[];
+    }
     /** A write without an answer that takes effect later while its conditions hold. */
     | { readonly kind: "write"; readonly epoch: number; readonly version: number; readonly value: RunRow; };
 
--- a/packages/verification/src/control/controlWorld.ts
+++ b/packages/verification/src/control/controlWorld.ts
@@ -5,6 +5,7 @@
 import { MemoryStepExecutor } from "@persimmonpitch/standins/memoryStepExecutor.js";
 import type { StepWork } from "@persimmonpitch/standins/stepWork.js";
 import { stepWorkSchema } from "@persimmonpitch/standins/stepWork.js";
+import type { RunList } from "@persimmonpitch/workload/executorReport.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import type { RowTransaction, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import { taskName } from "@persimmonpitch/workload/taskName.js";
@@ -43,6 +44,8 @@
     readonly controllers = new Map<number, ReplayController>();
     /** Commits that take effect later, by epoch and version of the row. */
     readonly late = new Map<string, RowTransaction>();
+    /** Lists that are under way to a controller, by epoch and executor. */
+    readonly reports = new Map<string, RunList>();
     readonly executors: readonly ReplayExecutor[];
     private ticks = 0;
 
--- a/packages/verification/src/control/dropDeadOrders.ts
+++ b/packages/verification/src/control/dropDeadOrders.ts
@@ -31,6 +31,12 @@
                 || executor.ends.some(({ number }) => number <= acknowledged));
         return !isTaken || !isNew;
     },
+    // A report ends with its connection, and one of an older incarnation is not taken in.
+    report: ({ controllers }, { executor, epoch, listed }) =>
+        controllers.every(controller =>
+            controller.epoch !== epoch || controller.isListed[executor] !== true
+            || controller.lives[executor] !== listed.life
+        ),
     write: (state, { epoch, version }, { guards }) => !guards.mayWrite(state, epoch, version),
 };
 
--- a/packages/verification/src/control/executorRules.ts
+++ b/packages/verification/src/control/executorRules.ts
@@ -1,3 +1,4 @@
+import { mergeMessages } from "../mergeMessages.js";
 import { changeHeld, loseRun } from "./controllerView.js";
 import type { ControlModel, ControlRule, ControlSuccessor } from "./controlRule.js";
 import { changeController, changeExecutor, replaceAt, spendFault } from "./controlRule.js";
@@ -173,6 +174,19 @@
     return [{ subject: {}, state: changeExecutor(state, start.executor, started) }];
 };
 
+/** Reports under way are older than the answer to a stop. */
+const passReports = (state: ControlState, { executor, task }: Stop): ControlState => ({
+    ...state,
+    messages: mergeMessages(
+        [],
+        state.messages.map(sent =>
+            sent.kind === "report" && sent.executor === executor && !sent.before.includes(task)
+                ? { ...sent, before: [...sent.before, task].sort() }
+                : sent
+        ),
+    ),
+});
+
 /** An order to stop; a run that has not arrived yet is refused from then on. */
 export const deliverStop = (
     state: ControlState,
@@ -189,7 +203,7 @@
         const next = changeController(state, sender, observer(bounds));
         return [{ subject: { outcome: "refused" }, state: next }];
     }
-    const next = changeExecutor(state, stop.executor, {
+    const next = changeExecutor(passReports(state, stop), stop.executor, {
         token: Math.max(executor.token, epoch),
         stopped: noteStopped(executor, task, run),
         running: executor.running.map(active =>
--- a/packages/verification/src/control/formatControlSubject.ts
+++ b/packages/verification/src/control/formatControlSubject.ts
@@ -9,6 +9,7 @@
     stop: ({ executor, epoch, task, run }) => `stop of task ${task} run ${run} to executor ${executor}, epoch ${epoch}`,
     lease: ({ executor, life, epoch, deadline, acknowledged }) =>
         `lease to executor ${executor}.${life}, epoch ${epoch}, deadline ${deadline}, acknowledges ${acknowledged}`,
+    report: ({ executor, listed, epoch }) => `report of executor ${executor}.${listed.life}, epoch ${epoch}`,
     write: ({ epoch, version }) => `write of epoch ${epoch} on version ${version}`,
 };
 
--- a/packages/verification/src/control/listRules.ts
+++ b/packages/verification/src/control/listRules.ts
@@ -1,5 +1,5 @@
 import { loseRun, takeEnd } from "./controllerView.js";
-import type { ControlModel, ControlRule } from "./controlRule.js";
+import type { ControlModel, ControlRule, ControlSuccessor } from "./controlRule.js";
 import {
     changeController,
     changeExecutor,
@@ -9,7 +9,14 @@
     sendAll,
     spendFault,
 } from "./controlRule.js";
-import type { Controller, ControlMessage, ControlState, Executor } from "./controlState.js";
+import type {
+    Controller,
+    ControlMessage,
+    ControlMessageOf,
+    ControlState,
+    Executor,
+    ListedRuns,
+} from "./controlState.js";
 import { LEASE_TICKS, observer } from "./controlState.js";
 
 /** Tasks whose run the controller holds at an executor. */
@@ -32,7 +39,7 @@
 const takeEnds = (
     controller: Controller,
     executor: number,
-    { ends }: Executor,
+    { ends }: ListedRuns,
     { guards }: ControlModel,
 ): Controller => {
     const durable = controller.durable[executor] ?? 0;
@@ -47,14 +54,15 @@
 const takeRunning = (
     controller: Controller,
     executor: number,
-    { running }: Executor,
+    { running }: ListedRuns,
+    before: readonly number[],
     { guards }: ControlModel,
 ): Controller =>
     tasksAt(controller, executor)
         .filter(task => {
             const held = controller.held[task];
             const isRunning = running.some(active => active.task === task && active.run === held?.run);
-            return held !== undefined && guards.isGone(held, isRunning);
+            return held !== undefined && guards.isGone(held, isRunning, before.includes(task));
         })
         .reduce(loseRun, controller);
 
@@ -68,7 +76,8 @@
     state: ControlState,
     index: number,
     executor: number,
-    listed: Executor,
+    listed: ListedRuns,
+    before: readonly number[],
     model: ControlModel,
 ): Controller | undefined => {
     const controller = state.controllers[index];
@@ -90,7 +99,7 @@
         }
         : met;
     return markDurable(
-        takeRunning(takeEnds(attached, executor, listed, model), executor, listed, model),
+        takeRunning(takeEnds(attached, executor, listed, model), executor, listed, before, model),
         model,
     );
 };
@@ -123,6 +132,14 @@
                 : [];
         });
 
+/** A connection keeps the order of its messages and loses them when it breaks. */
+const dropReports = (state: ControlState, epoch: number, executor: number): ControlState => ({
+    ...state,
+    messages: state.messages.filter(sent =>
+        sent.kind !== "report" || sent.epoch !== epoch || sent.executor !== executor
+    ),
+});
+
 /** How a controller learns what is on an executor. */
 export const LIST_RULES = {
     // The first list is the answer to `agent.attach`; the agent lists under the token of the controller.
@@ -135,21 +152,39 @@
             if (!model.guards.acceptsToken(listed, controller.epoch)) {
                 return changeController(state, index, observer(model.bounds));
             }
-            const after = takeList(state, index, executor, listed, model);
+            const after = takeList(state, index, executor, listed, [], model);
             if (after === undefined || (isSame(after, controller) && listed.token === controller.epoch)) {
                 return undefined;
             }
             const shown = changeExecutor(state, executor, { token: Math.max(listed.token, controller.epoch) });
-            const next = changeController(shown, index, after);
+            const next = changeController(dropReports(shown, controller.epoch, executor), index, after);
             return sendAll(next, resumed(state, controller, after, executor, listed, model));
         }),
+    // The agent passes on a list later; an order may be answered meanwhile.
+    report: state =>
+        forEachLink(state, (controller, _, executor) => {
+            const { epoch, isListed, lives } = controller;
+            const listed = state.executors[executor];
+            const isUnderWay = state.messages.some(sent =>
+                sent.kind === "report" && sent.epoch === epoch && sent.executor === executor
+            );
+            const isDue = isListed[executor] === true && listed !== undefined && listed.life === lives[executor]
+                && listed.token === epoch && tasksAt(controller, executor).length > 0 && !isUnderWay;
+            if (!isDue) {
+                return undefined;
+            }
+            const { life, running, ends } = listed;
+            return sendAll(state, [{ kind: "report", executor, epoch, listed: { life, running, ends }, before: [] }]);
+        }),
     detach: state => {
         const next = spendFault(state);
         return next === undefined
             ? []
-            : forEachLink(next, ({ isListed }, index, executor) =>
+            : forEachLink(next, ({ epoch, isListed }, index, executor) =>
                 isListed[executor] === true
-                    ? changeController(next, index, { isListed: replaceAt(isListed, executor, false) })
+                    ? changeController(dropReports(next, epoch, executor), index, {
+                        isListed: replaceAt(isListed, executor, false),
+                    })
                     : undefined);
     },
     // An executor that is not listed counts as silent; its runs are gone once its lease has certainly lapsed.
@@ -161,3 +196,14 @@
             return isGone ? changeController(state, index, tasks.reduce(loseRun, controller)) : undefined;
         }),
 } satisfies Readonly<Record<string, ControlRule>>;
+
+/** A report that arrives. */
+export const deliverReport = (
+    state: ControlState,
+    { executor, epoch, listed, before }: ControlMessageOf<"report">,
+    model: ControlModel,
+): readonly ControlSuccessor[] => {
+    const index = state.controllers.findIndex(controller => controller.epoch === epoch);
+    const after = takeList(state, index, executor, listed, before, model);
+    return after === undefined ? [] : [{ subject: {}, state: changeController(state, index, after) }];
+};
--- a/packages/verification/src/control/replayControlTrace.ts
+++ b/packages/verification/src/control/replayControlTrace.ts
@@ -1,5 +1,6 @@
 import { parseRow } from "@persimmonpitch/control/parseRow.js";
 import { rowKeys } from "@persimmonpitch/control/rows.js";
+import type { RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { JobProgress } from "@persimmonpitch/workload/progress.js";
 import { NO_PROGRESS, progressOf } from "@persimmonpitch/workload/progress.js";
 import { progressRowSchema } from "@persimmonpitch/workload/progressRow.js";
@@ -9,6 +10,7 @@
 import type { ControlMessage, ControlMessageOf, ControlState, RunRow } from "./controlState.js";
 import { ControlWorld, deadlineMsOf, executorId, taskKeyOf, taskNameOf } from "./controlWorld.js";
 import type { CommitFate } from "./gatedStore.js";
+import type { ReplayController } from "./replayController.js";
 import { JOB_ID } from "./replayController.js";
 
 /** Time after which a writer repeats a write without an answer. */
@@ -31,6 +33,12 @@
     return controller?.heldRun(taskKeyOf(task))?.run === run ? controller : undefined;
 };
 
+const takeList = (controller: ReplayController, executor: number, listed: RunList): void => {
+    const state = controller.executor(executorId(executor));
+    controller.fleet.restart(state, listed.born);
+    controller.fleet.applyList(state, listed);
+};
+
 const DELIVERIES: { readonly [K in Kind]: Deliver<K>; } = {
     start: async (world, start) => {
         const executor = world.executors[start.executor]?.executor;
@@ -47,6 +55,10 @@
         const order = { executorId: executor.executorId, fence: epoch, task: taskNameOf(task), run };
         const answer = await executor.start({ ...order, payload: "", deadlineMs: deadlineMsOf(deadline) });
         if (answer.isOk) {
+            const held = holder?.heldRun(taskKeyOf(task));
+            if (held !== undefined) {
+                held.startClockMs = answer.value.clockMs;
+            }
             return;
         }
         if (answer.error.kind === "refused" && answer.error.reason === "fence") {
@@ -88,6 +100,14 @@
             });
         }
     },
+    report: (world, { epoch, executor }) => {
+        const listed = world.reports.get(`${epoch}/${executor}`);
+        const controller = controllerOf(world, epoch);
+        if (listed !== undefined && controller !== undefined) {
+            takeList(controller, executor, listed);
+        }
+        return Promise.resolve();
+    },
     write: async (world, { epoch, version }) => {
         const late = world.late.get(`${epoch}/${version}`);
         await (late === undefined ? undefined : world.store.client("late").commit(late));
@@ -146,9 +166,22 @@
         world.drop(index);
         return;
     }
-    const state = controller.executor(executorId(at));
-    controller.fleet.restart(state, listed.value.born);
-    controller.fleet.applyList(state, listed.value);
+    takeList(controller, at, listed.value);
+};
+
+const report: Replay = async (world, { subject: { controller: index = 0, executor: at = 0 } }) => {
+    const epoch = world.controllers.get(index)?.epoch ?? 0;
+    await world.pass();
+    const listed = await world.executors[at]?.executor.list({
+        executorId: executorId(at),
+        fence: epoch,
+        acknowledgedEnd: 0,
+        waitMs: 0,
+    });
+    if (listed?.isOk === true) {
+        world.reports.set(`${epoch}/${at}`, listed.value);
+    }
+    await world.pass();
 };
 
 const place: Replay = (world, { subject: { controller: index = 0, placement = [] }, state }) => {
@@ -193,6 +226,7 @@
     write,
     repeatWrite,
     list,
+    report,
     detach: nothing,
     giveUp: (world, { subject: { controller: index = 0, executor = 0 } }) => {
         const controller = world.controllers.get(index);
--- a/packages/verification/tests/replayControlTrace.test.ts
+++ b/packages/verification/tests/replayControlTrace.test.ts
@@ -26,6 +26,7 @@
     "restart",
     "gang",
     "lateGang",
+    "reports",
 ] as const satisfies readonly ControlScopeName[];
 
 /** The code under test decides on these. */
@@ -33,6 +34,7 @@
     "writeWithoutConditions",
     "orderWithoutToken",
     "freeAtStop",
+    "goneByOlderList",
     "startStoppedRun",
     "startAfterDeadline",
     "dropLateDone",
--- a/tap-snapshots/packages/verification/dist/tests/brokenRules.test.js.test.cjs
+++ b/tap-snapshots/packages/verification/dist/tests/brokenRules.test.js.test.cjs
@@ -180,6 +180,22 @@
 10. deliver start of task 0 run 2 to executor 1.1, epoch 1, deadline 1
 `
 
+exports[`packages/verification/dist/tests/brokenRules.test.js > TAP > broken rule goneByOlderList > must match snapshot 1`] = `
+1. place controller 0, on executor 0
+2. write controller 0
+3. report controller 0, executor 0
+4. order controller 0, task 0, executor 0
+5. preempt controller 0, task 0, executor 0
+6. stop controller 0, task 0, executor 0
+7. deliver start of task 0 run 1 to executor 0.1, epoch 1, deadline 1
+8. deliver stop of task 0 run 1 to executor 0, epoch 1
+9. deliver report of executor 0.1, epoch 1
+10. place controller 0, on executor 0
+11. write controller 0
+12. order controller 0, task 0, executor 0
+13. deliver start of task 0 run 2 to executor 0.1, epoch 1, deadline 1
+`
+
 exports[`packages/verification/dist/tests/brokenRules.test.js > TAP > broken rule keepRunsOfOlderLife > must match snapshot 1`] = `
 1. place controller 0, on executor 0
 2. write controller 0
