--- a/packages/verification/src/control/controlScopes.ts
+++ b/packages/verification/src/control/controlScopes.ts
@@ -75,6 +75,12 @@
         without: ["report", "cancel", "renew", "crashController", "failRun", "preempt", "repeat", "restartExecutor"],
         isReady: true,
     },
+    gangTakeover: {
+        description: "a second controller takes over while a gang is started, stopped or ends",
+        bounds: { ...SIZES, tasks: 2, maxTicks: 0, faults: 0 },
+        without: ["report", "cancel", "renew"],
+        isReady: true,
+    },
     reports: {
         description: "reports that are overtaken by the answer to a stop",
         bounds: { ...SIZES, maxTicks: 0 },
@@ -101,8 +107,14 @@
         without: ["cancel"],
         isReady: true,
     },
-    gangTakeover: {
-        description: "a second controller takes over while a gang runs",
+    gangLapse: {
+        description: "a second controller takes over while leases under a gang lapse",
+        bounds: { ...SIZES, tasks: 2, faults: 0 },
+        without: ["report", "cancel", "renew"],
+        isReady: true,
+    },
+    wholeGang: {
+        description: "all rules under a gang and two controllers",
         bounds: { ...SIZES, tasks: 2, faults: 2 },
         without: [],
         isReady: true,
--- a/packages/verification/src/explore.ts
+++ b/packages/verification/src/explore.ts
@@ -18,6 +18,7 @@
 interface Request {
     readonly isLarge: boolean;
     readonly broken: string | undefined;
+    readonly scope: string | undefined;
     readonly limits: Limits;
 }
 
@@ -32,6 +33,7 @@
   --depth N      longest run that is explored (default: no limit)
   --states N     distinct states at which a scope stops (default: ${DEFAULT_STATES})
   --bounds NAME  small or large (default: small)
+  --scope NAME   explores this scope only
   --break RULE   explores with a broken rule and prints the counterexample
   --help         prints this text
 
@@ -50,7 +52,7 @@
 /** Explores the scopes of one specification and prints what was found; returns the number of states. */
 const runScopes = <P extends ProtocolTypes>(
     specification: ProtocolSpecification<P>,
-    { isLarge, broken, limits }: Request,
+    { isLarge, broken, scope: only, limits }: Request,
 ): number => {
     const { scopes, largeScopes, brokenRules, startOf } = specification;
     const isBroken = isBrokenRuleOf(specification, broken);
@@ -61,7 +63,9 @@
         ...scopes,
         ...(isLarge ? largeScopes : {}),
     };
-    const chosen = Object.entries(named).filter(([name]) => !isBroken || brokenRules[broken].scope === name);
+    const chosen = Object.entries(named).filter(([name]) =>
+        (only === undefined || only === name) && (!isBroken || brokenRules[broken].scope === name)
+    );
     return chosen.reduce((sum, [name, scope]) => {
         const model = modelOf(specification, isBroken ? broken : undefined, scope.bounds);
         const found = explore(specification, model, startOf(scope), { ...limits, without: scope.without });
@@ -83,6 +87,7 @@
             depth: { type: "number", default: Infinity },
             states: { type: "number", default: DEFAULT_STATES },
             bounds: { type: "string", default: "small" },
+            scope: { type: "string" },
             break: { type: "string" },
         },
     });
@@ -94,8 +99,13 @@
         return;
     }
     const limits = { maxDepth: flags.depth, maxStates: flags.states };
-    const request = { isLarge: flags.bounds === "large", broken: flags.break, limits };
+    const request = { isLarge: flags.bounds === "large", broken: flags.break, scope: flags.scope, limits };
     const total = runScopes(CORE_SPECIFICATION, request) + runScopes(CONTROL_SPECIFICATION, request);
+    if (total === 0) {
+        process.stderr.write(`No scope has the name ${flags.scope ?? ""}.\n`);
+        process.exitCode = EXIT_USAGE;
+        return;
+    }
     process.stdout.write(`${total} distinct states in all.\n`);
 };
 
--- a/packages/verification/tests/replayControlTrace.test.ts
+++ b/packages/verification/tests/replayControlTrace.test.ts
@@ -26,6 +26,7 @@
     "restart",
     "gang",
     "lateGang",
+    "gangTakeover",
     "reports",
 ] as const satisfies readonly ControlScopeName[];
 
