--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -1,7 +1,9 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
+import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
+import type { AdvicePort } from "./advicePort.js";
 import type { ConfigBook } from "./configBook.js";
 import { Controller } from "./controller.js";
 import type { ConnectLink, TakenRole } from "./controllerContext.js";
@@ -30,6 +32,8 @@
     readonly logger: Logger;
     readonly connect: ConnectLink;
     readonly random: () => number;
+    /** Undefined without an advice service. */
+    readonly advice?: AdvicePort | undefined;
 }
 
 /** Entries that do not decide take changes a little later, so that several share one call to the store. */
@@ -102,7 +106,18 @@
 
     /** Serves a link that another entry opened. */
     async servePeer(link: Link): Promise<void> {
-        await servePeer(link, this.options.clock, this.options.stores);
+        await servePeer(link, this.options.clock, this.options.stores, rows => {
+            this.replica.apply(rows);
+        });
+    }
+
+    /**
+     * Makes rows known that were just written. Without it a job reaches the controller, and its end the requester,
+     * only with the next answer to a poll, which comes a second later while the store drops its history.
+     */
+    announce(rows: readonly StoredRow[]): void {
+        this.replica.apply(rows);
+        this.peers.announce(rows);
     }
 
     /** Runs until `stop`. */
@@ -138,7 +153,7 @@
             if (role === undefined) {
                 return;
             }
-            const { clock, logger, timings, connect, random, config } = this.options;
+            const { clock, logger, timings, connect, random, config, advice } = this.options;
             this.controller = new Controller({
                 store: this.store,
                 replica: this.replica,
@@ -148,7 +163,11 @@
                 timings,
                 connect,
                 random,
+                advice,
                 storeOffsetMs: () => this.follower.storeOffsetMs,
+                announce: rows => {
+                    this.announce(rows);
+                },
             }, role);
             await this.controller.run(signal);
             this.controller = undefined;
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -4,14 +4,16 @@
 import type { DispatchDecision, StartDecision, StopDecision } from "@persimmonpitch/dispatch/dispatchView.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
+import { AdviceBook } from "./adviceBook.js";
 import type { AgentConnection, AgentEvents } from "./agentTask.js";
 import { runAgentTask } from "./agentTask.js";
+import { Authority } from "./authority.js";
 import { buildDispatchView } from "./buildDispatchView.js";
 import type { ControllerContext, TakenRole } from "./controllerContext.js";
 import type { ExecutorState, HeldRun } from "./executorState.js";
 import { Fleet } from "./fleet.js";
 import { JobBook } from "./jobBook.js";
-import { GRANT_VALIDITY_MS, inheritedLapsedAt, lapsedAt, LEASE_MS } from "./leaseRules.js";
+import { inheritedLapsedAt, lapsedAt, LEASE_MS } from "./leaseRules.js";
 import type { OpenJob } from "./openJob.js";
 import { stepKeys } from "./openJob.js";
 import { OrderSender } from "./orderSender.js";
@@ -30,14 +32,16 @@
     private readonly jobs: JobBook;
     private readonly fleet: Fleet;
     private readonly writer: ProgressWriter;
+    private readonly authority: Authority;
     private readonly term: TermKeeper;
     private readonly orders: OrderSender;
+    private readonly advice: AdviceBook;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks = new Map<string, Promise<void>>();
     private readonly wake = new WakeSignal();
 
     constructor(private readonly context: ControllerContext, private readonly role: TakenRole) {
-        const { replica, clock, logger, store } = context;
+        const { replica, clock, logger, store, announce } = context;
         this.jobs = new JobBook(replica, logger);
         this.fleet = new Fleet({
             jobs: this.jobs,
@@ -52,13 +56,39 @@
         const onRoleLost = (detail: string) => {
             this.loseRole(detail);
         };
-        this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost });
-        this.term = new TermKeeper({ store, clock, logger, role, onRoleLost });
+        this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost, announce });
+        this.advice = new AdviceBook({
+            port: context.advice,
+            clock,
+            logger,
+            random: context.random,
+            bornOf: executorId => this.fleet.executors.get(executorId)?.born,
+            onChanged: () => {
+                this.wake.wake();
+            },
+        });
+        this.authority = new Authority(clock, role.takenAt, this.fleet);
+        this.term = new TermKeeper({
+            store,
+            clock,
+            logger,
+            role,
+            authority: this.authority,
+            onRenewed: () => {
+                this.resumeAwaited();
+            },
+            onRoleLost,
+        });
         this.orders = new OrderSender({
             fleet: this.fleet,
+            advice: this.advice,
             jobs: this.jobs,
             context,
             epoch: role.epoch,
+            authority: this.authority,
+            onHeldBack: () => {
+                this.term.renewSoon();
+            },
             connectionOf: vm => this.connections.get(vm),
             onChanged: () => {
                 this.wake.wake();
@@ -80,6 +110,7 @@
             this.writer.run(ended),
             this.term.run(ended),
             this.runPasses(ended),
+            this.advice.run(ended),
         ]);
         stopListening();
         for (const connection of this.connections.values()) {
@@ -206,10 +237,15 @@
         if (state.clock === undefined) {
             return true;
         }
-        if (clock.now() - this.term.renewedAt < GRANT_VALIDITY_MS) {
-            const deadlineMs = Math.floor(state.clock.readingMs + clock.now() - state.clock.at + LEASE_MS);
+        if (this.authority.isFresh && state.authorityEndMs !== undefined) {
+            const now = state.clock.readingMs + clock.now() - state.clock.at;
+            const deadlineMs = Math.floor(Math.min(now, state.authorityEndMs) + LEASE_MS);
             state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
         }
+        else {
+            state.isAuthorityAwaited = true;
+            this.term.renewSoon();
+        }
         const answer = await connection.call("agent.lease", {
             epoch: this.role.epoch,
             executorId: state.executorId,
@@ -223,6 +259,19 @@
         return answer.isOk;
     }
 
+    /** Gives the leases and sends the starts that waited for a renewal of the term. */
+    private resumeAwaited(): void {
+        for (const state of this.fleet.executors.values()) {
+            const connection = this.connections.get(state.vm);
+            if (!state.isAuthorityAwaited || !state.isAttached || connection === undefined) {
+                continue;
+            }
+            state.isAuthorityAwaited = false;
+            void this.renewLease(state, connection);
+            this.orders.releaseHeldBack(state);
+        }
+    }
+
     private async runPasses(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             this.startAgentTasks(signal);
@@ -301,12 +350,13 @@
         if (config === undefined) {
             return;
         }
-        const view = buildDispatchView(this.context, config, this.jobs, this.fleet);
+        const view = buildDispatchView(this.context, config, this.jobs, this.fleet, this.advice.advised());
         const startedAt = this.context.clock.now();
         const decisions = dispatchPass(view);
         for (const decision of decisions) {
             this.apply(decision);
         }
+        this.advice.note(view);
         if (decisions.length > 0) {
             this.context.logger.log("debug", "pass.decided", {
                 jobs: view.jobs.length,
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -9,9 +9,11 @@
 import { prospectsOf } from "./prospects.js";
 import { type ReadyUnit, readyUnits, unitKind } from "./readyUnits.js";
 import { expectedReleases } from "./reservations.js";
+import { RoomIndex } from "./roomIndex.js";
 import { findRunSteps, groupsByExecutor, runGroups } from "./runGroups.js";
 import { estimateRunTimes } from "./runTimes.js";
 import { scarcityOf, type Spans, spansOf } from "./seating.js";
+import { stepWaves } from "./stepWaves.js";
 import { orderUnits, type RankedUnit } from "./unitOrder.js";
 import { placeUnit } from "./unitPlacement.js";
 
@@ -50,7 +52,7 @@
         const { size } = avoidedBy(unit, avoided);
         const kind = size === 0 ? unitKind(unit) : undefined;
         const known = kind === undefined ? undefined : spansOfKind.get(kind);
-        const spans = known ?? spansOf(state.rooms, unit, avoidedBy(unit, avoided));
+        const spans = known ?? spansOf(unit, avoidedBy(unit, avoided), state.seating.index);
         if (kind !== undefined) {
             spansOfKind.set(kind, spans);
         }
@@ -58,11 +60,11 @@
     }
 };
 
-/** Decides which tasks start where and which runs stop, for one view of the jobs and executors. */
-export const dispatchPass = (
-    view: DispatchView,
-    overrides: Partial<DispatchOptions> = {},
-): readonly DispatchDecision[] => {
+/** What a pass decided, and the executors with what it looked at. */
+export type PassResult = Pick<PassState, "decisions" | "rooms">;
+
+/** Decides for one view of the jobs and executors. */
+export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassResult => {
     const options = { ...DEFAULT_DISPATCH_OPTIONS, ...overrides };
     const jobs: ReadonlyMap<string, JobView> = new Map(view.jobs.map(job => [job.job.jobId, job]));
     const occurrences = openOccurrences(view.jobs, view.now, view.wallTime);
@@ -70,6 +72,11 @@
     const groups = runGroups(view.executors, runSteps);
     const runTimes = estimateRunTimes(view.jobs, groups, view.samples, view.now);
     const moves = findMoves(view, groups, runTimes, options);
+    const units = occurrences.flatMap(owner => readyUnits(owner, view.advised));
+    if (units.length === 0 && moves.length === 0) {
+        // Most passes are of this kind: the controller runs one every 250 ms also when nothing happens.
+        return { decisions: [], rooms: [] };
+    }
     const unhealthy = unhealthyExecutors(moves);
     const rooms = executorRooms(view, runSteps, index => {
         const executor = view.executors[index];
@@ -77,7 +84,7 @@
             ? "failing"
             : executorHealth(executor, jobs, unhealthy.has(index), view.now, options);
     });
-    const prospects = prospectsOf(occurrences, groups, runTimes, view.now, options);
+    const prospects = prospectsOf(occurrences, groups, runTimes, stepWaves(view.executors), view.now, options);
     const guaranteed = guaranteedOccurrences(view, occurrences);
     const state: PassState = {
         view,
@@ -89,7 +96,7 @@
         prospects,
         guaranteed,
         releases: expectedReleases(groups, runTimes),
-        scarcity: scarcityOf(rooms),
+        seating: { scarcity: scarcityOf(rooms), index: new RoomIndex(rooms) },
         stopped: new Set(),
         stopCosts: new Map(),
         misfits: new Map(),
@@ -100,6 +107,12 @@
     moves.forEach(({ group, reason }) => {
         stopGroup(state, group, reason);
     });
-    placeAll(state, orderUnits(occurrences.flatMap(readyUnits), occurrences, prospects, guaranteed, options));
-    return state.decisions;
+    placeAll(state, orderUnits(units, occurrences, prospects, guaranteed, options));
+    return state;
 };
+
+/** Decides which tasks start where and which runs stop, for one view of the jobs and executors. */
+export const dispatchPass = (
+    view: DispatchView,
+    overrides: Partial<DispatchOptions> = {},
+): readonly DispatchDecision[] => runPass(view, overrides).decisions;
--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -5,6 +5,7 @@
 import type { ExecutorHealth } from "./executorHealth.js";
 import type { ReadyUnit } from "./readyUnits.js";
 import type { RunStep, RunSteps } from "./runGroups.js";
+import { stepId } from "./stepId.js";
 
 /** Room kept from a later time on for a unit that does not fit yet. */
 export interface Reservation {
@@ -32,25 +33,26 @@
     taskCount: number;
     /** Tasks here of each step with a limit per executor. */
     readonly tasksOfStep: Map<string, number>;
+    /** Called when something of it changes, so that an index of executors can follow. */
+    onChanged: () => void;
+    /** How often the pass looked at this executor; tests of growth count it. */
+    visits: number;
 }
 
-type StepOfOccurrence = Pick<RunStep, "view" | "occurrence" | "stepIndex">;
-
-const stepId = ({ view, occurrence, stepIndex }: StepOfOccurrence): string =>
-    `${view.job.jobId} ${occurrence} ${stepIndex}`;
-
-const unitStepId = ({ owner, stepIndex }: ReadyUnit): string => stepId({ ...owner, stepIndex });
-
-const countTask = (room: ExecutorRoom, id: string, count: number): void => {
-    room.tasksOfStep.set(id, (room.tasksOfStep.get(id) ?? 0) + count);
+/** Counts tasks of a step with a limit per executor; nothing asks for those of other steps. */
+const countTasks = ({ tasksOfStep }: ExecutorRoom, { step, view, occurrence, stepIndex }: RunStep, count: number) => {
+    if (step.maxPerExecutor !== undefined) {
+        const id = stepId(view, occurrence, stepIndex);
+        tasksOfStep.set(id, (tasksOfStep.get(id) ?? 0) + count);
+    }
 };
 
 /** An executor without a rack is taken as a rack of its own. */
 const rackOf = ({ rack, vm }: ExecutorView): string => rack ?? `vm ${vm}`;
 
 const takeRuns = (room: ExecutorRoom, runSteps: RunSteps): void => {
-    for (const run of room.executor.runs) {
-        const runStep = runSteps.get(run);
+    for (const [index, run] of room.executor.runs.entries()) {
+        const runStep = runSteps[room.index]?.[index];
         if (runStep === undefined) {
             // The demand of a run of an unknown job is unknown, so nothing may be added until it has ended.
             Object.assign(room.free, noDemand());
@@ -58,7 +60,7 @@
         }
         const demand = countedDemand(runStep.step);
         addTo(room.free, demand, -1);
-        countTask(room, stepId(runStep), 1);
+        countTasks(room, runStep, 1);
         if (run.isStopping) {
             addTo(room.coming, demand);
         }
@@ -83,17 +85,23 @@
             reservation: undefined,
             taskCount: executor.runs.length,
             tasksOfStep: new Map(),
+            onChanged: () => undefined,
+            visits: 0,
         };
         takeRuns(room, runSteps);
         return room;
     });
 
 /** What is left once the runs that are ending have ended, and without what is kept for others. */
-export const laterRoom = ({ free, coming, claimed }: ExecutorRoom): MutableDemand => ({
-    milliCores: free.milliCores + coming.milliCores - claimed.milliCores,
-    memoryMb: free.memoryMb + coming.memoryMb - claimed.memoryMb,
-    accelerators: free.accelerators + coming.accelerators - claimed.accelerators,
-});
+export const laterRoom = (room: ExecutorRoom): MutableDemand => {
+    const { free, coming, claimed } = room;
+    room.visits += 1;
+    return {
+        milliCores: free.milliCores + coming.milliCores - claimed.milliCores,
+        memoryMb: free.memoryMb + coming.memoryMb - claimed.memoryMb,
+        accelerators: free.accelerators + coming.accelerators - claimed.accelerators,
+    };
+};
 
 const smaller = (left: Demand, right: Demand): MutableDemand => ({
     milliCores: Math.min(left.milliCores, right.milliCores),
@@ -110,12 +118,18 @@
         : smaller(unclaimed, reservation.spare);
 };
 
-/** Whether the executor may run tasks of the unit at all. */
-export const accepts = ({ executor }: ExecutorRoom, { owner, step }: ReadyUnit): boolean =>
+/** Whether the executor may run tasks of the unit, apart from advice. */
+export const isEligible = ({ executor }: ExecutorRoom, { owner, step }: ReadyUnit): boolean =>
     executor.takesWork
     && executor.service === owner.view.queue.service
     && (step.requiredLabel === undefined || executor.labels.includes(step.requiredLabel));
 
+/** Whether the executor may run tasks of the unit at all. */
+export const accepts = (room: ExecutorRoom, unit: ReadyUnit): boolean => {
+    room.visits += 1;
+    return isEligible(room, unit) && (unit.allowed?.has(room.executor.executorId) ?? true);
+};
+
 /** How many tasks an executor takes, by its health. */
 const SEATS: { readonly [K in ExecutorHealth]: (slots: number, room: ExecutorRoom, unit: ReadyUnit) => number; } = {
     healthy: slots => slots,
@@ -132,18 +146,20 @@
 /** How many tasks of the unit fit into the available part of an executor. */
 export const seatsIn = (room: ExecutorRoom, unit: ReadyUnit, available: Demand): number => {
     const { maxPerExecutor } = unit.step;
+    room.visits += 1;
     const slots = slotsIn(available, unit.demand);
     const limit = maxPerExecutor === undefined
         ? slots
-        : Math.max(0, maxPerExecutor - (room.tasksOfStep.get(unitStepId(unit)) ?? 0));
+        : Math.max(0, maxPerExecutor - (room.tasksOfStep.get(unit.stepId) ?? 0));
     return SEATS[room.health](Math.min(slots, limit), room, unit);
 };
 
 /** Takes room for tasks that start now. */
 export const takeRoom = (room: ExecutorRoom, unit: ReadyUnit, count: number, lengthMs: Millis): void => {
+    room.onChanged();
     addTo(room.free, unit.demand, -count);
     room.taskCount += count;
-    countTask(room, unitStepId(unit), count);
+    countTasks(room, { ...unit.owner, ...unit }, count);
     if (room.reservation !== undefined && lengthMs > room.reservation.fromMs) {
         addTo(room.reservation.spare, unit.demand, -count);
     }
@@ -151,6 +167,7 @@
 
 /** Keeps free and coming room for tasks that start as soon as they fit. */
 export const claimRoom = (room: ExecutorRoom, { demand }: ReadyUnit, count: number): void => {
+    room.onChanged();
     addTo(room.claimed, demand, count);
     if (room.reservation !== undefined) {
         addTo(room.reservation.spare, demand, -count);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type { Queue } from "@persimmonpitch/workload/clusterConfig.js";
 import type { JobState, StepJob, Submission } from "@persimmonpitch/workload/stepJob.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
-import type { RowTransaction } from "@persimmonpitch/workload/storedRow.js";
+import type { RowTransaction, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import { err, ok } from "true-myth/result";
 import type { Result } from "true-myth/result";
 import { jobStateOf } from "./jobState.js";
@@ -48,10 +48,15 @@
     readonly clock: Clock;
     readonly isReady: () => boolean;
     readonly storeOffsetMs: () => Millis;
+    /** Makes rows known, here and to the other entries, that were just written. */
+    readonly announce: (rows: readonly StoredRow[]) => void;
 }
 
-/** How long an unclear write is repeated before the caller hears that it is unclear. */
-const SETTLE_MS: Millis = 1_500;
+/**
+ * How long an unclear write is repeated, once at least, before the caller hears that it is unclear. A requester asks
+ * again with the same id, so it is better off with an early answer than with one that uses up its time.
+ */
+const SETTLE_MS: Millis = 300;
 const SETTLE_PAUSE_MS: Millis = 100;
 
 /** What requesters can do with jobs of steps. */
@@ -77,7 +82,7 @@
 
     /** Accepts a job once it is stored; a repeated submission of the same id is the same job. */
     async submit(call: AllowedCall, submission: Submission): Promise<Result<void, GatewayError>> {
-        const { replica, isReady, clock, storeOffsetMs } = this.options;
+        const { replica, isReady, clock, storeOffsetMs, announce } = this.options;
         if (!isReady()) {
             return err("unavailable");
         }
@@ -97,7 +102,7 @@
         written.match({
             Ok: version => {
                 if (version !== undefined) {
-                    replica.apply([{ key, value, version }]);
+                    announce([{ key, value, version }]);
                 }
             },
             Err: () => undefined,
@@ -118,7 +123,7 @@
 
     /** Cancels a job. */
     async cancel(call: AllowedCall): Promise<Result<void, GatewayError>> {
-        const { replica, clock } = this.options;
+        const { replica, clock, announce } = this.options;
         const found = await this.findJob(call);
         if (found.isErr) {
             return err(found.error);
@@ -131,7 +136,7 @@
         const value = JSON.stringify({ at: clock.wallTime() });
         const written = await this.write({ expected: [], puts: [{ key, value }] });
         if (written.isOk && written.value !== undefined) {
-            replica.apply([{ key, value, version: written.value }]);
+            announce([{ key, value, version: written.value }]);
         }
         return written.map(() => undefined);
     }
@@ -174,7 +179,7 @@
     private async write(transaction: RowTransaction): Promise<Result<number | undefined, GatewayError>> {
         const { store, clock } = this.options;
         const until = clock.now() + SETTLE_MS;
-        for (let isUnclear = false;;) {
+        for (let isUnclear = false, tries = 1;; tries += 1) {
             const outcome = await store.commit(transaction);
             if (outcome.isOk) {
                 return ok(outcome.value.version);
@@ -197,7 +202,7 @@
                     return never;
                 }
             }
-            if (clock.now() >= until) {
+            if (clock.now() >= until && tries > 1) {
                 return err("unclear");
             }
             await clock.sleep(SETTLE_PAUSE_MS);
--- a/packages/verification/src/control/controlGuards.ts
+++ b/packages/verification/src/control/controlGuards.ts
@@ -52,5 +52,6 @@
     acknowledgesDurable: true,
     // Recording it at once would let another run start after its acknowledgement, or end a gang beside another run.
     lateDone: ({ held }) => held.every(other => other === undefined) ? "record" : "wait",
-    countsFailure: ({ failedRun }, run) => failedRun !== run,
+    // The row remembers the last run whose failure was counted, and ends are listed until they are acknowledged.
+    countsFailure: ({ failedRun }, run) => run > failedRun,
 };
--- a/packages/verification/src/control/controlScopes.ts
+++ b/packages/verification/src/control/controlScopes.ts
@@ -75,6 +75,12 @@
         without: ["report", "cancel", "renew", "crashController", "failRun", "preempt", "repeat", "restartExecutor"],
         isReady: true,
     },
+    failures: {
+        description: "failures that are listed to two controllers",
+        bounds: { ...SIZES, executors: 1, maxTicks: 0, faults: 2 },
+        without: ["report", "cancel", "renew", "preempt", "repeat", "detach", "crashController"],
+        isReady: true,
+    },
     gangTakeover: {
         description: "a second controller takes over while a gang is started, stopped or ends",
         bounds: { ...SIZES, tasks: 2, maxTicks: 0, faults: 0 },
--- a/packages/verification/src/control/controlState.ts
+++ b/packages/verification/src/control/controlState.ts
@@ -18,6 +18,9 @@
 /** Ticks after its last renewal in which a controller may give deadlines and send orders. */
 export const AUTHORITY_TICKS = 0;
 
+/** Last tick in which the authority of a controller lasts; a start is refused after it. */
+export const authorityEnd = ({ renewedAt }: Controller): number => renewedAt + AUTHORITY_TICKS;
+
 /** One task in the row `run/ID`; `at` is -1 without a placement. */
 export interface TaskRow {
     readonly run: number;
--- a/packages/verification/src/control/controllerView.ts
+++ b/packages/verification/src/control/controllerView.ts
@@ -74,7 +74,7 @@
     lapsed: clear,
 };
 
-const takeLateDone = (controller: Controller, { run }: RunEnd, guards: ControlGuards): Controller => {
+const takeLateDone: TakeEnd = (controller, { run }, guards) => {
     const outcome = guards.lateDone(controller);
     return outcome === "record"
         ? conclude(controller)
@@ -83,6 +83,14 @@
         : controller;
 };
 
+/** What each kind of end of a run means that was taken as lost; its task may have been started again. */
+const LATE_ENDS: { readonly [K in EndKind]: TakeEnd; } = {
+    done: takeLateDone,
+    failed: (controller, { run }, guards) => countFailure(controller, run, guards),
+    stopped: controller => controller,
+    lapsed: controller => controller,
+};
+
 /** Takes in one end that an executor lists. */
 export const takeEnd = (
     controller: Controller,
@@ -99,7 +107,7 @@
     if (isHeld) {
         return settleLateDone(ENDS[end.kind](known, end, guards));
     }
-    return end.kind === "done" ? takeLateDone(known, end, guards) : known;
+    return LATE_ENDS[end.kind](known, end, guards);
 };
 
 /** Whether a gang of which a member is gone has to stop. */
--- a/packages/verification/src/control/listRules.ts
+++ b/packages/verification/src/control/listRules.ts
@@ -17,7 +17,7 @@
     Executor,
     ListedRuns,
 } from "./controlState.js";
-import { LEASE_TICKS, observer } from "./controlState.js";
+import { authorityEnd, LEASE_TICKS, observer } from "./controlState.js";
 
 /** Tasks whose run the controller holds at an executor. */
 const tasksAt = ({ held }: Controller, executor: number): readonly number[] =>
@@ -42,13 +42,13 @@
     { ends }: ListedRuns,
     { guards }: ControlModel,
 ): Controller => {
-    const durable = controller.durable[executor] ?? 0;
-    const taken = ends.filter(({ number }) => number > durable)
+    const known = controller.seen[executor] ?? 0;
+    const taken = ends.filter(({ number }) => number > known)
         .reduce((next, end) => takeEnd(next, executor, end, guards), controller);
     // An end `done` that waits is not acknowledged, and neither is any end after it.
     const waiting = ends.filter(({ kind, run }) => kind === "done" && run === taken.lateDone);
     const seen = Math.min(ends.at(-1)?.number ?? 0, ...waiting.map(({ number }) => number - 1));
-    return { ...taken, seen: replaceAt(taken.seen, executor, Math.max(seen, durable)) };
+    return { ...taken, seen: replaceAt(taken.seen, executor, Math.max(seen, known)) };
 };
 
 const takeRunning = (
@@ -127,7 +127,7 @@
                     life: held.life,
                     task,
                     run: held.run,
-                    deadline: tick + LEASE_TICKS,
+                    deadline: authorityEnd(after),
                 }]
                 : [];
         });
--- a/packages/verification/src/control/orderRules.ts
+++ b/packages/verification/src/control/orderRules.ts
@@ -2,7 +2,7 @@
 import type { ControlRule, ControlSuccessor } from "./controlRule.js";
 import { changeController, forEachLink, replaceAt, sendAll, spendFault } from "./controlRule.js";
 import type { Controller, ControlState, HeldRun, RunRow } from "./controlState.js";
-import { LEASE_TICKS } from "./controlState.js";
+import { authorityEnd, LEASE_TICKS } from "./controlState.js";
 
 /** All ways to place `tasks` tasks on `executors` executors. */
 const placements = (tasks: number, executors: number): readonly (readonly number[])[] =>
@@ -74,7 +74,7 @@
                 return undefined;
             }
             const { epoch, deadlines } = controller;
-            const deadline = state.tick + LEASE_TICKS;
+            const deadline = authorityEnd(controller);
             const sent = changeHeld(controller, task, { isSent: true });
             const next = changeController(state, index, {
                 ...sent,
--- a/packages/verification/src/control/replayControlTrace.ts
+++ b/packages/verification/src/control/replayControlTrace.ts
@@ -67,9 +67,12 @@
             }
             return;
         }
-        // Before it says that a start is late, the agent stops the run.
-        await executor.stop(order);
-        holder?.lose(taskKeyOf(task));
+        // The agent stops a run that may have started before it refuses it.
+        const stopped = await executor.stop(order);
+        const held = holder?.heldRun(taskKeyOf(task));
+        if (held !== undefined && stopped.isOk) {
+            held.stopClockMs = stopped.value.clockMs;
+        }
     },
     stop: async (world, stop, { subject }) => {
         const executor = world.executors[stop.executor]?.executor;
--- a/packages/verification/src/control/replayController.ts
+++ b/packages/verification/src/control/replayController.ts
@@ -48,6 +48,7 @@
             onRoleLost: () => {
                 this.isLost = true;
             },
+            announce: () => undefined,
         });
         void this.writer.run(this.stopped.signal);
     }
--- a/packages/verification/tests/controllerFixture.ts
+++ b/packages/verification/tests/controllerFixture.ts
@@ -79,6 +79,7 @@
             },
             random: () => 0.5,
             storeOffsetMs: () => 0,
+            announce: () => undefined,
         }, {
             epoch: ROLE.epoch,
             rowVersion: taken.isOk ? taken.value.version : 0,
