--- a/packages/verification/tests/explorer.test.ts
+++ b/packages/verification/tests/explorer.test.ts
@@ -7,7 +7,7 @@
 import { modelOf } from "../src/protocolSpecification.js";
 
 const CORE_STATES_PER_SCOPE = 25_000;
-/** Enough for three of the scopes to be complete. */
+/** Enough for five of the scopes to be complete. */
 const CONTROL_STATES_PER_SCOPE = 20_000;
 const MIN_STATES = 100_000;
 
