--- a/packages/dispatch/src/executorRoom.ts
+++ b/packages/dispatch/src/executorRoom.ts
@@ -4,7 +4,7 @@
 import type { DispatchView, ExecutorView } from "./dispatchView.js";
 import type { ExecutorHealth } from "./executorHealth.js";
 import type { ReadyUnit } from "./readyUnits.js";
-import type { RunStep, RunSteps } from "./runGroups.js";
+import type { RunSteps } from "./runGroups.js";
 import { stepId } from "./stepId.js";
 
 /** Room kept from a later time on for a unit that does not fit yet. */
@@ -33,24 +33,22 @@
     taskCount: number;
     /** Tasks here of each step with a limit per executor. */
     readonly tasksOfStep: Map<string, number>;
+    /** Called when something of it changes, so that an index of executors can follow. */
+    onChanged: () => void;
     /** How often the pass looked at this executor; tests of growth count it. */
     visits: number;
 }
 
-/** Counts tasks of a step with a limit per executor; nothing asks for those of other steps. */
-const countTasks = ({ tasksOfStep }: ExecutorRoom, { step, view, occurrence, stepIndex }: RunStep, count: number) => {
-    if (step.maxPerExecutor !== undefined) {
-        const id = stepId(view, occurrence, stepIndex);
-        tasksOfStep.set(id, (tasksOfStep.get(id) ?? 0) + count);
-    }
+const countTasks = ({ tasksOfStep }: ExecutorRoom, id: string, count: number): void => {
+    tasksOfStep.set(id, (tasksOfStep.get(id) ?? 0) + count);
 };
 
 /** An executor without a rack is taken as a rack of its own. */
 const rackOf = ({ rack, vm }: ExecutorView): string => rack ?? `vm ${vm}`;
 
 const takeRuns = (room: ExecutorRoom, runSteps: RunSteps): void => {
-    for (const run of room.executor.runs) {
-        const runStep = runSteps.get(run);
+    for (const [index, run] of room.executor.runs.entries()) {
+        const runStep = runSteps[room.index]?.[index];
         if (runStep === undefined) {
             // The demand of a run of an unknown job is unknown, so nothing may be added until it has ended.
             Object.assign(room.free, noDemand());
@@ -58,7 +56,9 @@
         }
         const demand = countedDemand(runStep.step);
         addTo(room.free, demand, -1);
-        countTasks(room, runStep, 1);
+        if (runStep.step.maxPerExecutor !== undefined) {
+            countTasks(room, stepId(runStep.view, runStep.occurrence, runStep.stepIndex), 1);
+        }
         if (run.isStopping) {
             addTo(room.coming, demand);
         }
@@ -83,6 +83,7 @@
             reservation: undefined,
             taskCount: executor.runs.length,
             tasksOfStep: new Map(),
+            onChanged: () => undefined,
             visits: 0,
         };
         takeRuns(room, runSteps);
@@ -153,9 +154,12 @@
 
 /** Takes room for tasks that start now. */
 export const takeRoom = (room: ExecutorRoom, unit: ReadyUnit, count: number, lengthMs: Millis): void => {
+    room.onChanged();
     addTo(room.free, unit.demand, -count);
     room.taskCount += count;
-    countTasks(room, { ...unit.owner, ...unit }, count);
+    if (unit.step.maxPerExecutor !== undefined) {
+        countTasks(room, unit.stepId, count);
+    }
     if (room.reservation !== undefined && lengthMs > room.reservation.fromMs) {
         addTo(room.reservation.spare, unit.demand, -count);
     }
@@ -163,6 +167,7 @@
 
 /** Keeps free and coming room for tasks that start as soon as they fit. */
 export const claimRoom = (room: ExecutorRoom, { demand }: ReadyUnit, count: number): void => {
+    room.onChanged();
     addTo(room.claimed, demand, count);
     if (room.reservation !== undefined) {
         addTo(room.reservation.spare, demand, -count);
--- a/packages/dispatch/src/openOccurrences.ts
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { NO_TASK_PROGRESS, type TaskProgress } from "@persimmonpitch/workload/progress.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
-import { taskKey } from "@persimmonpitch/workload/taskName.js";
+import { stepKeys as keysOfStep } from "@persimmonpitch/workload/stepKeys.js";
 import type { JobView } from "./dispatchView.js";
 
 /** One occurrence of the steps of an open job that is due. */
@@ -18,18 +18,14 @@
 export const progressOf = ({ progress }: JobView, key: string): TaskProgress => progress.tasks[key] ?? NO_TASK_PROGRESS;
 
 /** The keys of all tasks of a step. */
-export const stepKeys = (occurrence: number, step: number, { count }: Step): readonly string[] =>
-    Array.from({ length: count }, (_, index) => taskKey({ occurrence, step, index }));
+export const stepKeys = (occurrence: number, stepIndex: number, step: Step): readonly string[] =>
+    keysOfStep(step, occurrence, stepIndex);
 
 /** Whether all tasks of a step are done; one end stands for all members of a gang. */
-const isStepDone = (view: JobView, occurrence: number, stepIndex: number, { count, isGang }: Step): boolean => {
-    for (let index = 0; index < count; index += 1) {
-        const { isDone } = progressOf(view, taskKey({ occurrence, step: stepIndex, index }));
-        if (isDone === isGang) {
-            return isGang;
-        }
-    }
-    return !isGang;
+const isStepDone = (view: JobView, occurrence: number, stepIndex: number, step: Step): boolean => {
+    const isTaskDone = (key: string): boolean => progressOf(view, key).isDone;
+    const keys = stepKeys(occurrence, stepIndex, step);
+    return step.isGang ? keys.some(isTaskDone) : keys.every(isTaskDone);
 };
 
 const occurrenceOf = (view: JobView, occurrence: number, startAt: Millis): OpenOccurrence => ({
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -67,6 +67,12 @@
         .slice(0, count)
         .map(({ item }) => item);
 
+/** The executors of a set that have the most room left. */
+const roomiest = ({ seating: { index } }: PassState, rooms: readonly ExecutorRoom[], count: number) =>
+    rooms.length <= count
+        ? rooms
+        : index.withMostLeft(rooms, count) ?? mostRoom(rooms, room => [room], count);
+
 /** Whether an equal or smaller request of the kind did not fit before in this pass. */
 const isMisfit = ({ misfits }: PassState, kind: string | undefined, count: number, lengthMs: Millis): boolean => {
     const misfit = kind === undefined ? undefined : misfits.get(kind);
@@ -79,7 +85,7 @@
     spans: readonly (readonly ExecutorRoom[])[],
     count: number,
     available: Available,
-): Seating | undefined => fillBestSpan(spans, unit, count, available, state.scarcity);
+): Seating | undefined => fillBestSpan(spans, unit, count, available, state.seating);
 
 const fallbackSpans = ({ fallback }: Spans): readonly (readonly ExecutorRoom[])[] =>
     fallback === undefined ? [] : [fallback];
@@ -97,7 +103,7 @@
     const chooseInSpan = (rooms: readonly ExecutorRoom[]): VictimSet | undefined =>
         rooms.length <= maxSearchedExecutors
             ? chooseIn(rooms)
-            : chooseIn(mostRoom(rooms, room => [room], maxSearchedExecutors)) ?? chooseIn(rooms);
+            : chooseIn(roomiest(state, rooms, maxSearchedExecutors)) ?? chooseIn(rooms);
     const cheapest = (some: readonly (readonly ExecutorRoom[])[]): VictimSet | undefined =>
         some
             .map(chooseInSpan)
@@ -126,7 +132,7 @@
 const soonestFit = (state: PassState, { ranked, spans }: Request, count: number): LaterFit | undefined => {
     const { maxSearchedSpans, maxSearchedExecutors } = state.options;
     return mostRoom(spans.preferred, rooms => rooms, maxSearchedSpans)
-        .map(rooms => mostRoom(rooms, room => [room], maxSearchedExecutors))
+        .map(rooms => roomiest(state, rooms, maxSearchedExecutors))
         .map(rooms => earliestFit(rooms, ranked.unit, count, state.releases))
         .reduce((best, fit) => fit !== undefined && fit.inMs < (best?.inMs ?? Infinity) ? fit : best, undefined);
 };
@@ -166,9 +172,12 @@
         return keys;
     }
     const available: Available = room => roomNow(room, lengthMs);
-    const whole = fill(state, ranked, spans.preferred, keys.length, available);
-    if (whole !== undefined) {
-        start(state, request, keys, whole.seats);
+    const [only] = spans.preferred;
+    const seating = only !== undefined && spans.preferred.length === 1
+        ? fillSeats(only, unit, keys.length, available, state.seating)
+        : fill(state, ranked, spans.preferred, keys.length, available);
+    if (seating?.count === keys.length) {
+        start(state, request, keys, seating.seats);
         return [];
     }
     if (kind !== undefined) {
@@ -177,11 +186,15 @@
     if (unit.step.isGang) {
         return keys;
     }
-    const part = fillSeats(spans.preferred.flat(), unit, keys.length, available, state.scarcity);
+    const part = seating ?? fillSeats(spans.preferred.flat(), unit, keys.length, available, state.seating);
     start(state, request, keys, part.seats);
     return keys.slice(part.count);
 };
 
+/** How much longer the tasks take where they run slower. */
+const slowerExtraMs = ({ view: { timings } }: PassState, { lengthMs }: Request): Millis =>
+    (timings.spreadSlowdown - 1) * lengthMs;
+
 /** Starts the tasks where they run slower, if waiting for the preferred executors costs more. */
 const startSlower = (
     state: PassState,
@@ -190,12 +203,12 @@
     waitMs: Millis,
 ): readonly string[] => {
     const { ranked: { unit }, spans: { fallback }, lengthMs } = request;
-    const extraMs = (state.view.timings.spreadSlowdown - 1) * lengthMs;
+    const extraMs = slowerExtraMs(state, request);
     if (fallback === undefined || waitMs <= extraMs) {
         return keys;
     }
     const slower: Request = { ...request, lengthMs: lengthMs + extraMs };
-    const seating = fillSeats(fallback, unit, keys.length, room => roomNow(room, slower.lengthMs), state.scarcity);
+    const seating = fillSeats(fallback, unit, keys.length, room => roomNow(room, slower.lengthMs), state.seating);
     if (unit.step.isGang && seating.count < keys.length) {
         return keys;
     }
@@ -271,13 +284,18 @@
     const { ranked } = request;
     const fit = soonestFit(state, request, keys.length);
     const waitMs = fit?.inMs ?? Infinity;
+    const isLateSlower = ranked.prospect.slackMs < slowerExtraMs(state, request);
+    const isPreemptedFirst = state.options.preemptsBeforeSlower && isLateSlower;
+    if (isPreemptedFirst && tryPreempt(state, request, keys.length, waitMs)) {
+        return;
+    }
     const blocked = startSlower(state, request, keys, waitMs);
     if (blocked.length === 0 || tryPreempt(state, request, blocked.length, waitMs)) {
         return;
     }
     if (fit !== undefined && needsReservation(ranked) && state.reservationCount < state.options.maxReservations) {
         state.reservationCount += 1;
-        reserve(ranked.unit, blocked.length, fit, state.releases, state.scarcity);
+        reserve(ranked.unit, blocked.length, fit, state.releases, state.seating);
     }
 };
 
