--- a/tap-snapshots/platform/dist/tests/requesterServer.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/requesterServer.test.js.test.cjs
@@ -100,3 +100,15 @@
 exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 23 body too large 1`] = `
 { body: '{"error":"rejected"}', retryAfter: undefined, status: 413 }
 `
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 24 body of the configured limit 1`] = `
+{ body: '{"error":"rejected"}', retryAfter: undefined, status: 400 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 25 body above the configured limit 1`] = `
+{ body: '{"error":"rejected"}', retryAfter: undefined, status: 413 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 26 bytes above the configured limit 1`] = `
+{ body: '{"error":"rejected"}', retryAfter: undefined, status: 413 }
+`
