--- a/packages/control/tests/pacer.test.ts
+++ b/packages/control/tests/pacer.test.ts
@@ -28,11 +28,12 @@
     },
     {
         guardsAgainst: "a lost order that leaves the filler at full speed",
-        disturbanceMs: 300,
+        disturbanceMs: 600,
         cause: d => {
-            d.executor("x1").setFaults({ unansweredOrders: 1, orderDelayMs: 100_000 });
+            // The fall by half and the one to 0 are lost.
+            d.executor("x1").setFaults({ unansweredOrders: 2, orderDelayMs: 100_000 });
         },
-        completes: true,
+        completes: false,
     },
     {
         guardsAgainst: "a filler that nobody holds back after a change of the controller",
@@ -50,6 +51,16 @@
         },
         completes: false,
     },
+    {
+        guardsAgainst: "a filler that stays held back when the serving task goes during a change of the controller",
+        disturbanceMs: 4_000,
+        cause: async d => {
+            await d.pass(5_000);
+            d.killNode(d.controller);
+            await d.putRow(rowKeys.cancel("s"), JSON.stringify({ at: 1 }));
+        },
+        completes: true,
+    },
     {
         guardsAgainst: "a filler that stays held back after the serving task has gone",
         disturbanceMs: 4_000,
