--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -51,7 +51,9 @@
         if (state === undefined) {
             return;
         }
-        const isStale = held.isStopping || held.isConcluded || !state.isAttached || state.born !== held.born
+        // A cancellation may have come since the claim was decided; the next pass has not marked the run yet.
+        const isEnded = this.options.jobs.jobs.get(held.jobId)?.isOpen !== true;
+        const isStale = isEnded || held.isStopping || held.isConcluded || !state.isAttached || state.born !== held.born
             || state.info?.isDraining === true;
         if (isStale) {
             // Nothing was sent, so nothing can run.
--- a/packages/control/src/runEnds.ts
+++ b/packages/control/src/runEnds.ts
@@ -57,7 +57,8 @@
             ? taskKey({ ...place, index: 0 })
             : key;
         const counted = open.task(countedKey);
-        if (counted.failedRun !== run) {
+        // A new controller lists again what is not acknowledged, also failures of runs before the last one that failed.
+        if (run > (counted.failedRun ?? 0)) {
             open.update(countedKey, { failures: counted.failures + 1, failedRun: run });
         }
         this.clearPlacement(ended);
