--- a/packages/settings/src/runBinary.ts
+++ b/packages/settings/src/runBinary.ts
@@ -9,9 +9,14 @@
 export interface RunningProcess {
     /** Finishes what is in progress and ends. */
     shutdown(): Promise<void>;
+    /** Called on SIGHUP, when the settings may have changed. */
+    onSettingsChanged?(): void;
 }
 
-/** Starts a daemon from its settings, and shuts it down on SIGTERM or SIGINT; wrong settings end with exit code 2. */
+/**
+ * Starts a daemon from its settings, and shuts it down on SIGTERM or SIGINT; wrong settings end with exit code 2.
+ * SIGHUP, which ends a process by default, only tells it that the settings may have changed.
+ */
 export const runDaemon = async <T>(
     settings: Result<T, readonly Finding[]>,
     start: (settings: T) => Promise<RunningProcess>,
@@ -26,8 +31,12 @@
         process.once("SIGTERM", resolve);
         process.once("SIGINT", resolve);
     });
+    let running: RunningProcess | undefined;
+    process.on("SIGHUP", () => {
+        running?.onSettingsChanged?.();
+    });
     try {
-        const running = await start(settings.value);
+        running = await start(settings.value);
         await stopped;
         await running.shutdown();
         process.exit(EXIT_CODES.success);
