--- a/packages/executor/src/controllerConnection.ts
+++ b/packages/executor/src/controllerConnection.ts
@@ -27,6 +27,8 @@
 type ControllerLink = Connection<ControllerToAgentMethods, AgentToControllerMethods>;
 
 const REPORT_INTERVAL_MS: Millis = 1_000;
+/** Rounding of fractions can make a wait 0 although no report is due yet; the loop then would not let time pass. */
+const MIN_WAIT_MS: Millis = 1;
 
 /** A controller that does not answer a report in this time is cut off or frozen. */
 const REPORT_TIMEOUT_MS: Millis = 2_000;
@@ -118,7 +120,8 @@
         }
         const now = this.context.clock.now();
         const known = [...this.context.executors.keys()].flatMap(executorId => this.sent.get(executorId) ?? []);
-        return Math.min(REPORT_INTERVAL_MS, ...known.map(({ at }) => at + REPORT_INTERVAL_MS - now));
+        const waitMs = Math.min(REPORT_INTERVAL_MS, ...known.map(({ at }) => at + REPORT_INTERVAL_MS - now));
+        return Math.max(MIN_WAIT_MS, waitMs);
     }
 }
 
