--- a/packages/bench/src/charts.ts
+++ b/packages/bench/src/charts.ts
@@ -1,10 +1,9 @@
 import type { WorkClass } from "@persimmonpitch/schema/job.js";
 import { workClassSchema } from "@persimmonpitch/schema/job.js";
-import { parse, View } from "vega";
 import type { TopLevelSpec } from "vega-lite";
-import { compile } from "vega-lite";
 import type { BenchRun } from "./benchRun.js";
 import { completionTimes } from "./measures.js";
+import { CHART_SCHEMA, renderChart } from "./renderChart.js";
 import type { TimedSample } from "./replayResult.js";
 import { HOUR_MS } from "./trace.js";
 
@@ -67,7 +66,7 @@
     );
 
 const chartSpec = (bench: BenchRun): TopLevelSpec => ({
-    $schema: "https://vega.github.io/schema/vega-lite/v6.json",
+    $schema: CHART_SCHEMA,
     title: `Completion time and fragmentation, ${bench.trace.deployment.name}`,
     vconcat: [
         {
@@ -102,12 +101,4 @@
 });
 
 /** Draws completion-time distributions for each class, and fragmentation over time, as SVG. */
-export const drawCharts = async (bench: BenchRun): Promise<string> => {
-    const view = new View(parse(compile(chartSpec(bench)).spec), { renderer: "none" });
-    try {
-        return await view.toSVG();
-    }
-    finally {
-        view.finalize();
-    }
-};
+export const drawCharts = (bench: BenchRun): Promise<string> => renderChart(chartSpec(bench));
