--- a/packages/executor/tests/executorAgent.test.ts
+++ b/packages/executor/tests/executorAgent.test.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
-import type { MemoryStepExecutor, StepExecutorOptions } from "@persimmonpitch/standins/memoryStepExecutor.js";
+import type { MemoryStepExecutor } from "@persimmonpitch/standins/memoryStepExecutor.js";
+import type { StepExecutorOptions } from "@persimmonpitch/standins/stepExecutorOptions.js";
 import t from "tap";
 import type { TestController } from "./agentWorld.js";
 import { AgentWorld } from "./agentWorld.js";
--- a/packages/standins/src/memoryStepExecutor.ts
+++ b/packages/standins/src/memoryStepExecutor.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type {
     Answered,
@@ -12,70 +12,15 @@
 import type { EndKind, ExecutorInfo, RunEnd, RunInProgress, RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { Demand } from "@persimmonpitch/workload/step.js";
 import { Result } from "true-myth";
-import { z } from "zod";
+import { gone, refusal, unanswered } from "./executorFailures.js";
 import { MemoryGangs } from "./memoryGangs.js";
 import type { RunHost } from "./memoryRun.js";
 import { MemoryRun } from "./memoryRun.js";
-import type { StepWork } from "./stepWork.js";
+import type { StepExecutorFaults } from "./stepExecutorFaults.js";
+import { NO_FAULTS } from "./stepExecutorFaults.js";
+import type { StepExecutorOptions } from "./stepExecutorOptions.js";
 import { gangKey, parseStepWork } from "./stepWork.js";
 
-/** Faults that a test can cause. */
-export const stepExecutorFaultsSchema = z.object({
-    /** Every call answers `gone`; the runs go on until the lease ends. */
-    gone: z.boolean(),
-    /** No call is answered or has an effect. */
-    silent: z.boolean(),
-    /** Number of next orders that are not answered and are carried out later. */
-    unansweredOrders: z.number().int().nonnegative(),
-    /** How much later, in milliseconds; 0 carries them out at once. */
-    orderDelayMs: z.number().nonnegative(),
-    /** Every run fails soon after its start. */
-    failAll: z.boolean(),
-    /** Lists have no measurements. */
-    measuresNothing: z.boolean(),
-    /** No run makes progress. */
-    standsStill: z.boolean(),
-    /** Work takes this many times as long. */
-    slowFactor: z.number().positive(),
-});
-export type StepExecutorFaults = z.infer<typeof stepExecutorFaultsSchema>;
-
-const NO_FAULTS: StepExecutorFaults = {
-    gone: false,
-    silent: false,
-    unansweredOrders: 0,
-    orderDelayMs: 0,
-    failAll: false,
-    measuresNothing: false,
-    standsStill: false,
-    slowFactor: 1,
-};
-
-/** Options of an in-memory executor. */
-export interface StepExecutorOptions {
-    readonly clock: Clock;
-    readonly executorId: string;
-    readonly born?: number;
-    readonly service?: string;
-    readonly dataCentre?: string;
-    readonly labels?: readonly string[];
-    readonly capacity?: Demand;
-    /** Executors whose runs form gangs with each other share this. */
-    readonly gangs?: MemoryGangs;
-    /** What the runs of a task do; by default the payload says it. */
-    readonly workOf?: (task: string, payload: string) => StepWork;
-    /** Whether the ticket of a start is valid; by default none is needed. */
-    readonly acceptsTicket?: (order: StartOrder) => boolean;
-    /** Difference of the executor's clock to `clock`. */
-    readonly clockOffsetMs?: Millis;
-    readonly stopMs?: Millis;
-    readonly gangTimeoutMs?: Millis;
-    readonly checkpointIntervalMs?: Millis;
-    readonly restoreMs?: Millis;
-    /** Time until a change of the pace takes effect. */
-    readonly paceMs?: Millis;
-}
-
 const DEFAULT_BORN = 1_764_000_000_000;
 const DEFAULT_CAPACITY: Demand = { milliCores: 32_000, memoryMb: 65_536, accelerators: 8 };
 const DEFAULT_STOP_MS: Millis = 100;
@@ -111,13 +56,6 @@
 
 const runKey = (task: string, run: number): string => `${task}#${run}`;
 
-const refusal = <T>(reason: "fence" | "old" | "late" | "room" | "ticket"): Result<T, ExecutorFailure> =>
-    Result.err({ kind: "refused", reason });
-
-const gone = <T>(): Result<T, ExecutorFailure> => Result.err({ kind: "gone" });
-
-const unanswered = <T>(detail: string): Result<T, ExecutorFailure> => Result.err({ kind: "unanswered", detail });
-
 /** An executor of tasks of steps, in memory. */
 export class MemoryStepExecutor implements ExecutorPort {
     /** Every start that was accepted, in all incarnations. */
--- /dev/null
+++ b/packages/standins/src/stepExecutorFaults.ts
@@ -0,0 +1,34 @@
+import { z } from "zod";
+
+/** Faults that a test can cause. */
+export const stepExecutorFaultsSchema = z.object({
+    /** Every call answers `gone`; the runs go on until the lease ends. */
+    gone: z.boolean(),
+    /** No call is answered or has an effect. */
+    silent: z.boolean(),
+    /** Number of next orders that are not answered and are carried out later. */
+    unansweredOrders: z.number().int().nonnegative(),
+    /** How much later, in milliseconds; 0 carries them out at once. */
+    orderDelayMs: z.number().nonnegative(),
+    /** Every run fails soon after its start. */
+    failAll: z.boolean(),
+    /** Lists have no measurements. */
+    measuresNothing: z.boolean(),
+    /** No run makes progress. */
+    standsStill: z.boolean(),
+    /** Work takes this many times as long. */
+    slowFactor: z.number().positive(),
+});
+export type StepExecutorFaults = z.infer<typeof stepExecutorFaultsSchema>;
+
+/** An executor without faults. */
+export const NO_FAULTS: StepExecutorFaults = {
+    gone: false,
+    silent: false,
+    unansweredOrders: 0,
+    orderDelayMs: 0,
+    failAll: false,
+    measuresNothing: false,
+    standsStill: false,
+    slowFactor: 1,
+};
