fix(control): report an entry that is cut off as not ready

What callers saw: while an entry is cut off from the store and from the other entries, all requesters of its data centre are lost. Each try took 0.6 to 1.0 s and ended with 503, 504 or their deadline, for as long as the cut lasted.

Cause: readiness asked only whether the rows and a configuration were known once. It never looked at what the entry can reach now, so the load balancer went on sending it the requesters of its data centre, where it is the only entry. Open connections stayed with it as well.

The new test readiness guards against an entry that is cut off failed before (n1 was listed as ready 2 s and 8 s after the cut began). Ruled out: a store that is away from all entries; there all stay ready, before and after, and the test holds that too.

The entry is cut off when the store has not answered it for 1.5 s, directly or through a peer, and no connection to another known entry is open. It then reports 503 to the load balancer, refuses at once what needs the store, and closes connections with its answers. This works because the platform sends the requesters of a data centre without a ready entry to the nearest one.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -40,6 +40,9 @@
 /** Entries that do not decide take changes a little later, so that several share one call to the store. */
 const FOLLOWER_PAUSE_MS: Millis = 40;
 
+/** An idle poll is answered once a second, and a slow store takes a quarter of a second more. */
+const STORE_SILENCE_MS: Millis = 1_500;
+
 /** The part of an entry that follows the store and decides when it holds the role. */
 export class ControlNode {
     readonly replica: Replica;
@@ -100,9 +103,18 @@
         });
     }
 
-    /** Whether requests can be answered: the rows and a configuration are known. */
+    /**
+     * Whether requests can be answered: the rows and a configuration are known, and this process is not cut off. A
+     * store that is away from all entries does not end it, because no other entry would serve the requesters better.
+     */
     get isReady(): boolean {
-        return this.follower.version !== undefined && this.options.config.current !== undefined;
+        const { current } = this.options.config;
+        return this.follower.version !== undefined && current !== undefined && !this.isCutOff;
+    }
+
+    /** Whether neither the store nor another entry answers, although other entries are known. */
+    private get isCutOff(): boolean {
+        return (this.follower.answerAgeMs ?? 0) > STORE_SILENCE_MS && this.peers.isAlone;
     }
 
     /** Serves a link that another entry opened. */
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -54,11 +54,16 @@
         await this.tasks.end();
     }
 
+    /** Whether other entries are known and no connection to any of them is open. */
+    get isAlone(): boolean {
+        const { replica, vm } = this.options;
+        const hasPeers = [...replica.entries.keys()].some(peer => peer !== vm);
+        return hasPeers && this.open().length === 0;
+    }
+
     /** Stores that make calls through the connected peers. */
     stores(table: StoreTable): readonly RowStore[] {
-        return [...this.connections.values()]
-            .filter(({ isOpen }) => isOpen)
-            .map(connection => new PeerStore(connection, table));
+        return this.open().map(connection => new PeerStore(connection, table));
     }
 
     /**
@@ -71,6 +76,10 @@
         }
     }
 
+    private open(): readonly PeerConnection[] {
+        return [...this.connections.values()].filter(({ isOpen }) => isOpen);
+    }
+
     /** Closes a connection whose other side no longer answers. */
     private async keepAlive(connection: PeerConnection, signal: AbortSignal): Promise<void> {
         const { clock } = this.options;
--- /dev/null
+++ b/packages/control/tests/isolation.test.ts
@@ -0,0 +1,70 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import t from "tap";
+import { Deployment } from "./deploymentFixture.js";
+
+const NODES = ["n1", "n2", "n3"];
+const OUTAGE_MS: Millis = 6_000;
+/** A load balancer that checks once a second then needs two more seconds to send requesters elsewhere. */
+const NOTICE_MS: Millis = 2_000;
+const RETURN_MS: Millis = 2_500;
+
+interface IsolationCase {
+    readonly guards: string;
+    readonly cut: readonly string[];
+    readonly refused: readonly string[];
+    readonly isDown: boolean;
+    readonly ready: readonly string[];
+}
+
+const CASES: readonly IsolationCase[] = [
+    {
+        guards: "an entry that is cut off and still takes the requesters of its data centre",
+        cut: ["n1"],
+        refused: ["n1"],
+        isDown: false,
+        ready: ["n2", "n3"],
+    },
+    {
+        guards: "an entry that turns requesters away though a peer can make its calls",
+        cut: [],
+        refused: ["n1"],
+        isDown: false,
+        ready: NODES,
+    },
+    {
+        guards: "an entry that turns requesters away though only its peers are out of reach",
+        cut: ["n1"],
+        refused: [],
+        isDown: false,
+        ready: NODES,
+    },
+    {
+        guards: "entries that all turn requesters away when no other is better off",
+        cut: [],
+        refused: [],
+        isDown: true,
+        ready: NODES,
+    },
+];
+
+for (const { guards, cut, refused, isDown, ready } of CASES) {
+    void t.test(`readiness guards against ${guards}`, async t => {
+        const world = new Deployment(NODES, ["e1"]);
+        const readyNodes = () => NODES.filter(name => world.nodes.get(name)?.isReady === true);
+        await world.pass(5_000);
+        t.same(readyNodes(), NODES, "before the fault");
+        world.store.setFaults({ refused: [...refused], down: isDown });
+        cut.forEach(name => world.cut.add(name));
+        await world.pass(NOTICE_MS);
+        t.same(readyNodes(), ready, "soon after the fault began");
+        await world.pass(OUTAGE_MS);
+        t.same(readyNodes(), ready, "while the fault lasts");
+        world.store.setFaults({ refused: [], down: false });
+        world.cut.clear();
+        await world.pass(RETURN_MS);
+        t.same(readyNodes(), NODES, "after the fault");
+        world.nodes.forEach(node => {
+            node.stop();
+        });
+    });
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,6 +51,7 @@
     readonly logger: Logger;
     /** Time since the store last answered this process; undefined before its first answer. */
     readonly storeAgeMs: () => Millis | undefined;
+    /** Whether calls that need the store can be served; while they cannot, they are refused at once. */
     readonly isReady: () => boolean;
     readonly storeOffsetMs: () => Millis;
     /** Makes rows known, here and to the other entries, that were just written. */
@@ -167,7 +168,7 @@
     }
 
     private async insertCancellation(call: AllowedCall): Promise<Result<void, GatewayError>> {
-        const { replica, clock, announce } = this.options;
+        const { replica, isReady, clock, announce } = this.options;
         const found = await this.findJob(call);
         if (found.isErr) {
             return err(found.error);
@@ -176,6 +177,9 @@
         if (outcome !== "open" || replica.cancels.has(call.jobId)) {
             return ok(undefined);
         }
+        if (!isReady()) {
+            return err("unavailable");
+        }
         const key = rowKeys.cancel(call.jobId);
         const value = JSON.stringify({ at: clock.wallTime() });
         const written = await this.write({ expected: [], puts: [{ key, value }] });
--- a/tap-snapshots/platform/dist/tests/requesterServer.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/requesterServer.test.js.test.cjs
@@ -58,7 +58,7 @@
 `
 
 exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 13 malformed JSON 1`] = `
-{ body: '{"error":"rejected"}', retryAfter: undefined, status: 400 }
+{ body: '{"error":"rejected"}', connection: 'close', retryAfter: undefined, status: 400 }
 `
 
 exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 14 body of another form 1`] = `
@@ -98,17 +98,29 @@
 `
 
 exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 23 body too large 1`] = `
-{ body: '{"error":"rejected"}', retryAfter: undefined, status: 413 }
+{ body: '{"error":"rejected"}', connection: 'close', retryAfter: undefined, status: 413 }
 `
 
 exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 24 body of the configured limit 1`] = `
-{ body: '{"error":"rejected"}', retryAfter: undefined, status: 400 }
+{ body: '{"error":"rejected"}', connection: 'close', retryAfter: undefined, status: 400 }
 `
 
 exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 25 body above the configured limit 1`] = `
-{ body: '{"error":"rejected"}', retryAfter: undefined, status: 413 }
+{ body: '{"error":"rejected"}', connection: 'close', retryAfter: undefined, status: 413 }
 `
 
 exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 26 bytes above the configured limit 1`] = `
-{ body: '{"error":"rejected"}', retryAfter: undefined, status: 413 }
+{ body: '{"error":"rejected"}', connection: 'close', retryAfter: undefined, status: 413 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 27 entry cut off, submit 1`] = `
+{ body: '{"error":"unavailable"}', connection: 'close', retryAfter: '1', status: 503 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 28 entry cut off, cancel 1`] = `
+{ body: '{"error":"unavailable"}', connection: 'close', retryAfter: '1', status: 503 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 29 entry cut off, read a known job 1`] = `
+{ body: '{"state":"cancelled"}', connection: 'close', retryAfter: undefined, status: 200 }
 `
