fix(control): forward store calls through each peer in turn

What callers saw: while the store turns several entries away, submissions to some of them are refused with 503 for as long as that lasts, although another entry is served.

Cause: a refused entry forwarded its calls through the first connected peer only. When the store refuses that peer as well, the entry stays without the store. Two entries that are refused may even be each other's first peer.

The next call goes through the next peer after each failure of one. Since the follower of the table calls all the time, a peer that is served is found within its first retries. The new test, an entry finds the peer that the store serves, failed before (false, false).

--- a/packages/control/src/forwardingStore.ts
+++ b/packages/control/src/forwardingStore.ts
@@ -18,7 +18,7 @@
 /** What a forwarding store works on. */
 export interface ForwardingStoreOptions {
     readonly direct: RowStore;
-    /** Stores that make the call through a peer, best first. */
+    /** Stores that make the call through a peer. */
     readonly peers: () => readonly RowStore[];
     readonly clock: Clock;
     readonly logger: Logger;
@@ -28,6 +28,8 @@
 /** A store that makes its calls through a peer while the store refuses this process. */
 export class ForwardingStore implements RowStore {
     private avoidDirectUntil: Millis = 0;
+    /** Failures of peers; each makes the next peer's turn, because the store may refuse some of them as well. */
+    private peerFailures = 0;
 
     constructor(private readonly options: ForwardingStoreOptions) {}
 
@@ -54,23 +56,41 @@
         isSignOfTrouble: (error: E) => boolean,
         signal?: AbortSignal,
     ): Promise<Result<T, E>> {
-        const { direct, peers, clock, logger, name } = this.options;
-        const [peer] = peers();
+        const { direct, clock } = this.options;
+        const peer = this.nextPeer();
         const isAvoiding = peer !== undefined && clock.now() < this.avoidDirectUntil;
         const first = isAvoiding ? peer : direct;
         const outcome = await call(first);
         if (outcome.isOk || signal?.aborted === true) {
             return outcome;
         }
-        if (first === direct && isSignOfTrouble(outcome.error)) {
-            this.avoidDirectUntil = clock.now() + AVOID_DIRECT_MS;
-            logger.log("debug", "store.directFailed", { table: name });
+        if (isSignOfTrouble(outcome.error)) {
+            this.noteTrouble(first);
         }
-        if (!isCertainlyNotDone(outcome.error)) {
+        const second = isAvoiding ? direct : peer;
+        if (second === undefined || !isCertainlyNotDone(outcome.error)) {
             return outcome;
         }
-        const second = isAvoiding ? direct : peer;
-        return second === undefined ? outcome : call(second);
+        const detour = await call(second);
+        if (detour.isErr && isSignOfTrouble(detour.error)) {
+            this.noteTrouble(second);
+        }
+        return detour;
+    }
+
+    private nextPeer(): RowStore | undefined {
+        const peers = this.options.peers();
+        return peers[this.peerFailures % Math.max(1, peers.length)];
+    }
+
+    private noteTrouble(store: RowStore): void {
+        const { direct, clock, logger, name } = this.options;
+        if (store !== direct) {
+            this.peerFailures += 1;
+            return;
+        }
+        this.avoidDirectUntil = clock.now() + AVOID_DIRECT_MS;
+        logger.log("debug", "store.directFailed", { table: name });
     }
 }
 
--- a/packages/control/tests/isolation.test.ts
+++ b/packages/control/tests/isolation.test.ts
@@ -68,3 +68,19 @@
         });
     });
 }
+// Guards against calls that go to one peer again and again though the store refuses that peer as well.
+void t.test("an entry finds the peer that the store serves", async t => {
+    const world = new Deployment(NODES, ["e1"]);
+    await world.pass(5_000);
+    world.store.setFaults({ refused: ["n1", "n2"] });
+    await world.pass(3_000);
+    const outcomes = await Promise.all(["n1", "n2"].map(async name => {
+        const answer = world.nodes.get(name)?.store.scan({ from: "", limit: 1 });
+        await world.pass(100);
+        return (await answer)?.isOk;
+    }));
+    t.same(outcomes, [true, true]);
+    world.nodes.forEach(node => {
+        node.stop();
+    });
+});
