fix(control): stay ready while a table is scanned again

While the store drops its history, an entry scans the table again, and until that scan ends it was not ready and refused submissions with 503, although it knows all rows and the store takes the write. With a slow store that lasts for seconds, at every entry at once.

Cause: readiness asked for the version from which the next poll goes on, which is unset during the scan. It now asks whether the rows were ever known. The new test, an entry stays ready while it scans a table whose history is gone, failed before (true and false were seen).

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -109,7 +109,7 @@
      */
     get isReady(): boolean {
         const { current } = this.options.config;
-        return this.follower.version !== undefined && current !== undefined && !this.isCutOff;
+        return this.follower.hasScanned && current !== undefined && !this.isCutOff;
     }
 
     /** Whether neither the store nor another entry answers, although other entries are known. */
--- a/packages/control/src/tableFollower.ts
+++ b/packages/control/src/tableFollower.ts
@@ -35,8 +35,10 @@
 
 /** Keeps a sink up to date with one table by one long poll. */
 export class TableFollower {
-    /** Version up to which the sink has all rows; undefined before the first scan. */
+    /** Version up to which the sink has all rows; undefined before the first scan and while the table is scanned again. */
     version: number | undefined;
+    /** Whether the sink has ever had all rows; while the table is scanned again it keeps those that it knows. */
+    hasScanned = false;
     /** When the store last answered. */
     answeredAt: Millis | undefined;
     /** Since when the store does not answer; undefined while it does. */
@@ -93,6 +95,7 @@
         }
         this.options.sink.reset(rows, version);
         this.version = version;
+        this.hasScanned = true;
         return ok(undefined);
     }
 
--- a/packages/control/tests/isolation.test.ts
+++ b/packages/control/tests/isolation.test.ts
@@ -84,3 +84,19 @@
         node.stop();
     });
 });
+
+// Guards against submissions that are refused while an entry that knows all rows scans the table again.
+void t.test("an entry stays ready while it scans a table whose history is gone", async t => {
+    const world = new Deployment(["n1"], ["e1"]);
+    await world.pass(5_000);
+    world.store.setFaults({ slow: 400 });
+    const seen = new Set<boolean | undefined>();
+    for (let step = 0; step < 30; step += 1) {
+        void world.putRow("agent/e2", "{}");
+        world.store.compact();
+        await world.pass(100);
+        seen.add(world.nodes.get("n1")?.isReady);
+    }
+    t.same([...seen], [true]);
+    world.nodes.get("n1")?.stop();
+});
