fix(control): write through the peer that the store answers

Cause: what an entry learned of its way to the store was kept for one second and per table. After that second the next call of any kind, a submission as well, went directly again and hung for 0.7 s; unclear by then, it was repeated through a peer that the entry knew nothing about, which hung for the same reason.

The new test, an entry that the store does not answer writes through the peer that it answers, failed before with 14 of 30 commits not written after 700 ms.

Entries now say with each ping how long ago the store answered them, and calls go first through the peer that it answered last; a peer that fails is avoided for 2 s. All tables share what is known of the direct way. Once a call on it failed, writes go through peers until a read, one a second and without waiting for changes, is answered directly. This works because no submission has to find out any more whether the store is silent.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -8,6 +8,7 @@
 import type { ConfigBook } from "./configBook.js";
 import { Controller } from "./controller.js";
 import type { ConnectLink, TakenRole } from "./controllerContext.js";
+import { DirectPath } from "./directPath.js";
 import { Election } from "./election.js";
 import { ForwardingStore } from "./forwardingStore.js";
 import { PeerLinks } from "./peerLinks.js";
@@ -50,6 +51,7 @@
     readonly follower: TableFollower;
     private readonly operatorFollower: TableFollower;
     private readonly peers: PeerLinks;
+    private readonly path: DirectPath;
     private readonly election: Election;
     private controller: Controller | undefined;
     private taking: Promise<TakenRole | undefined> | undefined;
@@ -60,6 +62,8 @@
         const { self, stores, operatorRows, clock, logger, connect, random } = options;
         const { vm, instanceId } = self;
         this.replica = new Replica(logger);
+        const path = new DirectPath(clock);
+        this.path = path;
         this.peers = new PeerLinks({
             vm,
             replica: this.replica,
@@ -72,7 +76,14 @@
             },
         });
         const forwarding = (name: keyof DirectStores): ForwardingStore =>
-            new ForwardingStore({ direct: stores[name], peers: () => this.peers.stores(name), clock, logger, name });
+            new ForwardingStore({
+                direct: stores[name],
+                path,
+                peers: () => this.peers.routes(name),
+                clock,
+                logger,
+                name,
+            });
         this.store = forwarding("state");
         this.follower = new TableFollower({
             name: "state",
@@ -119,7 +130,7 @@
 
     /** Serves a link that another entry opened. */
     async servePeer(link: Link): Promise<void> {
-        await servePeer(link, this.options.clock, this.options.stores, rows => {
+        await servePeer(link, this.options.clock, this.options.stores, this.path, rows => {
             this.replica.apply(rows);
         });
     }
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -7,10 +7,10 @@
 import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
 import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { ConnectLink } from "./controllerContext.js";
+import type { PeerRoute } from "./forwardingStore.js";
 import { KeyedTasks } from "./keyedTasks.js";
 import { PeerStore } from "./peerStore.js";
 import type { Replica } from "./replica.js";
-import type { RowStore } from "./rowStore.js";
 
 /** What peer links work on. */
 export interface PeerLinksOptions {
@@ -26,6 +26,14 @@
 
 type PeerConnection = Connection<Record<string, never>, StoreMethods>;
 
+/** An open connection and what its peer last said. */
+interface Peer {
+    readonly vm: string;
+    readonly connection: PeerConnection;
+    /** How long ago the store answered the peer itself; infinite while the peer has not said it. */
+    storeAgeMs: Millis;
+}
+
 const CONNECT_TIMEOUT_MS: Millis = 700;
 const RETRY: BackoffOptions = { baseMs: 200, maxMs: 2_000 };
 const CHECK_MS: Millis = 1_000;
@@ -35,7 +43,7 @@
 
 /** Connections to the other entries: for forwarded store calls, and to see at once when one dies. */
 export class PeerLinks {
-    private readonly connections = new Map<string, PeerConnection>();
+    private readonly peers = new Map<string, Peer>();
     private readonly tasks = new KeyedTasks();
 
     constructor(private readonly options: PeerLinksOptions) {}
@@ -61,9 +69,11 @@
         return hasPeers && this.open().length === 0;
     }
 
-    /** Stores that make calls through the connected peers. */
-    stores(table: StoreTable): readonly RowStore[] {
-        return this.open().map(connection => new PeerStore(connection, table));
+    /** Ways to the store through the connected peers, first through the one that the store answered last. */
+    routes(table: StoreTable): readonly PeerRoute[] {
+        return [...this.open()]
+            .sort((left, right) => left.storeAgeMs < right.storeAgeMs ? -1 : Number(left.storeAgeMs > right.storeAgeMs))
+            .map(({ vm, connection }) => ({ vm, store: new PeerStore(connection, table) }));
     }
 
     /**
@@ -71,23 +81,25 @@
      * rows from the store.
      */
     announce(rows: readonly StoredRow[]): void {
-        for (const connection of this.connections.values()) {
+        for (const { connection } of this.peers.values()) {
             void connection.call("store.changed", { rows: [...rows] }, CHANGED_TIMEOUT_MS);
         }
     }
 
-    private open(): readonly PeerConnection[] {
-        return [...this.connections.values()].filter(({ isOpen }) => isOpen);
+    private open(): readonly Peer[] {
+        return [...this.peers.values()].filter(({ connection }) => connection.isOpen);
     }
 
     /** Closes a connection whose other side no longer answers. */
-    private async keepAlive(connection: PeerConnection, signal: AbortSignal): Promise<void> {
+    private async keepAlive(peer: Peer, signal: AbortSignal): Promise<void> {
         const { clock } = this.options;
+        const { connection } = peer;
         while (connection.isOpen && !signal.aborted) {
             const answer = await connection.call("store.ping", {}, PING_TIMEOUT_MS);
             if (answer.isErr) {
                 break;
             }
+            peer.storeAgeMs = answer.value.storeAgeMs ?? Infinity;
             await clock.sleep(PING_MS, signal);
         }
         connection.close();
@@ -122,10 +134,11 @@
                 remote: storeMethods,
                 handlers: {},
             });
-            this.connections.set(peer, connection);
+            const connected: Peer = { vm: peer, connection, storeAgeMs: Infinity };
+            this.peers.set(peer, connected);
             logger.log("info", "peer.connected", { vm: peer });
-            await Promise.all([connection.run(), this.keepAlive(connection, signal)]);
-            this.connections.delete(peer);
+            await Promise.all([connection.run(), this.keepAlive(connected, signal)]);
+            this.peers.delete(peer);
             logger.log("info", "peer.disconnected", { vm: peer });
         }
     }
--- a/packages/control/src/peerServer.ts
+++ b/packages/control/src/peerServer.ts
@@ -6,6 +6,7 @@
 import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
 import type { ChangedRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Result } from "true-myth";
+import type { DirectPath } from "./directPath.js";
 import type { RowStore } from "./rowStore.js";
 
 /** The stores that this process can call itself. */
@@ -19,8 +20,15 @@
 /** Receives rows that a peer has written. */
 export type OnRowsChanged = (rows: readonly ChangedRow[]) => void;
 
-const handlersFor = (stores: DirectStores, onChanged: OnRowsChanged): HandlerTable<StoreMethods> => ({
-    "store.ping": () => Promise.resolve({}),
+const handlersFor = (
+    stores: DirectStores,
+    path: DirectPath,
+    onChanged: OnRowsChanged,
+): HandlerTable<StoreMethods> => ({
+    "store.ping": () => {
+        const { answerAgeMs } = path;
+        return Promise.resolve(answerAgeMs === undefined ? {} : { storeAgeMs: answerAgeMs });
+    },
     "store.changed": ({ rows }) => {
         onChanged(rows);
         return Promise.resolve({});
@@ -35,6 +43,7 @@
     link: Link,
     clock: Clock,
     stores: DirectStores,
+    path: DirectPath,
     onChanged: OnRowsChanged,
 ): Promise<void> => {
     const connection = new Connection({
@@ -42,7 +51,7 @@
         clock,
         local: storeMethods,
         remote: {},
-        handlers: handlersFor(stores, onChanged),
+        handlers: handlersFor(stores, path, onChanged),
     });
     await connection.run();
 };
--- a/packages/control/tests/isolation.test.ts
+++ b/packages/control/tests/isolation.test.ts
@@ -85,6 +85,32 @@
     });
 });
 
+// Guards against submissions that wait for a silent store, or for silent peers, though one peer is served.
+void t.test("an entry that the store does not answer writes through the peer that it answers", async t => {
+    const world = new Deployment(["n1", "n2", "n3", "n4"], ["e1"]);
+    await world.pass(5_000);
+    world.store.setFaults({ silent: ["n1", "n2", "n3"] });
+    await world.pass(4_000);
+    const slow: string[] = [];
+    for (let count = 0; count < 10; count += 1) {
+        const startedAt = world.clock.now();
+        for (const name of ["n1", "n2", "n3"]) {
+            const key = `job/${name}-${count}`;
+            void world.nodes.get(name)?.store.commit({ puts: [{ key, value: "{}" }] }).then(({ isOk }) => {
+                const ms = world.clock.now() - startedAt;
+                if (!isOk || ms > 100) {
+                    slow.push(`${key} ${isOk ? "written" : "not written"} after ${ms} ms`);
+                }
+            });
+        }
+        await world.pass(900);
+    }
+    t.same(slow, []);
+    world.nodes.forEach(node => {
+        node.stop();
+    });
+});
+
 // Guards against submissions that are refused while an entry that knows all rows scans the table again.
 void t.test("an entry stays ready while it scans a table whose history is gone", async t => {
     const world = new Deployment(["n1"], ["e1"]);
--- a/packages/control/tests/store.test.ts
+++ b/packages/control/tests/store.test.ts
@@ -4,6 +4,7 @@
 import type { RowStoreFaults } from "@persimmonpitch/standins/memoryRowStore.js";
 import { MemoryRowStore } from "@persimmonpitch/standins/memoryRowStore.js";
 import t from "tap";
+import { DirectPath } from "../src/directPath.js";
 import { ForwardingStore } from "../src/forwardingStore.js";
 import { inheritedLapsedAt, lapsedAt } from "../src/leaseRules.js";
 import { OpenJob } from "../src/openJob.js";
@@ -37,7 +38,8 @@
         const store = new MemoryRowStore(clock);
         const forwarding = new ForwardingStore({
             direct: store.client("n1"),
-            peers: () => hasPeer ? [store.client("n2")] : [],
+            path: new DirectPath(clock),
+            peers: () => hasPeer ? [{ vm: "n2", store: store.client("n2") }] : [],
             clock,
             logger: silentLogger,
             name: "state",
--- a/packages/protocol/src/storeMessages.ts
+++ b/packages/protocol/src/storeMessages.ts
@@ -22,8 +22,11 @@
 
 /** Calls between entries: store calls for a peer that the store refuses, and rows that were just written. */
 export const storeMethods = {
-    /** Shows that the peer answers: a connection to a VM that is gone stays open without it. */
-    "store.ping": { params: z.object({}), result: z.object({}) },
+    /**
+     * Shows that the peer answers, because a connection to a VM that is gone stays open without it, and how long ago
+     * the store answered the peer itself: calls go through the peer that it serves.
+     */
+    "store.ping": { params: z.object({}), result: z.object({ storeAgeMs: z.number().nonnegative().optional() }) },
     /** Rows that the caller has written, so that the receiver need not wait for them to come from the store. */
     "store.changed": { params: z.object({ rows: z.array(changedRowSchema) }), result: z.object({}) },
     "store.commit": {
--- a/packages/standins/src/memoryRowStore.ts
+++ b/packages/standins/src/memoryRowStore.ts
@@ -21,6 +21,9 @@
     down: z.boolean(),
     /** Names of the clients whose calls are refused. */
     refused: z.array(z.string()),
+    /** Names of the clients whose calls vanish: nothing is done, and they end without an answer after `silenceMs`. */
+    silent: z.array(z.string()),
+    silenceMs: z.number().nonnegative(),
     /** Delay before each call takes effect, in milliseconds. */
     slow: z.number().nonnegative(),
     /** Number of next commits that take effect but answer `unclear`. */
@@ -37,6 +40,8 @@
 const NO_FAULTS: RowStoreFaults = {
     down: false,
     refused: [],
+    silent: [],
+    silenceMs: 700,
     slow: 0,
     loseAnswers: 0,
     delayCommits: 0,
@@ -92,7 +97,7 @@
     private async commit(client: string, transaction: RowTransaction): Promise<Result<Committed, CommitError>> {
         const fault = await this.delayOrFail(client);
         if (fault !== undefined) {
-            return Result.err(fault);
+            return Result.err(this.isSilent(client) ? { ...fault, kind: "unclear" } : fault);
         }
         if (this.faults.delayCommits > 0) {
             this.faults.delayCommits -= 1;
@@ -196,9 +201,17 @@
         if (this.faults.slow > 0) {
             await this.clock.sleep(this.faults.slow);
         }
+        if (this.isSilent(client)) {
+            await this.clock.sleep(this.faults.silenceMs);
+            return { kind: "unavailable", detail: `the store does not answer ${client}` };
+        }
         return this.faultOf(client);
     }
 
+    private isSilent(client: string): boolean {
+        return this.faults.silent.includes(client);
+    }
+
     private faultOf(client: string): Unavailable | undefined {
         if (this.faults.down) {
             return { kind: "unavailable", detail: "the store is down" };
--- a/tap-snapshots/packages/control/dist/tests/deployment.test.js.test.cjs
+++ b/tap-snapshots/packages/control/dist/tests/deployment.test.js.test.cjs
@@ -56,8 +56,8 @@
   3006 a.0.0.0#1 on x1: done 5006
   3006 a.0.0.1#1 on x2: done 5006
   3513 f.0.0.0#2 on x2: failed 4013
-  7075 a.0.1.0#1 on x1: done 9075
-  7075 a.0.1.1#1 on x1: done 9075
+  7079 a.0.1.0#1 on x1: done 9079
+  7079 a.0.1.1#1 on x1: done 9079
 `
 
 exports[`packages/control/dist/tests/deployment.test.js > TAP > an executor crashes and restarts > must match snapshot 1`] = `
@@ -104,8 +104,8 @@
   3006 a.0.0.0#1 on x1: done 5006
   3006 a.0.0.1#1 on x2: done 5006
   3513 f.0.0.0#2 on x2: failed 4013
-  5015 a.0.1.0#1 on x1: done 7015
-  5015 a.0.1.1#1 on x1: done 7015
+  5013 a.0.1.0#1 on x1: done 7013
+  5013 a.0.1.1#1 on x1: done 7013
 `
 
 exports[`packages/control/dist/tests/deployment.test.js > TAP > commits take effect late > must match snapshot 1`] = `
@@ -113,8 +113,8 @@
   3006 a.0.0.0#1 on x1: done 5006
   3006 a.0.0.1#1 on x2: done 5006
   3513 f.0.0.0#2 on x2: failed 4013
-  5015 a.0.1.0#1 on x1: done 7015
-  5015 a.0.1.1#1 on x1: done 7015
+  5013 a.0.1.0#1 on x1: done 7013
+  5013 a.0.1.1#1 on x1: done 7013
 `
 
 exports[`packages/control/dist/tests/deployment.test.js > TAP > everything stops and starts again > must match snapshot 1`] = `
