fix(control): give the role away when the store is all that a controller reaches

A controller that has reached no agent and no other entry for 3 s, although both are known, releases the role and leaves it to others for 3 s. Where nobody else takes it, it takes it again, so an entry that is the only one left still serves.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -44,6 +44,9 @@
 /** An idle poll is answered once a second, and a slow store takes a quarter of a second more. */
 const STORE_SILENCE_MS: Millis = 1_500;
 
+/** Time for another entry to take the role that a controller gave away because it reaches nobody. */
+const UNREACHED_PAUSE_MS: Millis = 3_000;
+
 /** The part of an entry that follows the store and decides when it holds the role. */
 export class ControlNode {
     readonly replica: Replica;
@@ -191,9 +194,13 @@
                 announce: rows => {
                     this.announce(rows);
                 },
+                isAlone: () => this.peers.isAlone,
             }, role);
-            await this.controller.run(signal);
+            const end = await this.controller.run(signal);
             this.controller = undefined;
+            if (end === "unreached") {
+                await withAnySignal([signal, this.released.signal], over => clock.sleep(UNREACHED_PAUSE_MS, over));
+            }
         }
     }
 }
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -27,6 +27,12 @@
 /** A pass also runs when nothing happens, for due times, stalled runs and lapsed leases. */
 const IDLE_PASS_MS: Millis = 250;
 
+/** A controller that has reached no agent and no other entry for this long gives the role away. */
+const UNREACHED_MS: Millis = 3_000;
+
+/** Why a controller ended: it lost or released the role, or gave it away because it reaches nobody but the store. */
+export type ControllerEnd = "ended" | "unreached";
+
 /** Decides what runs where, while this process holds the role. */
 export class Controller implements AgentEvents {
     private readonly lost = new AbortController();
@@ -44,9 +50,12 @@
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks = new KeyedTasks();
     private readonly wake = new WakeSignal();
+    private reachedAt: Millis;
+    private end: ControllerEnd = "ended";
 
     constructor(private readonly context: ControllerContext, private readonly role: TakenRole) {
         const { replica, clock, logger, store, announce } = context;
+        this.reachedAt = clock.now();
         this.jobs = new JobBook(replica, logger);
         this.fleet = new Fleet({
             jobs: this.jobs,
@@ -124,7 +133,7 @@
     }
 
     /** Works until the role is lost or `signal` aborts. */
-    async run(signal: AbortSignal): Promise<void> {
+    async run(signal: AbortSignal): Promise<ControllerEnd> {
         const stopListening = [
             this.context.replica.listen(keys => {
                 this.noteRows(keys);
@@ -145,6 +154,7 @@
                 stop();
             });
         });
+        return this.end;
     }
 
     onAttached(vm: string, connection: AgentConnection, reports: readonly ExecutorReport[]): void {
@@ -267,6 +277,7 @@
             this.reconciler.reconcile();
             this.decide();
             this.pacer.apply();
+            await this.checkReach();
             await this.wake.wait(this.context.clock, IDLE_PASS_MS, signal);
             await this.context.clock.sleep(PASS_DELAY_MS, signal);
         }
@@ -276,6 +287,19 @@
         await this.agentTasks.end();
     }
 
+    /** Gives the role away when the store is all that this process reaches: another entry may reach the agents. */
+    private async checkReach(): Promise<void> {
+        const { clock, replica, isAlone } = this.context;
+        const isUnreached = isAlone() && this.connections.size === 0 && replica.agents.size > 0;
+        if (!isUnreached) {
+            this.reachedAt = clock.now();
+        }
+        else if (clock.now() - this.reachedAt > UNREACHED_MS) {
+            this.end = "unreached";
+            await this.release();
+        }
+    }
+
     private startAgentTasks(): void {
         for (const vm of this.context.replica.agents.keys()) {
             this.agentTasks.start(vm, signal => runAgentTask(this.context, vm, this.role.epoch, this, signal));
--- a/packages/control/src/controllerContext.ts
+++ b/packages/control/src/controllerContext.ts
@@ -31,6 +31,8 @@
     readonly storeOffsetMs: () => Millis;
     /** Makes rows known to all entries that were just written. */
     readonly announce: (rows: readonly StoredRow[]) => void;
+    /** Whether other entries are known and none of them answers. */
+    readonly isAlone: () => boolean;
     /** Undefined without an advice service. */
     readonly advice?: AdvicePort | undefined;
 }
--- a/packages/control/tests/deployment.test.ts
+++ b/packages/control/tests/deployment.test.ts
@@ -37,6 +37,8 @@
 const FOUND_PAIRS: readonly (readonly [string, string, number])[] = [
     // Ends that were listed after their runs were taken for lost were acknowledged and dropped.
     ["the controller's VM vanishes", "a VM is cut off for 15000 ms", 1_595],
+    // An entry that reached the store but no agent took the released role and kept it for good.
+    ["a peer vanishes while the store refuses the controller", "the controller is released", 2_583],
 ];
 
 /** Lines of KNOWN-RED.txt for pairs: "control-pair: seed N; ...". */
--- a/packages/verification/tests/controllerFixture.ts
+++ b/packages/verification/tests/controllerFixture.ts
@@ -80,6 +80,7 @@
             random: () => 0.5,
             storeOffsetMs: () => 0,
             announce: () => undefined,
+            isAlone: () => false,
         }, {
             epoch: ROLE.epoch,
             rowVersion: taken.isOk ? taken.value.version : 0,
