fix(dispatch): let late work compete by what it still earns

Cause: a job that missed its time was ranked by its late worth discounted by the time that it has left to be late, which is twice its allowed time. For the first tens of seconds that is next to nothing, so all work with slack, and all previews, went first.

Ruled out: stops of that gang as such.

Late work now has no such discount; work that is on time and short of slack still goes first. The new test, a late job that needs a whole executor goes before work that can wait, failed before (patient was first).

--- a/packages/dispatch/src/unitOrder.ts
+++ b/packages/dispatch/src/unitOrder.ts
@@ -48,11 +48,11 @@
         priority === 0
             ? { tier: URGENT_TIER, rank: slackMs }
             : { tier: ORDINARY_TIER, rank: -tardinessIndex(factor * worth, openWork, slackMs, options) },
-    // Late work competes with work that can be on time by what it still earns: an urgent job that lost its
-    // executors would otherwise wait until it is worth nothing.
-    late: ({ worth, openWork, lateSlackMs }, priority, factor, options) => {
+    // Late work competes with work that can be on time by what it still earns, and the time that it has left does not
+    // put it back: a large job that missed its time would otherwise wait behind all work that is not late.
+    late: ({ worth, openWork }, priority, factor, options) => {
         const lateWorth = factor * worth * byPriority(options.lateShareByPriority, priority);
-        return { tier: ORDINARY_TIER, rank: -tardinessIndex(lateWorth, openWork, lateSlackMs, options) };
+        return { tier: ORDINARY_TIER, rank: -tardinessIndex(lateWorth, openWork, 0, options) };
     },
     hopeless: ({ lateSlackMs }) => ({ tier: HOPELESS_TIER, rank: -lateSlackMs }),
 };
--- a/packages/dispatch/tests/dispatchPass.test.ts
+++ b/packages/dispatch/tests/dispatchPass.test.ts
@@ -232,3 +232,24 @@
     t.strictSame(kinds(dispatchPass(view, { preemptsBeforeSlower: false })), ["start"]);
     t.end();
 });
+
+// Guards against a large job that missed its time and then waits behind all work that still has some.
+void t.test("a late job that needs a whole executor goes before work that can wait", t => {
+    const large = jobOf({
+        id: "large",
+        acceptedAt: START - 25_000,
+        steps: [{ count: 1, demand: { accelerators: 8 } }],
+    });
+    const patient = jobOf({
+        id: "patient",
+        queue: "preview",
+        acceptedAt: START - 14_000,
+        steps: [{ count: 8 }],
+    });
+    // Several executors, so that neither step counts as wide; only one has room.
+    const others = Array.from({ length: 7 }, (_, index) => batchOn(`old${index + 1}`, index + 1, 8));
+    const executors = executorsOf(8, index => ({ runs: index === 0 ? [] : runsOf(`old${index}`, 8) }));
+    const [first] = dispatchPass(viewOf([patient, ...others, large], executors));
+    t.equal(first?.jobId, "large");
+    t.end();
+});
