--- a/packages/control/src/directPath.ts
+++ b/packages/control/src/directPath.ts
@@ -21,7 +21,7 @@
         return this.probeAt !== undefined;
     }
 
-    /** Whether a call may find out if the store answers again; one call at a time does. */
+    /** Whether a call may find out if the store answers again; at most one call in `PROBE_MS` does. */
     takeProbe(): boolean {
         const isDue = this.probeAt !== undefined && this.clock.now() >= this.probeAt;
         if (isDue) {
