feat(control): sums of a job's way at its end, and lines of long waits

Whether a late job waited, was stopped or lost its runs could only be had by a script over the lines of all entries. job.ended now has the wait, the runs that were ordered, stopped by reason, lost and ended by kind, and whether the job was in time; job.waiting says how a step waits after 4, 8, 16 s and so on. A pass returns the units that it did not start and how they go on.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
-import { dispatchPass } from "@persimmonpitch/dispatch/dispatchPass.js";
+import { runPass } from "@persimmonpitch/dispatch/dispatchPass.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
 import { AdviceBook } from "./adviceBook.js";
 import type { AgentConnection, AgentEvents } from "./agentTask.js";
@@ -13,6 +13,7 @@
 import type { ExecutorState } from "./executorState.js";
 import { Fleet } from "./fleet.js";
 import { JobBook } from "./jobBook.js";
+import { JobLog } from "./jobLog.js";
 import { KeyedTasks } from "./keyedTasks.js";
 import { LeaseKeeper } from "./leaseKeeper.js";
 import type { OpenJob } from "./openJob.js";
@@ -47,6 +48,7 @@
     private readonly applier: DecisionApplier;
     private readonly advice: AdviceBook;
     private readonly pacer: Pacer;
+    private readonly jobLog: JobLog;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks = new KeyedTasks();
     private readonly wake = new WakeSignal();
@@ -57,6 +59,7 @@
         const { replica, clock, logger, store, announce } = context;
         this.reachedAt = clock.now();
         this.jobs = new JobBook(replica, logger);
+        this.jobLog = new JobLog(context);
         this.fleet = new Fleet({
             jobs: this.jobs,
             clock,
@@ -128,7 +131,17 @@
                 this.loseRole("An agent knows a newer epoch.");
             },
         });
-        this.reconciler = new Reconciler({ fleet, jobs, orders, clock, takenAt, maxLeaseMs });
+        this.reconciler = new Reconciler({
+            fleet,
+            jobs,
+            orders,
+            clock,
+            takenAt,
+            maxLeaseMs,
+            onReleased: open => {
+                this.jobLog.ended(open);
+            },
+        });
         this.applier = new DecisionApplier({ fleet, jobs, orders, writer, logger });
     }
 
@@ -313,7 +326,8 @@
         }
         const view = buildDispatchView(this.context, config, this.jobs, this.fleet, this.advice.advised());
         const startedAt = this.context.clock.now();
-        const decisions = dispatchPass(view);
+        const { decisions, waiting } = runPass(view);
+        this.jobLog.waiting(waiting);
         for (const decision of decisions) {
             this.applier.apply(decision);
         }
--- a/packages/control/src/decisionApplier.ts
+++ b/packages/control/src/decisionApplier.ts
@@ -65,6 +65,7 @@
             const held = state.runs.get(task);
             if (held?.run === run && !held.isStopping) {
                 this.options.logger.log("info", "run.stopping", { task, run, reason });
+                this.options.jobs.jobs.get(jobId)?.tally.noteStop(reason);
                 this.options.orders.stop(held);
             }
         }
--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -55,6 +55,7 @@
         const { vm, executorId, born, address } = state;
         const placement = { vm, executorId, born, ...(address === undefined ? {} : { address }) };
         open.update(key, { run, placement });
+        open.tally.noteOrder(this.options.clock.now());
         return this.hold(open, key, run, placement, false);
     }
 
@@ -64,6 +65,7 @@
         this.options.logger.log("info", "run.lost", { task: held.task, run: held.run, reason });
         this.drop(held);
         if (open !== undefined) {
+            open.tally.noteLoss();
             this.ends.clearPlacement({ ...held, open, checkpoint: "" });
         }
     }
@@ -191,6 +193,7 @@
         if (ended === undefined) {
             return;
         }
+        ended.open.tally.noteEnd(end.kind);
         if (end.kind === "done" && isHeld) {
             this.samples.note(ended.open, held, this.options.clock.now());
         }
--- a/packages/control/src/jobBook.ts
+++ b/packages/control/src/jobBook.ts
@@ -39,10 +39,8 @@
 
     /** Forgets a job that has ended and of which nothing runs. */
     release(jobId: string): void {
-        const outcome = this.jobs.get(jobId)?.progress.outcome;
         this.jobs.delete(jobId);
         this.ended.add(jobId);
-        this.logger.log("info", "job.ended", { job: jobId, outcome });
     }
 }
 
--- a/packages/control/src/openJob.ts
+++ b/packages/control/src/openJob.ts
@@ -1,6 +1,7 @@
 import type { JobProgress, Outcome, TaskProgress } from "@persimmonpitch/workload/progress.js";
 import { NO_TASK_PROGRESS } from "@persimmonpitch/workload/progress.js";
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
+import { JobTally } from "./jobTally.js";
 
 export { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 
@@ -9,6 +10,7 @@
 
 /** A job that the controller works on, with its progress before it is durable. */
 export class OpenJob {
+    readonly tally = new JobTally();
     private tasks: Record<string, TaskProgress>;
     private currentOutcome: Outcome;
     private doneTasks: number;
--- a/packages/control/src/reconciler.ts
+++ b/packages/control/src/reconciler.ts
@@ -17,6 +17,8 @@
     /** When this controller took the role. */
     readonly takenAt: Millis;
     readonly maxLeaseMs: Millis;
+    /** Called for each job that has ended and of which nothing runs any more. */
+    readonly onReleased: (open: OpenJob) => void;
 }
 
 /** Brings what runs in line with the jobs. */
@@ -42,7 +44,7 @@
 
     /** Ends what must not run on: runs of ended jobs, gangs that lost a member, runs that no claim covers. */
     reconcile(): void {
-        const { fleet, jobs, orders } = this.options;
+        const { fleet, jobs, orders, onReleased } = this.options;
         for (const state of fleet.executors.values()) {
             for (const held of state.runs.values()) {
                 const open = jobs.jobs.get(held.jobId);
@@ -60,6 +62,7 @@
         for (const [jobId, open] of jobs.jobs) {
             if (!open.isOpen && !busy.has(jobId)) {
                 jobs.release(jobId);
+                onReleased(open);
             }
         }
     }
--- /dev/null
+++ b/packages/control/tests/jobLog.test.ts
@@ -0,0 +1,81 @@
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
+import { runPass } from "@persimmonpitch/dispatch/dispatchPass.js";
+import type { LogFields } from "@persimmonpitch/logging/logger.js";
+import { silentLogger } from "@persimmonpitch/logging/logger.js";
+import { clusterConfigSchema } from "@persimmonpitch/workload/clusterConfig.js";
+import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
+import { timingsSchema } from "@persimmonpitch/workload/timings.js";
+import t from "tap";
+import { ConfigBook } from "../src/configBook.js";
+import { JobLog } from "../src/jobLog.js";
+import { OpenJob } from "../src/openJob.js";
+
+const STORE_OFFSET_MS = 50_000;
+
+const render = {
+    ...{ name: "render", host: "", pathPrefix: "", service: "desk", maxAttempts: 3, priority: 0 },
+    ...{ slackFactor: 1.5, targetLatencyMs: 300 },
+};
+const config = clusterConfigSchema.parse({ version: 1, queues: [render], services: [], teams: [] });
+
+const openJob = (steps: readonly object[], acceptedAt: number): OpenJob => {
+    const job = stepJobSchema.parse({ jobId: "a", queue: "render", payload: "", steps, acceptedAt });
+    return new OpenJob(job, { outcome: "open", tasks: {} }, 0);
+};
+
+const logOn = (clock: FakeClock) => {
+    const lines: LogFields[] = [];
+    const book = new ConfigBook(silentLogger);
+    book.offer(config);
+    const log = new JobLog({
+        logger: { ...silentLogger, log: (_level, event, fields) => lines.push({ event, ...fields }) },
+        clock,
+        config: book,
+        storeOffsetMs: () => STORE_OFFSET_MS,
+    });
+    return { log, lines };
+};
+
+void t.test("a line at the end of a job tells a wait for room from stops and losses", async t => {
+    const clock = new FakeClock();
+    const { log, lines } = logOn(clock);
+    const open = openJob([{ count: 2, demand: {} }], clock.now() + STORE_OFFSET_MS);
+    await clock.advance(1_200);
+    open.tally.noteOrder(clock.now());
+    open.tally.noteOrder(clock.now());
+    open.tally.noteStop("preempted");
+    open.tally.noteEnd("stopped");
+    open.tally.noteLoss();
+    open.tally.noteOrder(clock.now());
+    open.tally.noteOrder(clock.now());
+    open.tally.noteTime(0, 3_000);
+    open.tally.noteEnd("done");
+    open.tally.noteEnd("done");
+    open.conclude("completed");
+    await clock.advance(3_700);
+    log.ended(open);
+    t.matchSnapshot(lines.map(line => JSON.stringify(line)).join("\n"), "late by a stop and a loss");
+});
+
+void t.test("a step that waits long gets a line after 4, 8 and 16 s, and no other", async t => {
+    const clock = new FakeClock();
+    const { log, lines } = logOn(clock);
+    const { job, progress } = openJob([{ count: 2, demand: { accelerators: 8 }, declaredMs: 2_000 }], clock.now());
+    for (let step = 0; step < 80; step += 1) {
+        const { waiting } = runPass({
+            ...{
+                now: clock.now(),
+                wallTime: 0,
+                timings: timingsSchema.parse({}),
+                teams: [],
+                samples: [],
+                executors: [],
+            },
+            jobs: config.queues.map(queue => ({ job, progress, queue })),
+        });
+        log.waiting(waiting);
+        await clock.advance(250);
+    }
+    log.waiting([]);
+    t.matchSnapshot(lines.map(line => JSON.stringify(line)).join("\n"), "a job without an executor");
+});
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -59,12 +59,15 @@
         if (kind !== undefined) {
             spansOfKind.set(kind, spans);
         }
-        placeUnit(state, ranked, spans, kind);
+        const wait = placeUnit(state, ranked, spans, kind);
+        if (wait !== undefined) {
+            state.waiting.push({ ranked, kind: wait });
+        }
     }
 };
 
 /** What a pass decided, and the executors with what it looked at. */
-export type PassResult = Pick<PassState, "decisions" | "rooms">;
+export type PassResult = Pick<PassState, "decisions" | "rooms" | "waiting">;
 
 /** Decides for one view of the jobs and executors. */
 export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassResult => {
@@ -78,7 +81,7 @@
     const units = occurrences.flatMap(owner => readyUnits(owner, view.advised));
     if (units.length === 0 && moves.length === 0) {
         // Most passes are of this kind: the controller runs one every 250 ms also when nothing happens.
-        return { decisions: [], rooms: [] };
+        return { decisions: [], rooms: [], waiting: [] };
     }
     const unhealthy = unhealthyExecutors(moves);
     const rooms = executorRooms(view, runSteps, index => {
@@ -106,6 +109,7 @@
         reservationCount: 0,
         searchCount: 0,
         decisions: [],
+        waiting: [],
     };
     moves.forEach(({ group, reason }) => {
         stopGroup(state, group, reason);
--- a/packages/dispatch/src/passState.ts
+++ b/packages/dispatch/src/passState.ts
@@ -8,6 +8,7 @@
 import { type RunGroup, stopDecisions } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
 import type { SeatingContext } from "./seating.js";
+import type { RankedUnit } from "./unitOrder.js";
 
 /** The number and length of tasks that did not fit. */
 export interface Misfit {
@@ -15,6 +16,18 @@
     readonly lengthMs: Millis;
 }
 
+/**
+ * How a ready unit goes on that did not start whole: its room is coming, runs are stopped for it, room is reserved from
+ * later on, or it waits for what others leave.
+ */
+export type WaitKind = "claimed" | "stopping" | "reserved" | "unplaced";
+
+/** A ready unit that did not start whole. */
+export interface WaitingUnit {
+    readonly ranked: RankedUnit;
+    readonly kind: WaitKind;
+}
+
 /** What a pass knows, and what it has decided so far. */
 export interface PassState {
     readonly view: DispatchView;
@@ -35,6 +48,8 @@
     reservationCount: number;
     searchCount: number;
     readonly decisions: DispatchDecision[];
+    /** In the order of their ranks. */
+    readonly waiting: WaitingUnit[];
 }
 
 /** Stops a group whole; the room of its members is then to come. */
--- a/packages/dispatch/src/prospects.ts
+++ b/packages/dispatch/src/prospects.ts
@@ -2,6 +2,7 @@
 import { coresOf } from "./demand.js";
 import { byPriority, type DispatchOptions } from "./dispatchOptions.js";
 import type { JobView } from "./dispatchView.js";
+import { longestChain } from "./longestChain.js";
 import { type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
 import type { RunGroup } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
@@ -33,16 +34,6 @@
 export const occurrenceId = ({ view, occurrence }: Pick<OpenOccurrence, "view" | "occurrence">): string =>
     `${view.job.jobId} ${occurrence}`;
 
-/** Length of the longest chain of steps, given the time of each. */
-const longestChain = ({ job }: JobView, timeOf: (stepIndex: number) => Millis): Millis => {
-    const ends: Millis[] = [];
-    job.steps.forEach(({ after }, index) => {
-        const begin = after.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), 0);
-        ends.push(begin + timeOf(index));
-    });
-    return ends.reduce((latest, end) => Math.max(latest, end), 0);
-};
-
 /** Work of a job in core-seconds by the estimated times; long-running steps count as nothing. */
 const workOf = (view: JobView, runTimes: RunTimes, isCounted: (stepIndex: number) => boolean): number =>
     view.job.steps.reduce((sum, { count, demand, isLongRunning }, index) =>
@@ -105,7 +96,7 @@
         const isFinite = (index: number): boolean => job.steps[index]?.isLongRunning !== true;
         const isOpen = (index: number): boolean => isFinite(index) && doneSteps[index] === false;
         const chainMs = longestChain(
-            view,
+            job,
             index => isFinite(index) ? waves.allowed(view, index) * runTimes.stepMs(view, index) : 0,
         );
         const restMs = (index: number): Millis => {
@@ -115,7 +106,7 @@
                 ? runningMs
                 : Math.max(runningMs, waves.needed(view, index, free) * runTimes.stepMs(view, index));
         };
-        const openMs = longestChain(view, index => isOpen(index) ? restMs(index) : 0);
+        const openMs = longestChain(job, index => isOpen(index) ? restMs(index) : 0);
         const allowedMs = queue.slackFactor * chainMs + queue.targetLatencyMs;
         const passedMs = now - startAt;
         const slackMs = allowedMs - passedMs - openMs;
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -2,7 +2,7 @@
 import { byPriority } from "./dispatchOptions.js";
 import type { StartDecision } from "./dispatchView.js";
 import { claimRoom, type ExecutorRoom, laterRoom, roomNow, takeRoom } from "./executorRoom.js";
-import { type PassState, stopGroup } from "./passState.js";
+import { type PassState, stopGroup, type WaitKind } from "./passState.js";
 import { victimsFor } from "./preemption.js";
 import { nextRun, type ReadyUnit } from "./readyUnits.js";
 import { earliestFit, type LaterFit, reserve } from "./reservations.js";
@@ -251,21 +251,25 @@
 };
 
 /** Frees room for a unit whose guarantee demands it, first where it runs at full speed and from lower priorities. */
-const enforceGuarantee = (state: PassState, request: Request, keys: readonly string[]): void => {
+const enforceGuarantee = (state: PassState, request: Request, keys: readonly string[]): WaitKind | undefined => {
     const { preferred } = request.spans;
     if (stopVictims(state, request, preferred, keys.length, false)) {
-        return;
+        return "stopping";
     }
     const left = startSlower(state, request, keys, Infinity);
     const slower = fallbackSpans(request.spans);
-    if (left.length === 0 || claimComing(state, request, slower, left.length)) {
-        return;
+    if (left.length === 0) {
+        return undefined;
+    }
+    if (claimComing(state, request, slower, left.length)) {
+        return "claimed";
     }
     for (const [spans, mayTakeUrgent] of [[slower, false], [preferred, true], [slower, true]] as const) {
         if (stopVictims(state, request, spans, left.length, mayTakeUrgent)) {
-            return;
+            return "stopping";
         }
     }
+    return "unplaced";
 };
 
 /** Whether later room or victims for the unit are to be looked for. */
@@ -276,9 +280,9 @@
 };
 
 /** Finds the best way on for tasks that do not fit now: slower executors, victims, or room kept for later. */
-const placeBlocked = (state: PassState, request: Request, keys: readonly string[]): void => {
+const placeBlocked = (state: PassState, request: Request, keys: readonly string[]): WaitKind | undefined => {
     if (!needsSearch(state, request)) {
-        return;
+        return "unplaced";
     }
     state.searchCount += 1;
     const { ranked } = request;
@@ -287,32 +291,43 @@
     const isLateSlower = ranked.prospect.slackMs < slowerExtraMs(state, request);
     const isPreemptedFirst = state.options.preemptsBeforeSlower && isLateSlower;
     if (isPreemptedFirst && tryPreempt(state, request, keys.length, waitMs)) {
-        return;
+        return "stopping";
     }
     const blocked = startSlower(state, request, keys, waitMs);
-    if (blocked.length === 0 || tryPreempt(state, request, blocked.length, waitMs)) {
-        return;
+    if (blocked.length === 0) {
+        return undefined;
+    }
+    if (tryPreempt(state, request, blocked.length, waitMs)) {
+        return "stopping";
     }
-    if (fit !== undefined && needsReservation(ranked) && state.reservationCount < state.options.maxReservations) {
-        state.reservationCount += 1;
-        reserve(ranked.unit, blocked.length, fit, state.releases, state.seating);
+    if (fit === undefined || !needsReservation(ranked) || state.reservationCount >= state.options.maxReservations) {
+        return "unplaced";
     }
+    state.reservationCount += 1;
+    reserve(ranked.unit, blocked.length, fit, state.releases, state.seating);
+    return "reserved";
 };
 
-/** Places a unit: starts it, keeps coming room for it, frees room for it, or reserves room for later. */
-export const placeUnit = (state: PassState, ranked: RankedUnit, spans: Spans, kind: string | undefined): void => {
+/**
+ * Places a unit: starts it, keeps coming room for it, frees room for it, or reserves room for later. Returns how it
+ * waits unless it starts whole.
+ */
+export const placeUnit = (
+    state: PassState,
+    ranked: RankedUnit,
+    spans: Spans,
+    kind: string | undefined,
+): WaitKind | undefined => {
     const { unit, isGuaranteed } = ranked;
     const isUrgent = unit.owner.view.queue.priority === 0;
     const lengthMs = state.runTimes.stepMs(unit.owner.view, unit.stepIndex);
     const request: Request = { ranked, spans, kind, lengthMs };
     const left = startNow(state, request, unit.keys);
-    if (left.length === 0 || isUrgent && claimComing(state, request, spans.preferred, left.length)) {
-        return;
-    }
-    if (isGuaranteed) {
-        enforceGuarantee(state, request, left);
+    if (left.length === 0) {
+        return undefined;
     }
-    else {
-        placeBlocked(state, request, left);
+    if (isUrgent && claimComing(state, request, spans.preferred, left.length)) {
+        return "claimed";
     }
+    return isGuaranteed ? enforceGuarantee(state, request, left) : placeBlocked(state, request, left);
 };
