fix(dispatch): judge a standstill by what executors list

Answers of five executors were lost from 4.8 to 10.8.

Cause: a run stood still for the time since its last progress, also while no list of its executor arrived; an agent repeats its last list every second, so the repetition passed for news. A list whose answer is lost takes 2 s to time out, and the limit is 2.5 s.

A standstill now lasts until the last list of the executor, and only a newer reading of its clock counts as a list. The new case of dispatchPass gave "stop unseen.0.0.0 run 1: stalled" before.

--- a/packages/bench/src/stepsReplay.ts
+++ b/packages/bench/src/stepsReplay.ts
@@ -32,7 +32,7 @@
 const executorViews = ({ executors }: Day): readonly ExecutorView[] =>
     executors.map(({ vm, rack, labels, capacity }) => ({
         ...{ vm, executorId: vm, service: "desk", rack, labels, capacity },
-        ...{ takesWork: true, leavesInMs: undefined, runs: [], recentEnds: [] },
+        ...{ takesWork: true, leavesInMs: undefined, runs: [], listedAt: undefined, recentEnds: [] },
     }));
 
 /** Submits, cancels and causes the fault of a day as their times come. */
--- a/packages/capacity/src/dispatchLoad.ts
+++ b/packages/capacity/src/dispatchLoad.ts
@@ -188,6 +188,7 @@
     takesWork: true,
     leavesInMs: undefined,
     runs,
+    listedAt: NOW,
     recentEnds: [],
 });
 
--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -57,6 +57,7 @@
         capacity: [...state.strays.values()].reduce((rest, { demand }) => subtract(rest, demand), info.capacity),
         takesWork: state.isAttached && !info.isDraining && now >= state.pausedUntil,
         leavesInMs: info.isDraining ? info.remainingMs ?? 0 : undefined,
+        listedAt: shift(state.clock?.at, offset),
         runs: [...state.runs.values()].map(run => runView(run, offset)),
         recentEnds: state.recentEnds.map(end => ({ ...end, at: end.at + offset })),
     }];
--- a/packages/control/src/fleet.ts
+++ b/packages/control/src/fleet.ts
@@ -98,7 +98,10 @@
             this.restart(state, list.born);
         }
         const now = this.options.clock.now();
-        state.clock = { readingMs: list.clockMs, at: now };
+        // An agent repeats its last list while the executor does not answer it; that brings no newer reading.
+        if (list.clockMs !== state.clock?.readingMs) {
+            state.clock = { readingMs: list.clockMs, at: now };
+        }
         const listed = new Map(list.running.map(run => [run.task, run]));
         for (const end of list.ends) {
             // An end is listed until it is acknowledged, but a failure counts once.
--- a/packages/control/tests/fleetFixture.ts
+++ b/packages/control/tests/fleetFixture.ts
@@ -12,6 +12,7 @@
 export interface FoundFleet {
     readonly fleet: Fleet;
     readonly open: OpenJob;
+    readonly clock: FakeClock;
 }
 
 /** The fleet of a new controller that finds job "a" with these steps and this progress. */
@@ -31,12 +32,13 @@
     if (open === undefined) {
         throw new Error("The job is not open.");
     }
+    const clock = new FakeClock();
     const fleet = new Fleet({
         jobs,
-        clock: new FakeClock(),
+        clock,
         logger: silentLogger,
         maxAttempts: () => maxAttempts,
         onChanged: () => undefined,
     });
-    return { fleet, open };
+    return { fleet, open, clock };
 };
--- a/packages/control/tests/replacedExecutor.test.ts
+++ b/packages/control/tests/replacedExecutor.test.ts
@@ -38,3 +38,18 @@
     }
     t.end();
 });
+
+// Guards against a list that its agent repeats while the executor does not answer: it would pass for news of a run that
+// stands still.
+void t.test("only a newer list of an executor counts as a reading of its clock", async t => {
+    const { fleet, clock } = findFleet([{ count: 1, demand: {} }], { "0.0.0": TASK });
+    const state = fleet.executor("worker-1", "old");
+    const list = { born: 100, clockMs: 7_000, running: [], ends: [] };
+    fleet.applyList(state, list);
+    const { clock: first } = state;
+    await clock.advance(1_000);
+    fleet.applyList(state, list);
+    t.same(state.clock, first, "a repeated list");
+    fleet.applyList(state, { ...list, clockMs: 8_000 });
+    t.same(state.clock, { readingMs: 8_000, at: clock.now() }, "a newer list");
+});
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -45,6 +45,8 @@
     /** Time until a draining executor leaves, if it drains. */
     readonly leavesInMs: Millis | undefined;
     readonly runs: readonly RunView[];
+    /** When the executor last listed its runs; undefined before it does for the first time. */
+    readonly listedAt: Millis | undefined;
     readonly recentEnds: readonly EndView[];
 }
 
--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -139,6 +139,7 @@
             jobs: [...this.jobs.values()],
             executors: executors.map((executor, index) => ({
                 ...executor,
+                listedAt: this.now,
                 takesWork: executor.takesWork && this.now >= (this.awayUntil[index] ?? 0),
                 runs: runs[index] ?? [],
                 recentEnds: this.ends[index] ?? [],
--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -4,7 +4,7 @@
 import type { DispatchView, StopReason } from "./dispatchView.js";
 import { groupBy } from "./groupBy.js";
 import type { MeasuredRun } from "./measuredRun.js";
-import type { RunGroup } from "./runGroups.js";
+import type { GroupMember, RunGroup } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
 
 /** A group that has to end where it is. */
@@ -119,24 +119,29 @@
     );
 };
 
+/** How long a member was seen to stand still: without a list of its executor nothing is known of its progress. */
+const standsForMs = (
+    { view: { executors } }: MoveContext,
+    { executor, run: { progressAt = 0 } }: GroupMember,
+    workingSince: Millis,
+): Millis => (executors[executor]?.listedAt ?? 0) - Math.max(workingSince, progressAt);
+
 const isStalled = (context: MoveContext, group: RunGroup): boolean => {
     const { workingSince, members } = group;
     if (workingSince === undefined) {
         return false;
     }
-    const { now } = context.view;
-    const isMoving = members.every(({ run: { progressAt } }) =>
-        now - Math.max(workingSince, progressAt ?? 0) <= context.options.stallMs
-    );
+    const isMoving = members.every(member => standsForMs(context, member, workingSince) <= context.options.stallMs);
     if (isMoving) {
         // No limit is below `stallMs`.
         return false;
     }
     const limitMs = standstillLimit(context, group);
-    return members.some(({ executor, run: { percent = 0, progressAt } }) => {
-        const standsFor = now - Math.max(workingSince, progressAt ?? 0);
-        return percent < 100 && standsFor > limitMs && doNeighboursMove(context, executor, limitMs);
-    });
+    return members.some(member =>
+        (member.run.percent ?? 0) < 100
+        && standsForMs(context, member, workingSince) > limitMs
+        && doNeighboursMove(context, member.executor, limitMs)
+    );
 };
 
 /** The time that the task of a slow run is expected to take elsewhere; undefined without evidence that it is slow. */
--- a/packages/dispatch/tests/dispatchFixture.ts
+++ b/packages/dispatch/tests/dispatchFixture.ts
@@ -64,7 +64,7 @@
         service: "desk",
         rack: `rack${Math.floor(index / 3)}`,
         capacity: { accelerators: 8, milliCores: 32_000, memoryMb: 64_000 },
-        ...{ labels: [], takesWork: true, leavesInMs: undefined, runs: [], recentEnds: [] },
+        ...{ labels: [], takesWork: true, leavesInMs: undefined, runs: [], listedAt: START, recentEnds: [] },
         ...change(index),
     }));
 
--- a/packages/dispatch/tests/dispatchPass.test.ts
+++ b/packages/dispatch/tests/dispatchPass.test.ts
@@ -97,6 +97,16 @@
                 : runsOf("well", 1),
         })),
     ),
+    caseOf(
+        "a run that is stopped as stalled because its executor's lists do not arrive",
+        [batchOn("unseen", 0, 2), batchOn("well", 1, 1)],
+        executorsOf(2, index => ({
+            listedAt: index === 0 ? START - 3_000 : START,
+            runs: index === 0
+                ? keys(2).map(key => runOf("unseen", key, 4_000, 20, { progressAt: START - 3_000 }))
+                : runsOf("well", 1),
+        })),
+    ),
     caseOf(
         "runs of two jobs on a slow executor that stay there",
         ["a", "b", "c", "d", "e"].map((id, index) => batchOn(id, index < 2 ? 0 : 1, 1)),
--- a/tap-snapshots/packages/dispatch/dist/tests/dispatchPass.test.js.test.cjs
+++ b/tap-snapshots/packages/dispatch/dist/tests/dispatchPass.test.js.test.cjs
@@ -24,6 +24,10 @@
 stop new.0.0.7 run 1: preempted
 `
 
+exports[`packages/dispatch/dist/tests/dispatchPass.test.js > TAP > decisions on single views > a run that is stopped as stalled because its executor's lists do not arrive 1`] = `
+
+`
+
 exports[`packages/dispatch/dist/tests/dispatchPass.test.js > TAP > decisions on single views > a stalled run that nobody moves, and gangs stopped in part 1`] = `
 stop stuck.0.0.0 run 1: stalled
 stop stuck.0.0.1 run 1: stalled
