fix(control): let an odd row of another writer end nothing

Reported by operators of systems like ours: an odd entry among those of the executors ends the machines that read the list, again and again. It happened here with a row entry/other or agent/other whose port is out of range: the connection threw ERR_SOCKET_BAD_PORT inside its promise, nothing caught the rejection, and each entry and the controller ended, started, read the row again and ended again.

Class of fault: what one peer is named by or sends could end the process of another.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -50,7 +50,7 @@
     private readonly pacer: Pacer;
     private readonly jobLog: JobLog;
     private readonly connections = new Map<string, AgentConnection>();
-    private readonly agentTasks = new KeyedTasks();
+    private readonly agentTasks: KeyedTasks;
     private readonly wake = new WakeSignal();
     private reachedAt: Millis;
     private end: ControllerEnd = "ended";
@@ -60,6 +60,7 @@
         this.reachedAt = clock.now();
         this.jobs = new JobBook(replica, logger);
         this.jobLog = new JobLog(context);
+        this.agentTasks = new KeyedTasks({ name: "agent", clock, logger });
         this.fleet = new Fleet({
             jobs: this.jobs,
             clock,
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -44,9 +44,11 @@
 /** Connections to the other entries: for forwarded store calls, and to see at once when one dies. */
 export class PeerLinks {
     private readonly peers = new Map<string, Peer>();
-    private readonly tasks = new KeyedTasks();
+    private readonly tasks: KeyedTasks;
 
-    constructor(private readonly options: PeerLinksOptions) {}
+    constructor(private readonly options: PeerLinksOptions) {
+        this.tasks = new KeyedTasks({ name: "peer", clock: options.clock, logger: options.logger });
+    }
 
     /** Keeps one task for each peer until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -14,11 +14,13 @@
 export const termRowSchema = z.object({ epoch: z.number().int().positive(), beat: z.number().int().nonnegative() });
 export type TermRow = z.infer<typeof termRowSchema>;
 
+const MAX_PORT = 65_535;
+
 /** Where a process listens for the inner protocol. */
 export const processRowSchema = z.object({
     vm: z.string(),
-    host: z.string(),
-    port: z.number().int().positive(),
+    host: z.string().min(1),
+    port: z.number().int().positive().max(MAX_PORT),
     dataCentre: z.string(),
     instanceId: z.string(),
 });
--- a/packages/protocol/src/plainTransport.ts
+++ b/packages/protocol/src/plainTransport.ts
@@ -25,10 +25,25 @@
     return server;
 };
 
+/** Opens a socket; an address that cannot be one, such as a port out of range, is an error like any other. */
+const openSocket = ({ host, port }: Address): Result<Socket, ConnectFailure> => {
+    try {
+        return Result.ok(connectTcp(port, host));
+    }
+    catch (err) {
+        return Result.err({ isRefused: false, detail: err instanceof Error ? err.message : String(err) });
+    }
+};
+
 /** Opens a link without encryption. */
 export const connectPlain = (address: Address, timeoutMs: number): Promise<Result<Link, ConnectFailure>> =>
     new Promise(resolve => {
-        const socket = connectTcp(address.port, address.host);
+        const opened = openSocket(address);
+        if (opened.isErr) {
+            resolve(Result.err(opened.error));
+            return;
+        }
+        const socket = opened.value;
         const onError = (err: NodeJS.ErrnoException) => {
             socket.destroy();
             resolve(Result.err({ isRefused: err.code === "ECONNREFUSED", detail: err.message }));
