--- a/tap-snapshots/platform/dist/tests/translations.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/translations.test.js.test.cjs
@@ -424,6 +424,26 @@
 }
 `
 
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > a capacity that no number holds 1`] = `
+{ body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
+`
+
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > a host that is none 1`] = `
+{ body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
+`
+
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > a port out of range 1`] = `
+{ body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
+`
+
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > a sequence that no number holds 1`] = `
+{ body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
+`
+
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > an incarnation that no number holds 1`] = `
+{ body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
+`
+
 exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > draining 1`] = `
 {
   body: '{}',
@@ -465,6 +485,38 @@
 { body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
 `
 
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > no host 1`] = `
+{ body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
+`
+
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > no port 1`] = `
+{ body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
+`
+
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > very deep nesting beside the fields 1`] = `
+{
+  body: '{}',
+  seen: [
+    {
+      address: '127.0.0.1:9',
+      info: {
+        address: '127.0.0.1:9',
+        born: 5,
+        capacity: { accelerators: 8, memoryMb: 100, milliCores: 8000 },
+        dataCentre: 'z',
+        executorId: 'x1',
+        isDraining: false,
+        labels: [ 'kind', 'r1' ],
+        rack: 'r1',
+        service: 's'
+      },
+      sequence: 1
+    }
+  ],
+  status: 200
+}
+`
+
 exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > well-formed 1`] = `
 {
   body: '{}',
