fix(dispatch): take an executor for slow by all that runs on it

Cause: a run was compared with the median of its siblings and with its declared time. Tasks of one step differ by a factor of 3 by themselves, and declared times by more than 20, so long tasks were stopped as slow, and stopped again wherever they started anew.

A run is slow by its executor now: all runs of its step there against those elsewhere, a single run against the slowest of them, and nothing where another run on the executor works as usual.

--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -37,7 +37,7 @@
     readonly teams: readonly Team[];
     readonly timings: Timings;
     /** Time of one task of a step on a healthy executor. */
-    readonly trueMs: (jobId: string, step: number) => Millis;
+    readonly trueMs: (jobId: string, step: number, key: string) => Millis;
     readonly rate?: Rate;
     /** Share of the work at which a run fails; undefined for one that does not. */
     readonly failsAt?: (jobId: string, key: string, run: number) => number | undefined;
@@ -184,7 +184,7 @@
         if (first === undefined || step === undefined) {
             throw new Error(`a start of no task of ${jobId}`);
         }
-        const trueMs = trueMsOf(jobId, stepIndex);
+        const trueMs = trueMsOf(jobId, stepIndex, first.key);
         const savedMs = this.saved.get(taskName(jobId, first.key)) ?? 0;
         const percent = Math.floor(100 * savedMs / trueMs);
         const members = tasks.map(({ key, vm, executorId }): FakeRun => {
--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -21,6 +21,7 @@
     readonly lastProgress: LastProgress;
     readonly measuredOfGroup: ReadonlyMap<RunGroup, readonly MeasuredOnExecutor[]>;
     readonly measuredOfStep: ByStep<MeasuredOnExecutor[]>;
+    readonly measuredOnExecutor: ReadonlyMap<number, readonly MeasuredOnExecutor[]>;
     /** How much longer runs take than estimated, by executor; only where runs of different jobs agree. */
     readonly slowness: ReadonlyMap<number, number>;
     readonly usualSlowness: number;
@@ -56,9 +57,6 @@
 /** Number of other runs of a step against which one is judged. */
 const MIN_SIBLINGS = 2;
 
-/** Slowness that no error of the declared time explains. */
-const IMPOSSIBLE_SLOWNESS = 15;
-
 /** Longest time from a stop to the next start elsewhere that is expected. */
 const RESTART_MS = 700;
 
@@ -92,14 +90,14 @@
     return found;
 };
 
-const slownessByExecutor = (measured: readonly MeasuredOnExecutor[]): ReadonlyMap<number, number> => {
-    const byExecutor = groupBy(measured, ({ executor }) => executor);
-    return new Map(
-        [...byExecutor]
+const slownessByExecutor = (
+    measuredOnExecutor: ReadonlyMap<number, readonly MeasuredOnExecutor[]>,
+): ReadonlyMap<number, number> =>
+    new Map(
+        [...measuredOnExecutor]
             .filter(([, all]) => new Set(all.map(({ group }) => group.view.job.jobId)).size >= MIN_SLOW_JOBS)
             .map(([executor, all]) => [executor, Math.min(...all.map(({ slowness }) => slowness))]),
     );
-};
 
 /** Whether runs on other executors made progress in the time, so that a standstill is not one of the reports. */
 const doNeighboursMove = ({ lastProgress, view: { now } }: MoveContext, own: number, inMs: Millis): boolean => {
@@ -144,23 +142,55 @@
     );
 };
 
-/** The time that the task of a slow run is expected to take elsewhere; undefined without evidence that it is slow. */
+const medianMs = (some: readonly MeasuredOnExecutor[]): Millis => median(some.map(({ measured }) => measured.totalMs));
+
+/**
+ * Whether the runs of a step on one executor are slow against those elsewhere. Tasks of one step differ by up to
+ * `slowFactor` by themselves, so a single run has to be slower than all of them, and several than their median.
+ */
+const areSlowAgainst = (
+    here: readonly MeasuredOnExecutor[],
+    elsewhere: readonly MeasuredOnExecutor[],
+    { slowFactor }: DispatchOptions,
+): boolean => {
+    const fastestMs = Math.min(...here.map(({ measured }) => measured.totalMs));
+    const slowestMs = Math.max(...elsewhere.map(({ measured }) => measured.totalMs));
+    return fastestMs > slowFactor * (here.length > 1 ? medianMs(elsewhere) : slowestMs);
+};
+
+const siblingsElsewhere = (
+    { measuredOfStep }: MoveContext,
+    { group, executor }: MeasuredOnExecutor,
+): readonly MeasuredOnExecutor[] =>
+    (measuredOfStep.get(group.view)?.get(group.stepIndex) ?? [])
+        .filter(other => other.group !== group && other.executor !== executor);
+
+/** Whether a run works as fast as its siblings on other executors, or as its declared time says if it has none. */
+const isUsual = (context: MoveContext, run: MeasuredOnExecutor): boolean => {
+    const elsewhere = siblingsElsewhere(context, run);
+    return elsewhere.length >= MIN_SIBLINGS
+        ? run.measured.totalMs <= medianMs(elsewhere)
+        : run.slowness <= context.usualSlowness;
+};
+
+/** The time that the task of a run on a slow executor should take elsewhere; undefined without evidence of that. */
 const usualTotalMs = (context: MoveContext, own: MeasuredOnExecutor): Millis | undefined => {
-    const { measuredOfStep, slowness, usualSlowness, options, runTimes } = context;
+    const { measuredOnExecutor, slowness, usualSlowness, options, runTimes } = context;
     const { group, executor } = own;
-    const ofStep = measuredOfStep.get(group.view)?.get(group.stepIndex) ?? [];
-    const areAlone = ofStep.length - (context.measuredOfGroup.get(group)?.length ?? 0) < MIN_SIBLINGS;
-    const siblings = areAlone
-        ? []
-        : ofStep.filter(other => other.group !== group && other.executor !== executor);
-    const siblingMs = median(siblings.map(other => other.measured.totalMs));
-    if (siblings.length >= MIN_SIBLINGS && own.measured.totalMs > options.slowFactor * siblingMs) {
-        return siblingMs;
+    const onExecutor = measuredOnExecutor.get(executor) ?? [];
+    // One run at the usual pace shows that the others here are long by themselves.
+    if (onExecutor.some(other => other.group !== group && isUsual(context, other))) {
+        return undefined;
+    }
+    const elsewhere = siblingsElsewhere(context, own);
+    const here = onExecutor.filter(({ group: { view, stepIndex } }) =>
+        view === group.view && stepIndex === group.stepIndex
+    );
+    if (elsewhere.length >= MIN_SIBLINGS && areSlowAgainst(here, elsewhere, options)) {
+        return medianMs(elsewhere);
     }
     const estimatedMs = runTimes.declaredMs(group.view, group.stepIndex) * Math.max(1, usualSlowness);
-    const here = slowness.get(executor) ?? 0;
-    const isExecutorSlow = here > options.slowFactor * usualSlowness;
-    return isExecutorSlow || own.slowness > IMPOSSIBLE_SLOWNESS ? estimatedMs : undefined;
+    return (slowness.get(executor) ?? 0) > options.slowFactor * usualSlowness ? estimatedMs : undefined;
 };
 
 const isSlow = (context: MoveContext, group: RunGroup): boolean => {
@@ -225,6 +255,7 @@
     options: DispatchOptions,
 ): readonly Move[] => {
     const measured = measureAll(groups, runTimes);
+    const measuredOnExecutor = groupBy(measured, ({ executor }) => executor);
     const context: MoveContext = {
         view,
         options,
@@ -232,7 +263,8 @@
         lastProgress: lastProgressOf(view),
         measuredOfGroup: groupBy(measured, ({ group }) => group),
         measuredOfStep: byStep(measured),
-        slowness: slownessByExecutor(measured),
+        measuredOnExecutor,
+        slowness: slownessByExecutor(measuredOnExecutor),
         usualSlowness: median(measured.map(({ slowness }) => slowness)),
     };
     const findMove = (group: RunGroup): readonly Move[] => {
--- a/packages/dispatch/tests/simulation.test.ts
+++ b/packages/dispatch/tests/simulation.test.ts
@@ -7,12 +7,17 @@
 const TRUE_MS = 6_000;
 const RECLAIM_MS = 3_000;
 
-const clusterOf = (size: number, trueMs: number, rate: FakeClusterOptions["rate"] = () => 1): FakeCluster =>
+const clusterOf = (
+    size: number,
+    trueMs: number,
+    rate: FakeClusterOptions["rate"] = () => 1,
+    factorOf: (key: string) => number = () => 1,
+): FakeCluster =>
     new FakeCluster({
         executors: executorsOf(size),
         teams: TEAMS,
         timings: timingsSchema.parse({}),
-        trueMs: () => trueMs,
+        trueMs: (_jobId, _step, key) => trueMs * factorOf(key),
         rate,
     });
 
@@ -86,3 +91,33 @@
     t.ok([...faulty.records.values()].every(({ endedAt }) => endedAt !== undefined), "all jobs complete");
     t.end();
 });
+
+/** Tasks of one step that differ as those of real jobs do: some take three times as long as most. */
+const UNEVEN = [1, 0.7, 1.2, 0.8, 3, 1.1, 0.9, 3.2];
+const unevenFactor = (key: string): number => UNEVEN[Number(key.split(".")[2]) % UNEVEN.length] ?? 1;
+
+const submitUneven = (cluster: FakeCluster, accelerators: readonly number[]): void => {
+    accelerators.forEach((each, number) => {
+        const declaredMs = TRUE_MS * ([0.05, 0.5, 1, 4][number % 4] ?? 1);
+        const steps = [{ count: 8, declaredMs, demand: { accelerators: each } }];
+        cluster.submit(jobOf({ id: `uneven${number}`, acceptedAt: 0, steps }));
+    });
+};
+
+// Guards against long tasks that are stopped as slow, again and again, and start from nothing each time.
+void t.test("a long task among short ones is not taken for a slow executor", t => {
+    const cluster = clusterOf(9, TRUE_MS, () => 1, unevenFactor);
+    submitUneven(cluster, [1, 4, 1, 4, 1, 4, 8, 8]);
+    cluster.runUntil(120_000);
+    t.same(cluster.log, [], "no stops");
+    t.end();
+});
+
+// Guards against a check of the executor that no longer finds one that is slow.
+void t.test("runs leave a slow executor when their siblings elsewhere show it", t => {
+    const cluster = clusterOf(9, TRUE_MS, executor => executor === 0 ? 0.1 : 1, unevenFactor);
+    submitUneven(cluster, [4, 4]);
+    cluster.runUntil(60_000);
+    t.ok(cluster.log.some(line => line.endsWith("slow")), "runs are stopped as slow");
+    t.end();
+});
