perf(platform): start the daemons with a code cache

Seen by callers: after a loss of all power nothing was ordered for 1.5 to 2.2 s, where a render has 2.1 s to spare.

A third of the processor time of a start went into compiling the bundle. The daemons are classic scripts now, and the build runs each once, up to its missing settings, to write the code that a start compiles. The loader goes on without it, with a line if the runtime refuses it.

Processor time up to the settings, bare runtime 0.095 s: entry 0.305 to 0.218 s, agent 0.306 to 0.198 s. Peak memory of an agent 21 to 25 MB and 21 MB.

--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -1,6 +1,12 @@
 // Bundles the programs of deploy/system.toml into target/, straight from the sources.
 import { build } from "esbuild";
+import { spawnSync } from "node:child_process";
+import { copyFileSync, readFileSync, rmSync } from "node:fs";
 import { fileURLToPath } from "node:url";
+import { parse } from "smol-toml";
+
+/** Exit code of a program whose settings are wrong. */
+const USAGE = 2;
 
 const root = new URL("..", import.meta.url);
 
@@ -52,23 +58,47 @@
     },
 };
 
-await build({
+const common = {
     absWorkingDir: fileURLToPath(root),
-    entryPoints: {
-        entry: "platform/src/entryMain.ts",
-        agent: "platform/src/agentMain.ts",
-        export: "platform/src/exportMain.ts",
-    },
     outdir: "target",
-    outExtension: { ".js": ".mjs" },
     bundle: true,
     platform: "node",
     target: "node20",
-    format: "esm",
     minify: true,
     logLevel: "warning",
     plugins: [workspaceSources, smallModules],
+};
+
+const DAEMONS = { entry: "platform/src/entryMain.ts", agent: "platform/src/agentMain.ts" };
+
+await build({ ...common, entryPoints: DAEMONS, format: "cjs", outExtension: { ".js": ".cjs" } });
+await build({
+    ...common,
+    entryPoints: { export: "platform/src/exportMain.ts" },
+    format: "esm",
+    outExtension: { ".js": ".mjs" },
     banner: {
         js: "import { createRequire as nodeCreateRequire } from \"node:module\"; const require = nodeCreateRequire(import.meta.url);",
     },
 });
+
+/** The command of a role; a code cache counts only for the flags of the runtime with which it was written. */
+const commandOf = role => {
+    const deployment = parse(readFileSync(new URL("deploy/system.toml", root), "utf8"));
+    return deployment.roles[role].run.split(" ").slice(1);
+};
+
+/** Runs the program up to its settings, which are missing, and so writes the code that a start compiles. */
+const writeCodeCache = name => {
+    const env = { ...process.env, WRITE_CODE_CACHE: "1", PERSIMMONPITCH_CONFIG: "" };
+    const { status, stderr } = spawnSync(process.execPath, commandOf(name), { cwd: fileURLToPath(root), env });
+    if (status !== USAGE) {
+        throw new Error(`The code cache of ${name} was not written: ${String(stderr)}`);
+    }
+};
+
+for (const name of Object.keys(DAEMONS)) {
+    rmSync(new URL(`target/${name}.cache`, root), { force: true });
+    copyFileSync(new URL("programLoader.mjs", import.meta.url), new URL(`target/${name}.mjs`, root));
+    writeCodeCache(name);
+}
