fix(dispatch): let a standstill last as long as the work that a restart loses

Three tasks that had worked for 7.6 s of 11 without a checkpoint stood still when their server hung, were stopped after 2.2 s, and took 11 s again; the server went on after 5 s, in time for them.

Cause: the limit was a quarter of the time since the run began. A standstill ends or it does not, nobody knows which; whoever waits as long as a restart costs pays at most twice what the best choice would have cost. The new case of dispatchPass stopped the run without checkpoints before.

--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -51,9 +51,6 @@
 /** Progress may be reported in whole percents, so a run may seem to stand still for this many of them. */
 const STANDSTILL_PERCENTS = 3;
 
-/** Share of the unsaved work that a standstill must exceed: what stands still may go on, a restart loses the work. */
-const STANDSTILL_SHARE = 0.25;
-
 /** Number of other runs of a step against which one is judged. */
 const MIN_SIBLINGS = 2;
 
@@ -106,14 +103,18 @@
 };
 
 const standstillLimit = ({ view: { now, timings }, options, runTimes }: MoveContext, group: RunGroup): Millis => {
-    const { view, stepIndex, step, members, workingSince } = group;
+    const { view, stepIndex, step, members, workingSince = now } = group;
     const isResumed = members.some(({ run }) => (run.firstPercent ?? 0) > 0);
-    const elapsedMs = now - (workingSince ?? now);
-    const unsavedMs = step.hasCheckpoints ? Math.min(elapsedMs, timings.checkpointIntervalMs) : elapsedMs;
+    const workedMs = members.reduce(
+        (most, { run: { progressAt = 0 } }) => Math.max(most, progressAt - workingSince),
+        0,
+    );
+    const unsavedMs = step.hasCheckpoints ? Math.min(workedMs, timings.checkpointIntervalMs) : workedMs;
     return Math.max(
         options.stallMs + (isResumed ? timings.restoreMs : 0),
         STANDSTILL_PERCENTS * runTimes.stepMs(view, stepIndex) / 100,
-        STANDSTILL_SHARE * unsavedMs,
+        // What stands still may go on, and a restart loses the work: waiting as long costs twice the best at most.
+        unsavedMs,
     );
 };
 
--- a/packages/dispatch/tests/dispatchPass.test.ts
+++ b/packages/dispatch/tests/dispatchPass.test.ts
@@ -107,6 +107,17 @@
                 : runsOf("well", 1),
         })),
     ),
+    caseOf(
+        "a run that is stopped as stalled before it stood still for as long as it had worked, unless a checkpoint keeps that",
+        [batchOn("worked", 0, 2), batchOn("saved", 0, 2, true), batchOn("well", 1, 1)],
+        executorsOf(2, index => ({
+            runs: index === 0
+                ? ["worked", "saved"].flatMap(id =>
+                    keys(2).map(key => runOf(id, key, 11_000, 60, { progressAt: START - 3_000 }))
+                )
+                : runsOf("well", 1),
+        })),
+    ),
     caseOf(
         "runs of two jobs on a slow executor that stay there",
         ["a", "b", "c", "d", "e"].map((id, index) => batchOn(id, index < 2 ? 0 : 1, 1)),
--- a/tap-snapshots/packages/dispatch/dist/tests/dispatchPass.test.js.test.cjs
+++ b/tap-snapshots/packages/dispatch/dist/tests/dispatchPass.test.js.test.cjs
@@ -28,6 +28,11 @@
 
 `
 
+exports[`packages/dispatch/dist/tests/dispatchPass.test.js > TAP > decisions on single views > a run that is stopped as stalled before it stood still for as long as it had worked, unless a checkpoint keeps that 1`] = `
+stop saved.0.0.0 run 1: stalled
+stop saved.0.0.1 run 1: stalled
+`
+
 exports[`packages/dispatch/dist/tests/dispatchPass.test.js > TAP > decisions on single views > a stalled run that nobody moves, and gangs stopped in part 1`] = `
 stop stuck.0.0.0 run 1: stalled
 stop stuck.0.0.1 run 1: stalled
