refactor(dispatch): look at the other runs of an executor only where one is slow

A pass compared each run with those of its step for every other run on its executor. The evidence comes first now, and what acquits the executor after it; decisions are the same.

--- a/packages/dispatch/src/moves.ts
+++ b/packages/dispatch/src/moves.ts
@@ -160,11 +160,14 @@
 };
 
 const siblingsElsewhere = (
-    { measuredOfStep }: MoveContext,
+    { measuredOfStep, measuredOfGroup }: MoveContext,
     { group, executor }: MeasuredOnExecutor,
-): readonly MeasuredOnExecutor[] =>
-    (measuredOfStep.get(group.view)?.get(group.stepIndex) ?? [])
-        .filter(other => other.group !== group && other.executor !== executor);
+): readonly MeasuredOnExecutor[] => {
+    const ofStep = measuredOfStep.get(group.view)?.get(group.stepIndex) ?? [];
+    // All members of a gang are of one group: without this, each of them would look at all others.
+    const hasNone = ofStep.length === (measuredOfGroup.get(group)?.length ?? 0);
+    return hasNone ? [] : ofStep.filter(other => other.group !== group && other.executor !== executor);
+};
 
 /** Whether a run works as fast as its siblings on other executors, or as its declared time says if it has none. */
 const isUsual = (context: MoveContext, run: MeasuredOnExecutor): boolean => {
@@ -174,17 +177,12 @@
         : run.slowness <= context.usualSlowness;
 };
 
-/** The time that the task of a run on a slow executor should take elsewhere; undefined without evidence of that. */
-const usualTotalMs = (context: MoveContext, own: MeasuredOnExecutor): Millis | undefined => {
+/** The time that the task should take elsewhere if its run is slow, by its siblings or by all runs on its executor. */
+const slowAgainstMs = (context: MoveContext, own: MeasuredOnExecutor): Millis | undefined => {
     const { measuredOnExecutor, slowness, usualSlowness, options, runTimes } = context;
     const { group, executor } = own;
-    const onExecutor = measuredOnExecutor.get(executor) ?? [];
-    // One run at the usual pace shows that the others here are long by themselves.
-    if (onExecutor.some(other => other.group !== group && isUsual(context, other))) {
-        return undefined;
-    }
     const elsewhere = siblingsElsewhere(context, own);
-    const here = onExecutor.filter(({ group: { view, stepIndex } }) =>
+    const here = (measuredOnExecutor.get(executor) ?? []).filter(({ group: { view, stepIndex } }) =>
         view === group.view && stepIndex === group.stepIndex
     );
     if (elsewhere.length >= MIN_SIBLINGS && areSlowAgainst(here, elsewhere, options)) {
@@ -194,6 +192,13 @@
     return (slowness.get(executor) ?? 0) > options.slowFactor * usualSlowness ? estimatedMs : undefined;
 };
 
+/** The same, but undefined where another run on the executor is not slow: the task is then long by itself. */
+const usualTotalMs = (context: MoveContext, own: MeasuredOnExecutor): Millis | undefined => {
+    const usualMs = slowAgainstMs(context, own);
+    const others = usualMs === undefined ? [] : context.measuredOnExecutor.get(own.executor) ?? [];
+    return others.some(other => other.group !== own.group && isUsual(context, other)) ? undefined : usualMs;
+};
+
 const isSlow = (context: MoveContext, group: RunGroup): boolean => {
     const { options, view: { timings } } = context;
     return (context.measuredOfGroup.get(group) ?? []).some(own => {
