--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -1,3 +1,4 @@
+import { MAX_PORT } from "@persimmonpitch/protocol/port.js";
 import { z } from "zod";
 
 /** Which process decides, and under which epoch. */
@@ -14,8 +15,6 @@
 export const termRowSchema = z.object({ epoch: z.number().int().positive(), beat: z.number().int().nonnegative() });
 export type TermRow = z.infer<typeof termRowSchema>;
 
-const MAX_PORT = 65_535;
-
 /** Where a process listens for the inner protocol. */
 export const processRowSchema = z.object({
     vm: z.string(),
--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -36,7 +36,7 @@
     readonly executors: readonly ExecutorView[];
     readonly teams: readonly Team[];
     readonly timings: Timings;
-    /** Time of one task of a step on a healthy executor. */
+    /** Time of a task on a healthy executor; for a gang, that of its first task. */
     readonly trueMs: (jobId: string, step: number, key: string) => Millis;
     readonly rate?: Rate;
     /** Share of the work at which a run fails; undefined for one that does not. */
