perf(platform): start the programs without compiling the runtime's own modules

Cause: any V8 flag on the command line makes V8 reject the code cache that the runtime ships for its own modules, so each start compiled http, net and others; the ES module loader, HTTP/2, TLS and worker threads were loaded for nothing, and the code cache of the bundle ended at the settings. Change: a CommonJS loader sets the flags after the modules are loaded, unused modules are left out of the bundles, and the build runs both programs through one job on loopback before it writes the caches.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -17,8 +17,12 @@
     },
     // Scripts stand outside the TypeScript projects, so the rules that need types do not apply to them.
     {
-        files: ["**/*.mjs"],
+        files: ["**/*.mjs", "**/*.cjs"],
         extends: [tseslint.configs.disableTypeChecked],
         languageOptions: { parserOptions: { projectService: false } },
     },
+    {
+        files: ["**/*.cjs"],
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
 );
--- a/packages/agent/src/agentSettings.ts
+++ b/packages/agent/src/agentSettings.ts
@@ -1,6 +1,6 @@
 import { endpointKindSchema } from "@persimmonpitch/schema/configuration.js";
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Address at which an entry accepts connections from agents, and the entry's data centre. */
 export const entryAddressSchema = z.strictObject({
--- a/packages/backing/src/httpClient.ts
+++ b/packages/backing/src/httpClient.ts
@@ -1,7 +1,7 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { Result } from "true-myth";
 import { Agent } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import { errorResponseSchema } from "./tableProtocol.js";
 
 /** Options of an HTTP client for one platform service. */
--- a/packages/backing/src/httpTable.ts
+++ b/packages/backing/src/httpTable.ts
@@ -3,7 +3,7 @@
 import type { CircuitBreakerPolicy } from "cockatiel";
 import { BrokenCircuitError, circuitBreaker, ConsecutiveBreaker, handleType } from "cockatiel";
 import { Result } from "true-myth";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { HttpClientOptions, HttpRequest, HttpResponse } from "./httpClient.js";
 import { errorDetail, HttpClient, parseResponse } from "./httpClient.js";
 import { RetryBudget } from "./retryBudget.js";
--- a/packages/backing/src/httpWorker.ts
+++ b/packages/backing/src/httpWorker.ts
@@ -1,5 +1,5 @@
 import { Result } from "true-myth";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { HttpClientOptions, HttpRequest } from "./httpClient.js";
 import { HttpClient, parseResponse } from "./httpClient.js";
 import type { StartTaskRequest, Worker, WorkerError, WorkerTask } from "./worker.js";
--- a/packages/backing/src/objectStore.ts
+++ b/packages/backing/src/objectStore.ts
@@ -1,5 +1,5 @@
 import type { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Response to `PUT /objects`. */
 export const putResponseSchema = z.object({ key: z.string() });
--- a/packages/backing/src/runRecord.ts
+++ b/packages/backing/src/runRecord.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A task run as recorded by the worker that executed it. */
 export const taskRunSchema = z.object({
--- a/packages/backing/src/table.ts
+++ b/packages/backing/src/table.ts
@@ -1,5 +1,5 @@
 import type { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A row of the platform's table; each write increments its version. */
 export const rowSchema = z.object({ key: z.string(), version: z.number().int().positive(), value: z.unknown() });
--- a/packages/backing/src/tableProtocol.ts
+++ b/packages/backing/src/tableProtocol.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Response to `POST /transactions` and `GET /writes/ID`: the new versions of the rows that were put. */
 export const commitResponseSchema = z.object({ versions: z.record(z.string(), z.number().int().positive()) });
--- a/packages/backing/src/worker.ts
+++ b/packages/backing/src/worker.ts
@@ -1,5 +1,5 @@
 import type { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 
 export const taskStateSchema = z.enum(["held", "running", "stopped", "finished", "failed"]);
 export type TaskState = z.infer<typeof taskStateSchema>;
--- a/packages/backing/src/workerProtocol.ts
+++ b/packages/backing/src/workerProtocol.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { workerTaskSchema } from "./worker.js";
 
 /** Body of `POST /leases`. */
--- a/packages/bench/src/measuresSchema.ts
+++ b/packages/bench/src/measuresSchema.ts
@@ -1,6 +1,6 @@
 import { millisSchema } from "@persimmonpitch/schema/identifier.js";
 import { workClassSchema } from "@persimmonpitch/schema/job.js";
-import { z } from "zod";
+import * as z from "zod";
 
 const countSchema = z.number().int().nonnegative();
 const shareSchema = z.number().min(0).max(1);
--- a/packages/bench/src/scoreHistory.ts
+++ b/packages/bench/src/scoreHistory.ts
@@ -1,6 +1,6 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
-import { z } from "zod";
+import * as z from "zod";
 
 const journalEntrySchema = z.object({
     cmd: z.string(),
--- a/packages/bench/src/stepsProfile.ts
+++ b/packages/bench/src/stepsProfile.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Demand } from "@persimmonpitch/workload/step.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Installations that days of jobs of steps are generated for. */
 export const stepsDeploymentSchema = z.enum(["cooperative", "lentesud"]);
--- a/packages/bench/src/stepsTraceSchema.ts
+++ b/packages/bench/src/stepsTraceSchema.ts
@@ -2,7 +2,7 @@
 import { demandSchema } from "@persimmonpitch/workload/step.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import { timingsSchema } from "@persimmonpitch/workload/timings.js";
-import { z } from "zod";
+import * as z from "zod";
 import { stepsDeploymentSchema } from "./stepsProfile.js";
 
 /** A day without faults, or one on which all executors lose what runs. */
--- a/packages/bench/src/traceSchema.ts
+++ b/packages/bench/src/traceSchema.ts
@@ -1,7 +1,7 @@
 import { guaranteeSchema, inventoryVmSchema, rulesSchema, teamSchema } from "@persimmonpitch/schema/configuration.js";
 import { identifierSchema, millisSchema } from "@persimmonpitch/schema/identifier.js";
 import { jobSpecSchema } from "@persimmonpitch/schema/job.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Names of the deployments that traces are generated for. */
 export const deploymentNameSchema = z.enum(["cooperative", "lentesud", "plan"]);
--- a/packages/burn/src/burnReport.ts
+++ b/packages/burn/src/burnReport.ts
@@ -1,7 +1,7 @@
 /** The report on objectives: error budget spent, burn rates and percentiles, as JSON. */
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { millisSchema } from "@persimmonpitch/schema/identifier.js";
-import { z } from "zod";
+import * as z from "zod";
 import type { BurnRecorder, BurnWindow } from "./burnRecorder.js";
 import { BURN_WINDOWS } from "./burnRecorder.js";
 import type { GoodBad } from "./countRing.js";
--- a/packages/burn/src/objective.ts
+++ b/packages/burn/src/objective.ts
@@ -1,7 +1,7 @@
 /** Service-level objectives: which share of a class of work must be answered within which time. */
 import { millisSchema } from "@persimmonpitch/schema/identifier.js";
 import { workClassSchema } from "@persimmonpitch/schema/job.js";
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_BUDGET_DAYS = 30;
 
--- a/packages/capacity/src/capacity.ts
+++ b/packages/capacity/src/capacity.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 import meow from "meow";
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import type { Measured } from "./measurement.js";
 import { measuredSchema } from "./measurement.js";
 import type { MeasurementName } from "./measurements.js";
--- a/packages/capacity/src/fit.ts
+++ b/packages/capacity/src/fit.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A straight line through measured points. */
 export const fitSchema = z.object({
--- a/packages/capacity/src/measurement.ts
+++ b/packages/capacity/src/measurement.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { fitSchema } from "./fit.js";
 
 /** What was measured at one size. */
--- a/packages/capacity/src/verdicts.ts
+++ b/packages/capacity/src/verdicts.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { FitBook, MissingFigure } from "./fitBook.js";
 import type { Measured } from "./measurement.js";
 import { alignRows, formatNumber } from "./report.js";
--- a/packages/cli/src/apiClient.ts
+++ b/packages/cli/src/apiClient.ts
@@ -3,7 +3,7 @@
 import type { Result } from "true-myth/result";
 import { Agent, request } from "undici";
 import type { Dispatcher } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { CliFailure, FailedEntry } from "./cliFailure.js";
 import type { CliSettings } from "./cliSettings.js";
 
--- a/packages/cli/src/cliFlags.ts
+++ b/packages/cli/src/cliFlags.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const wholeNumberSchema = z.string().regex(/^\d{1,15}$/, "expected a whole number").transform(Number);
 const textSchema = z.string().min(1, "expected a value");
--- a/packages/cli/src/cliSettings.ts
+++ b/packages/cli/src/cliSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The file that `--settings` names. */
 export const cliSettingsSchema = z.strictObject({
--- a/packages/cli/src/readInput.ts
+++ b/packages/cli/src/readInput.ts
@@ -2,7 +2,7 @@
 import { readText } from "@persimmonpitch/settings/readSettings.js";
 import { err, ok } from "true-myth/result";
 import type { Result } from "true-myth/result";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { CliFailure } from "./cliFailure.js";
 
 /** Reads a TOML file whose fields may be completed by options, and checks the whole. */
--- a/packages/cli/src/readingCommand.ts
+++ b/packages/cli/src/readingCommand.ts
@@ -1,5 +1,5 @@
 import { err } from "true-myth/result";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Command, CommandOutput } from "./command.js";
 
 /** What differs between commands that read one answer and print it. */
--- a/packages/control/src/replica.ts
+++ b/packages/control/src/replica.ts
@@ -4,7 +4,7 @@
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import type { ChangedRow, StoredRow } from "@persimmonpitch/workload/storedRow.js";
-import type { z } from "zod";
+import type * as z from "zod";
 import { parseRow } from "./parseRow.js";
 import type { CancelRow, ProcessRow, RoleRow, TermRow } from "./rows.js";
 import { cancelRowSchema, processRowSchema, roleRowSchema, termRowSchema } from "./rows.js";
--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -1,5 +1,5 @@
 import { MAX_PORT } from "@persimmonpitch/protocol/port.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Holder of the controller role and its epoch. */
 export const roleRowSchema = z.object({
--- a/packages/entry/src/adminRoutes.ts
+++ b/packages/entry/src/adminRoutes.ts
@@ -5,7 +5,7 @@
 import { configurationBodySchema, configurationSchema } from "@persimmonpitch/schema/configuration.js";
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
 import type { FastifyInstance } from "fastify";
-import { z } from "zod";
+import * as z from "zod";
 import type { ApiContext } from "./apiContext.js";
 import { requireConfiguration, requireOperator } from "./apiContext.js";
 import { checkConfiguration } from "./checkConfiguration.js";
--- a/packages/entry/src/configStore.ts
+++ b/packages/entry/src/configStore.ts
@@ -7,7 +7,7 @@
 import { configurationSchema } from "@persimmonpitch/schema/configuration.js";
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A loaded configuration must be in force in the whole region within 4 s, even if the push to a process was lost. */
 const POLL_INTERVAL_MS: Millis = 1_000;
--- a/packages/entry/src/directRequestRoutes.ts
+++ b/packages/entry/src/directRequestRoutes.ts
@@ -9,7 +9,7 @@
 import type { Ran } from "@persimmonpitch/schema/job.js";
 import type { FastifyInstance } from "fastify";
 import { randomUUID } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type { ApiContext } from "./apiContext.js";
 import { requireConfiguration, requireTeam } from "./apiContext.js";
 import type { DirectRequestOutcome } from "./directRequestDispatcher.js";
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -1,7 +1,7 @@
 import { objectivesSchema } from "@persimmonpitch/burn/objective.js";
 import { operatorSchema } from "@persimmonpitch/schema/configuration.js";
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
-import { z } from "zod";
+import * as z from "zod";
 
 const portSchema = z.number().int().min(0).max(65_535);
 
--- a/packages/entry/src/jobRoutes.ts
+++ b/packages/entry/src/jobRoutes.ts
@@ -8,7 +8,7 @@
 import { jobRequestSchema } from "@persimmonpitch/schema/job.js";
 import type { FastifyInstance } from "fastify";
 import { randomUUID } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type { ApiContext } from "./apiContext.js";
 import { requireConfiguration, requireTeam } from "./apiContext.js";
 import { ProblemError, toFindings } from "./problems.js";
--- a/packages/entry/src/publicRoutes.ts
+++ b/packages/entry/src/publicRoutes.ts
@@ -11,7 +11,7 @@
 import { jobRecordSchema, jobRequestSchema } from "@persimmonpitch/schema/job.js";
 import { problemSchema } from "@persimmonpitch/schema/problem.js";
 import type { FastifyInstance } from "fastify";
-import { z } from "zod";
+import * as z from "zod";
 import type { ApiContext } from "./apiContext.js";
 
 const SCHEMAS = {
--- a/packages/history/src/exportFormat.ts
+++ b/packages/history/src/exportFormat.ts
@@ -1,5 +1,5 @@
 import { digestSchema, identifierSchema, millisSchema } from "@persimmonpitch/schema/identifier.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The last line of an export. */
 export const manifestSchema = z.object({
--- a/packages/history/src/exportStepJobs.ts
+++ b/packages/history/src/exportStepJobs.ts
@@ -8,7 +8,7 @@
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import type { RowPage, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import { createHash } from "node:crypto";
-import type { z } from "zod";
+import type * as z from "zod";
 import { ExportError } from "./exportHistory.js";
 import type { StepJobLine } from "./stepJobExport.js";
 
--- a/packages/history/src/historyRow.ts
+++ b/packages/history/src/historyRow.ts
@@ -1,6 +1,6 @@
 import type { HistoryRecord } from "@persimmonpitch/schema/historyRecord.js";
 import { historyRecordSchema } from "@persimmonpitch/schema/historyRecord.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The value of a history row. */
 export const historyRowSchema = z.object({ records: z.array(historyRecordSchema).min(1) });
--- a/packages/history/src/runEvidence.ts
+++ b/packages/history/src/runEvidence.ts
@@ -3,7 +3,7 @@
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
 import type { JobRecord } from "@persimmonpitch/schema/job.js";
 import { ranSchema } from "@persimmonpitch/schema/job.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a caller was told about one of its jobs or direct requests. */
 export const toldAnswerSchema = z.object({
--- a/packages/history/src/stepJobExport.ts
+++ b/packages/history/src/stepJobExport.ts
@@ -1,6 +1,6 @@
 import { outcomeSchema, placementSchema } from "@persimmonpitch/workload/progress.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** State of one task that was ever started. */
 const exportedTaskSchema = z.object({
--- a/packages/inventory/src/inventoryFile.ts
+++ b/packages/inventory/src/inventoryFile.ts
@@ -6,7 +6,7 @@
     teamSchema,
 } from "@persimmonpitch/schema/configuration.js";
 import { identifierSchema } from "@persimmonpitch/schema/identifier.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A rack whose VMs are alike; a rack with two kinds of VM is written as two tables of the same id. */
 export const rackTableSchema = inventoryVmSchema.omit({ rack: true }).extend({
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -2,7 +2,7 @@
 import { historyRecordSchema } from "@persimmonpitch/schema/historyRecord.js";
 import { digestSchema, identifierSchema, millisSchema } from "@persimmonpitch/schema/identifier.js";
 import { ranSchema } from "@persimmonpitch/schema/job.js";
-import { z } from "zod";
+import * as z from "zod";
 import { orderMethods, taskReportSchema } from "./taskMessages.js";
 
 /** Version of the inner protocol; incremented with each incompatible change. */
--- a/packages/protocol/src/executorMessages.ts
+++ b/packages/protocol/src/executorMessages.ts
@@ -1,5 +1,5 @@
 import { executorInfoSchema, runListSchema, startRefusalSchema } from "@persimmonpitch/workload/executorReport.js";
-import { z } from "zod";
+import * as z from "zod";
 
 const epochSchema = z.number().int().positive();
 /** Executor on the agent's VM that a call is for; an old one may still be draining while its successor starts. */
--- a/packages/protocol/src/method.ts
+++ b/packages/protocol/src/method.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** Schemas of the parameters and the result of one method. */
 export interface Method {
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -1,5 +1,5 @@
 import { identifierSchema, millisSchema } from "@persimmonpitch/schema/identifier.js";
-import { z } from "zod";
+import * as z from "zod";
 import { agentIdentitySchema, agentReportSchema } from "./agentMessages.js";
 
 /** State of one agent of the sending entry. */
--- a/packages/protocol/src/storeMessages.ts
+++ b/packages/protocol/src/storeMessages.ts
@@ -8,7 +8,7 @@
     rowRangeSchema,
     rowTransactionSchema,
 } from "@persimmonpitch/workload/storedRow.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Table that a forwarded call is for: the system's own rows or the operator's rows. */
 export const storeTableSchema = z.enum(["state", "operator"]);
--- a/packages/protocol/src/taskMessages.ts
+++ b/packages/protocol/src/taskMessages.ts
@@ -1,5 +1,5 @@
 import { identifierSchema, millisSchema } from "@persimmonpitch/schema/identifier.js";
-import { z } from "zod";
+import * as z from "zod";
 
 /** States of a task as known to its agent. */
 export const agentTaskStateSchema = z.enum(["reserved", "running", "stopping", "stopped", "finished", "failed"]);
--- a/packages/scheduler/src/jobStore.ts
+++ b/packages/scheduler/src/jobStore.ts
@@ -6,7 +6,7 @@
 import { isTerminal, jobRecordSchema } from "@persimmonpitch/schema/job.js";
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import { rowKeys } from "./rowKeys.js";
 
 /** A job record with the version of its row. */
--- a/packages/scheduler/src/roleLease.ts
+++ b/packages/scheduler/src/roleLease.ts
@@ -2,7 +2,7 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import { randomUUID } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import { CLOCK_DRIFT_FACTOR } from "./leaseTimes.js";
 import { rowKeys } from "./rowKeys.js";
 
--- a/packages/schema/src/apiAnswers.ts
+++ b/packages/schema/src/apiAnswers.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { digestSchema, identifierSchema, millisSchema } from "./identifier.js";
 import { jobRecordSchema, jobStateSchema } from "./job.js";
 
--- a/packages/schema/src/directRequest.ts
+++ b/packages/schema/src/directRequest.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { identifierSchema, millisSchema } from "./identifier.js";
 import { workClassSchema } from "./job.js";
 
--- a/packages/schema/src/gang.ts
+++ b/packages/schema/src/gang.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** How near the members of a gang must be to one another, from nearest to farthest. */
 export const adjacencySchema = z.enum(["vm", "rack", "dataCentre", "any"]);
--- a/packages/schema/src/identifier.ts
+++ b/packages/schema/src/identifier.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const IDENTIFIER_MAX_LENGTH = 64;
 
--- a/packages/schema/src/job.ts
+++ b/packages/schema/src/job.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { gangShapeSchema } from "./gang.js";
 import { identifierSchema, millisSchema } from "./identifier.js";
 
--- a/packages/schema/src/problem.ts
+++ b/packages/schema/src/problem.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ranSchema } from "./job.js";
 
 /** A finding as it is sent to a client. */
--- a/packages/settings/src/parseToml.ts
+++ b/packages/settings/src/parseToml.ts
@@ -3,7 +3,7 @@
 import { parse, TomlError } from "smol-toml";
 import { err, isErr, ok } from "true-myth/result";
 import type { Result } from "true-myth/result";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { LineOf } from "./keyLines.js";
 import { keyLines } from "./keyLines.js";
 import { formatKeyPath } from "./keyPath.js";
--- a/packages/settings/src/readSettings.ts
+++ b/packages/settings/src/readSettings.ts
@@ -3,7 +3,7 @@
 import { readFileSync } from "node:fs";
 import { err, ok } from "true-myth/result";
 import type { Result } from "true-myth/result";
-import type { z } from "zod";
+import type * as z from "zod";
 import { parseToml } from "./parseToml.js";
 import { settingsMessages } from "./settingsMessages.js";
 
--- a/packages/settings/tests/parseToml.test.ts
+++ b/packages/settings/tests/parseToml.test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import t from "tap";
 import { isOk } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { parseToml } from "../src/parseToml.js";
 import { readSettings } from "../src/readSettings.js";
 
--- a/packages/standins/src/memoryExecutor.ts
+++ b/packages/standins/src/memoryExecutor.ts
@@ -2,7 +2,7 @@
 import type { Executor, ExecutorRequest, WorkerError } from "@persimmonpitch/backing/worker.js";
 import type { Clock } from "@persimmonpitch/clock/clock.js";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "./parseJson.js";
 
 /** Faults that a test can cause. */
--- a/packages/standins/src/memoryObjectStore.ts
+++ b/packages/standins/src/memoryObjectStore.ts
@@ -1,7 +1,7 @@
 import type { ObjectStore, ObjectStoreError } from "@persimmonpitch/backing/objectStore.js";
 import type { Clock } from "@persimmonpitch/clock/clock.js";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Faults that a test can cause. */
 export const objectStoreFaultsSchema = z.object({
--- a/packages/standins/src/memoryRowStore.ts
+++ b/packages/standins/src/memoryRowStore.ts
@@ -13,7 +13,7 @@
     StoredRow,
 } from "@persimmonpitch/workload/storedRow.js";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Faults that a test can cause. */
 export const rowStoreFaultsSchema = z.object({
--- a/packages/standins/src/memoryTable.ts
+++ b/packages/standins/src/memoryTable.ts
@@ -1,7 +1,7 @@
 import type { Row, ScanPage, Table, TableError, Transaction } from "@persimmonpitch/backing/table.js";
 import type { Clock } from "@persimmonpitch/clock/clock.js";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Faults that a test can cause. */
 export const tableFaultsSchema = z.object({
--- a/packages/standins/src/memoryWorker.ts
+++ b/packages/standins/src/memoryWorker.ts
@@ -3,7 +3,7 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "./parseJson.js";
 
 /** Faults that a test can cause. */
--- a/packages/standins/src/objectStoreServer.ts
+++ b/packages/standins/src/objectStoreServer.ts
@@ -1,6 +1,6 @@
 import type { ObjectStoreError } from "@persimmonpitch/backing/objectStore.js";
 import type { FastifyReply } from "fastify";
-import { z } from "zod";
+import * as z from "zod";
 import type { MemoryObjectStore } from "./memoryObjectStore.js";
 import { objectStoreFaultsSchema } from "./memoryObjectStore.js";
 import type { ListenOptions, RunningServer } from "./server.js";
--- a/packages/standins/src/parseJson.ts
+++ b/packages/standins/src/parseJson.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** Parses JSON text against a schema; `undefined` when either does not fit. */
 export const parseJson = <Schema extends z.ZodType>(schema: Schema, text: string): z.infer<Schema> | undefined => {
--- a/packages/standins/src/server.ts
+++ b/packages/standins/src/server.ts
@@ -1,6 +1,6 @@
 import type { FastifyInstance, FastifyReply } from "fastify";
 import fastify from "fastify";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Where a stand-in listens; port 0 takes any free port. */
 export interface ListenOptions {
--- a/packages/standins/src/standinsSettings.ts
+++ b/packages/standins/src/standinsSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_ENDPOINTS = 200;
 
--- a/packages/standins/src/stepExecutorFaults.ts
+++ b/packages/standins/src/stepExecutorFaults.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Faults that a test can cause. */
 export const stepExecutorFaultsSchema = z.object({
--- a/packages/standins/src/stepWork.ts
+++ b/packages/standins/src/stepWork.ts
@@ -1,6 +1,6 @@
 import { demandSchema } from "@persimmonpitch/workload/step.js";
 import { parseTaskName } from "@persimmonpitch/workload/taskName.js";
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "./parseJson.js";
 
 /** What a run does on the in-memory executor. */
--- a/packages/standins/src/tableServer.ts
+++ b/packages/standins/src/tableServer.ts
@@ -2,7 +2,7 @@
 import { transactionSchema } from "@persimmonpitch/backing/table.js";
 import { scanQuerySchema } from "@persimmonpitch/backing/tableProtocol.js";
 import type { FastifyReply } from "fastify";
-import { z } from "zod";
+import * as z from "zod";
 import type { MemoryTable } from "./memoryTable.js";
 import { tableFaultsSchema } from "./memoryTable.js";
 import type { ListenOptions, RunningServer } from "./server.js";
--- a/packages/standins/src/workerServer.ts
+++ b/packages/standins/src/workerServer.ts
@@ -7,7 +7,7 @@
 } from "@persimmonpitch/backing/workerProtocol.js";
 import type { FastifyReply } from "fastify";
 import type { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import type { MemoryWorker } from "./memoryWorker.js";
 import { workerFaultsSchema } from "./memoryWorker.js";
 import type { ListenOptions, RunningServer } from "./server.js";
--- a/packages/verification/tests/apiMalformedBodies.ts
+++ b/packages/verification/tests/apiMalformedBodies.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import t from "tap";
-import type { z } from "zod";
+import type * as z from "zod";
 import { ENTRY, SEED, startCall, startSmall } from "./apiFixture.js";
 import { brokenText, INPUTS, oddValue, oneFieldChanged } from "./apiMalformed.js";
 
--- a/packages/workload/src/clusterConfig.ts
+++ b/packages/workload/src/clusterConfig.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * How long the advice service of a queue takes and how long its answers hold. A step of such a queue starts only on
--- a/packages/workload/src/executorReport.ts
+++ b/packages/workload/src/executorReport.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { demandSchema } from "./step.js";
 
 /** Identity, state and capacity that an executor reports. */
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Executor on which a run of a task was ordered. */
 export const placementSchema = z.object({
--- a/packages/workload/src/progressRow.ts
+++ b/packages/workload/src/progressRow.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { JobProgress, Placement, TaskProgress } from "./progress.js";
 import { outcomeSchema, placementSchema } from "./progress.js";
 
--- a/packages/workload/src/step.ts
+++ b/packages/workload/src/step.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_TASKS_PER_STEP = 1_000;
 
--- a/packages/workload/src/stepJob.ts
+++ b/packages/workload/src/stepJob.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { stepSchema } from "./step.js";
 
 const MAX_STEPS = 200;
--- a/packages/workload/src/storedRow.ts
+++ b/packages/workload/src/storedRow.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A row of the store; its version comes from a single counter that increases with each transaction. */
 export const storedRowSchema = z.object({ key: z.string(), value: z.string(), version: z.number() });
--- a/packages/workload/src/timings.ts
+++ b/packages/workload/src/timings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Time limits and delays that an installation configures, in milliseconds, and the slowdown of spread tasks. */
 export const timingsSchema = z.object({
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -1,12 +1,8 @@
 // Bundles the programs of deploy/system.toml into target/, straight from the sources.
 import { build } from "esbuild";
-import { spawnSync } from "node:child_process";
-import { copyFileSync, readFileSync, rmSync } from "node:fs";
+import { copyFileSync, rmSync } from "node:fs";
 import { fileURLToPath } from "node:url";
-import { parse } from "smol-toml";
-
-/** Exit code of a program whose settings are wrong. */
-const USAGE = 2;
+import { playJob } from "./playJob.mjs";
 
 const root = new URL("..", import.meta.url);
 
@@ -22,27 +18,44 @@
     },
 };
 
+const NO_SCHEMA_COMPILER =
+    "module.exports = () => () => { throw new Error(\"Routes with schemas need a compiler.\"); };";
+
 /** Modules in place of those of which a program uses a small part; they are the most of its memory and start-up time. */
 const SMALL_MODULES = {
-    // The rest of the library is fetch, WebSocket, caches and mocks; its main module adds the methods as here.
+    // The rest of the library is fetch, WebSocket, caches and mocks; its main module adds the method as here.
     undici: `
-        import api from "undici/lib/api/index.js";
+        import request from "undici/lib/api/api-request.js";
         import Dispatcher from "undici/lib/dispatcher/dispatcher.js";
         import Pool from "undici/lib/dispatcher/pool.js";
-        Object.assign(Dispatcher.prototype, api);
+        Dispatcher.prototype.request = request;
         export { Pool };
     `,
     // Routes have no schemas: bodies are checked by zod, and JSON.stringify writes the answers.
-    "@fastify/ajv-compiler":
-        "module.exports = () => () => { throw new Error(\"Routes with schemas need a compiler.\"); };",
-    "@fastify/fast-json-stringify-compiler":
-        "module.exports = () => () => { throw new Error(\"Routes with schemas need a compiler.\"); };",
+    "@fastify/ajv-compiler": NO_SCHEMA_COMPILER,
+    "@fastify/fast-json-stringify-compiler": NO_SCHEMA_COMPILER,
+    // Requests that a test injects.
+    "light-my-request": "module.exports = undefined;",
+    // Versions of plugins, of which there are none.
+    semver: "module.exports = {};",
+    // Addresses behind a trusted proxy.
+    "@fastify/proxy-addr": "module.exports = {};",
+    // Destinations of log lines; the programs write them themselves.
+    "sonic-boom": "module.exports = class {};",
+    "thread-stream": "module.exports = class {};",
+    // HTTP/2 and HTTPS are not spoken, and no worker thread is started.
+    "node:http2": "module.exports = { constants: {} };",
+    "node:https": "module.exports = {};",
+    worker_threads: "module.exports = { isMainThread: true };",
+    "node:worker_threads": "module.exports = { isMainThread: true };",
 };
 
+const smallModuleFilter = new RegExp(`^(${Object.keys(SMALL_MODULES).join("|")})$`);
+
 const smallModules = {
     name: "small-modules",
     setup: ({ onLoad, onResolve }) => {
-        onResolve({ filter: /^(undici|@fastify\/(ajv|fast-json-stringify)-compiler)$/ }, ({ path, resolveDir }) => ({
+        onResolve({ filter: smallModuleFilter }, ({ path, resolveDir }) => ({
             path,
             namespace: "small",
             pluginData: resolveDir,
@@ -71,7 +84,7 @@
 
 const DAEMONS = { entry: "platform/src/entryMain.ts", agent: "platform/src/agentMain.ts" };
 
-await build({ ...common, entryPoints: DAEMONS, format: "cjs", outExtension: { ".js": ".cjs" } });
+await build({ ...common, entryPoints: DAEMONS, format: "cjs", outExtension: { ".js": ".bundle.cjs" } });
 await build({
     ...common,
     entryPoints: { export: "platform/src/exportMain.ts" },
@@ -82,23 +95,9 @@
     },
 });
 
-/** The command of a role; a code cache counts only for the flags of the runtime with which it was written. */
-const commandOf = role => {
-    const deployment = parse(readFileSync(new URL("deploy/system.toml", root), "utf8"));
-    return deployment.roles[role].run.split(" ").slice(1);
-};
-
-/** Runs the program up to its settings, which are missing, and so writes the code that a start compiles. */
-const writeCodeCache = name => {
-    const env = { ...process.env, WRITE_CODE_CACHE: "1", PERSIMMONPITCH_CONFIG: "" };
-    const { status, stderr } = spawnSync(process.execPath, commandOf(name), { cwd: fileURLToPath(root), env });
-    if (status !== USAGE) {
-        throw new Error(`The code cache of ${name} was not written: ${String(stderr)}`);
-    }
-};
-
 for (const name of Object.keys(DAEMONS)) {
     rmSync(new URL(`target/${name}.cache`, root), { force: true });
-    copyFileSync(new URL("programLoader.mjs", import.meta.url), new URL(`target/${name}.mjs`, root));
-    writeCodeCache(name);
+    copyFileSync(new URL("programLoader.cjs", import.meta.url), new URL(`target/${name}.cjs`, root));
 }
+// The cache then holds the functions that the first job needs, too.
+await playJob({ env: { WRITE_CODE_CACHE: "1" } });
--- a/tap-snapshots/platform/dist/tests/programLoader.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/programLoader.test.js.test.cjs
@@ -9,27 +9,27 @@
 {
     "no cache": {
         "status": 3,
-        "stdout": "program.cjs object\\n",
+        "stdout": "program.bundle.cjs object\\n",
         "stderr": ""
     },
     "writing the cache": {
         "status": 3,
-        "stdout": "program.cjs object\\n",
+        "stdout": "program.bundle.cjs object\\n",
         "stderr": ""
     },
     "with the cache": {
         "status": 3,
-        "stdout": "program.cjs object\\n",
+        "stdout": "program.bundle.cjs object\\n",
         "stderr": ""
     },
     "other flags than the cache's": {
         "status": 3,
-        "stdout": "program.cjs object\\n",
+        "stdout": "program.bundle.cjs object\\n",
         "stderr": "level=warn event=codeCache.rejected file=FOLDER/program.cache\\n"
     },
     "a cache that cannot be read": {
         "status": 3,
-        "stdout": "program.cjs object\\n",
+        "stdout": "program.bundle.cjs object\\n",
         "stderr": "level=warn event=codeCache.rejected file=FOLDER/program.cache\\n"
     }
 }
