perf(control): pace the passes by their own time

Cause: a pass was started 5 ms after every report, also after mere progress, so on a slow VM passes took all of the processor and requesters waited for them; each wait that ended early created an exception with a stack trace. Change: PassSchedule gives passes a quarter of the time, a half while urgent work waits; progress and answers to starts request no pass; waits are ended with a constant reason.

--- a/packages/clock/src/deadline.ts
+++ b/packages/clock/src/deadline.ts
@@ -1,3 +1,4 @@
+import { WAIT_OVER } from "./abortReasons.js";
 import type { Clock, Millis } from "./clock.js";
 
 /** The outcome of waiting for work under a deadline. */
@@ -11,6 +12,6 @@
         return await Promise.race([work.then((value): TimedResult<T> => ({ kind: "done", value })), timeout]);
     }
     finally {
-        abort.abort();
+        abort.abort(WAIT_OVER);
     }
 };
--- a/packages/clock/src/withAnySignal.ts
+++ b/packages/clock/src/withAnySignal.ts
@@ -1,3 +1,5 @@
+import { WAIT_OVER } from "./abortReasons.js";
+
 /**
  * Does work under a signal that aborts as soon as one of `signals` does, and at the latest when the work is over.
  * Unlike `AbortSignal.any`, it leaves nothing behind in a signal that lives as long as the process.
@@ -8,7 +10,7 @@
 ): Promise<T> => {
     const either = new AbortController();
     const abort = () => {
-        either.abort();
+        either.abort(WAIT_OVER);
     };
     for (const signal of signals) {
         signal.addEventListener("abort", abort);
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
-import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import { runPass } from "@persimmonpitch/dispatch/dispatchPass.js";
+import { isUrgent } from "@persimmonpitch/dispatch/readyUnits.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
 import { ActiveJobs } from "./activeJobs.js";
 import { AdviceCache } from "./adviceCache.js";
@@ -19,15 +19,12 @@
 import type { OpenJob } from "./openJob.js";
 import { OrderSender } from "./orderSender.js";
 import { Pacer } from "./pacer.js";
+import type { PassUrgency } from "./passSchedule.js";
+import { PassSchedule } from "./passSchedule.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { Reconciler } from "./reconciler.js";
 import { TermRenewer } from "./termRenewer.js";
 
-/** Events within this delay share one pass. */
-const PASS_DELAY_MS: Millis = 5;
-/** Interval of passes without events, which handle due times, stalled runs and lapsed leases. */
-const IDLE_PASS_MS: Millis = 250;
-
 /** A controller that reaches no agent and no other entry for this long releases the role. */
 const UNREACHED_TIMEOUT_MS: Millis = 3_000;
 
@@ -51,13 +48,16 @@
     private readonly jobLog: JobLog;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks: KeyedTasks;
-    private readonly wake = new WakeSignal();
+    private readonly passSchedule: PassSchedule;
     private lastReachedAt: Millis;
+    /** Whether urgent work found no place in the last pass, so that what frees resources is urgent, too. */
+    private isUrgentWorkWaiting = false;
     private exit: ControllerExit = "ended";
 
     constructor(private readonly context: ControllerContext, private readonly role: TakenRole) {
         const { replica, clock, logger, store, announce } = context;
         this.lastReachedAt = clock.now();
+        this.passSchedule = new PassSchedule(clock);
         this.jobs = new ActiveJobs(replica, logger);
         this.jobLog = new JobLog(context);
         this.agentTasks = new KeyedTasks({ name: "agent", clock, logger });
@@ -68,7 +68,7 @@
             maxAttempts: openJob => this.maxAttempts(openJob),
             onChanged: openJob => {
                 this.writer.markDirty(openJob);
-                this.wake.wake();
+                this.requestPass();
             },
         });
         const onRoleLost = (detail: string) => {
@@ -82,7 +82,7 @@
             random: context.random,
             incarnationOf: executorId => this.cluster.executors.get(executorId)?.born,
             onChanged: () => {
-                this.wake.wake();
+                this.requestPass();
             },
         });
         this.controllerLease = new ControllerLease(clock, role.takenAt, this.cluster);
@@ -116,7 +116,7 @@
             onRenewalNeeded,
             connectionOf,
             onChanged: () => {
-                this.wake.wake();
+                this.requestPass();
             },
         });
         const { orders } = this;
@@ -153,7 +153,7 @@
                 this.applyRowChanges(keys);
             }),
             this.context.config.listen(() => {
-                this.wake.wake();
+                this.requestPass();
             }),
         ];
         this.applyRowChanges([...this.context.replica.cancels.keys()].map(jobId => `cancel/${jobId}`));
@@ -176,11 +176,13 @@
         for (const report of reports) {
             this.onReport(vm, report);
         }
-        this.wake.wake();
+        this.requestPass();
     }
 
     onReport(vm: string, report: ExecutorReport): void {
         const state = this.cluster.getOrAddExecutor(vm, report.executor.executorId);
+        const runCount = state.runs.size;
+        const isDescriptionChanged = JSON.stringify(state.info) !== JSON.stringify(report.executor);
         state.info = report.executor;
         state.address = report.executor.address;
         this.cluster.startIncarnation(state, report.executor.born);
@@ -192,7 +194,10 @@
         else if (report.list !== undefined) {
             this.applyList(state, report.list);
         }
-        this.wake.wake();
+        // Mere progress changes no decision at once, and reports come from each executor every second.
+        if (isDescriptionChanged || report.isGone || state.runs.size < runCount) {
+            this.requestPass();
+        }
     }
 
     onDetached(vm: string): void {
@@ -202,7 +207,7 @@
                 state.isAttached = false;
             }
         }
-        this.wake.wake();
+        this.requestPass();
     }
 
     onFenced(epoch: number): void {
@@ -245,7 +250,18 @@
                 this.cancel(jobId);
             }
         }
-        this.wake.wake();
+        this.requestPass(keys.some(key => this.isUrgentJob(key)) ? "urgent" : "normal");
+    }
+
+    private isUrgentJob(key: string): boolean {
+        const [kind, jobId = ""] = key.split("/");
+        const queue = kind === "job" ? this.jobs.byId.get(jobId)?.job.queue : undefined;
+        return this.context.config.current?.queues.some(({ name, priority }) => name === queue && priority === 0)
+            ?? false;
+    }
+
+    private requestPass(urgency: PassUrgency = this.isUrgentWorkWaiting ? "urgent" : "normal"): void {
+        this.passSchedule.request(urgency);
     }
 
     private cancel(jobId: string): void {
@@ -286,14 +302,15 @@
 
     private async runPasses(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
+            this.passSchedule.begin();
             this.startAgentTasks();
             this.reconciler.markLapsedRunsLost();
             this.reconciler.reconcile();
             this.decide();
             this.pacer.apply();
+            this.passSchedule.end();
             await this.releaseIfUnreached();
-            await this.wake.wait(this.context.clock, IDLE_PASS_MS, signal);
-            await this.context.clock.sleep(PASS_DELAY_MS, signal);
+            await this.passSchedule.waitUntilDue(signal);
         }
         for (const connection of this.connections.values()) {
             connection.close();
@@ -329,6 +346,7 @@
         const startedAt = this.context.clock.now();
         const { decisions, waiting } = runPass(view);
         this.jobLog.logWaiting(waiting);
+        this.isUrgentWorkWaiting = waiting.some(({ ranked }) => isUrgent(ranked.unit));
         for (const decision of decisions) {
             this.decisionApplier.apply(decision);
         }
--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -158,7 +158,7 @@
         switch (answer.value.kind) {
             case "started":
                 tracked.startAnswerClockMs = answer.value.clockMs;
-                break;
+                return;
             case "refused":
                 if (answer.value.reason === "ticket") {
                     advice.discard(tracked);
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -18,6 +18,9 @@
     readonly allowed?: ReadonlySet<string> | undefined;
 }
 
+/** Whether the unit has the highest priority, which may preempt lower ones and may hold guarantees. */
+export const isUrgent = ({ openOccurrence }: ReadyUnit): boolean => openOccurrence.view.queue.priority === 0;
+
 /** Run number for the next start of the tasks: one above the highest run number of any of them. */
 export const nextRun = ({ openOccurrence }: ReadyUnit, keys: readonly string[]): number =>
     1 + keys.reduce((highest, key) => Math.max(highest, progressOf(openOccurrence.view, key).run), 0);
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -18,7 +18,7 @@
 } from "./executorResources.js";
 import { type PassState, stopGroup, type WaitKind } from "./passState.js";
 import { victimsFor } from "./preemption.js";
-import { nextRun, type ReadyUnit } from "./readyUnits.js";
+import { isUrgent, nextRun, type ReadyUnit } from "./readyUnits.js";
 import { earliestFit, type FutureFit, reserveFit } from "./reservations.js";
 import type { RankedUnit } from "./unitOrder.js";
 import { chooseVictims, type VictimSet } from "./victims.js";
@@ -197,7 +197,7 @@
 
 /** Preempts lower priorities for an urgent unit if that is worthwhile. */
 const tryPreempt = (state: PassState, { ranked, sets }: PlacementRequest, count: number, waitMs: Millis): boolean => {
-    if (ranked.unit.openOccurrence.view.queue.priority > 0 || !isPreemptionWorthwhile(state, ranked, waitMs, 0)) {
+    if (!isUrgent(ranked.unit) || !isPreemptionWorthwhile(state, ranked, waitMs, 0)) {
         return false;
     }
     const victims = cheapestVictims(state, ranked, sets.preferred, count, false);
@@ -343,9 +343,8 @@
     { options, reservationCount, searchCount }: PassState,
     { ranked, sets }: PlacementRequest,
 ): boolean => {
-    const isUrgent = ranked.unit.openOccurrence.view.queue.priority === 0;
     const mayReserve = needsReservation(ranked) && reservationCount < options.maxReservations;
-    return (isUrgent || mayReserve || sets.fallback !== undefined) && searchCount < options.maxSearches;
+    return (isUrgent(ranked.unit) || mayReserve || sets.fallback !== undefined) && searchCount < options.maxSearches;
 };
 
 /**
@@ -390,14 +389,13 @@
     fitKey: string | undefined,
 ): WaitKind | undefined => {
     const { unit, isGuaranteed } = ranked;
-    const isUrgent = unit.openOccurrence.view.queue.priority === 0;
     const durationMs = state.runTimes.stepMs(unit.openOccurrence.view, unit.stepIndex);
     const request: PlacementRequest = { ranked, sets, fitKey, durationMs };
     const remainingKeys = startNow(state, request, unit.keys);
     if (remainingKeys.length === 0) {
         return undefined;
     }
-    if (isUrgent && claimAfterStops(state, request, sets.preferred, remainingKeys.length)) {
+    if (isUrgent(unit) && claimAfterStops(state, request, sets.preferred, remainingKeys.length)) {
         return "claimed";
     }
     return isGuaranteed ? enforceGuarantee(state, request, remainingKeys) : placeBlocked(state, request, remainingKeys);
--- a/scripts/programLoader.cjs
+++ b/scripts/programLoader.cjs
@@ -13,9 +13,6 @@
     "--liftoff-only",
     "--no-wasm-tier-up",
     "--no-wasm-dynamic-tiering",
-    "--optimize-for-size",
-    // The young generation keeps its initial size of 1 MB.
-    "--semi-space-growth-factor=1",
 ];
 
 const program = __filename.replace(/\.cjs$/, ".bundle.cjs");
