feat(control): prefer entries with more processor as the controller

Cause: any entry could be the controller; half of the entries of the largest deployment have 0.324 of a core, where a controller uses 0.7. Change: entries register their processor; one with much less than a connected peer that the store serves lets that peer take a vacant role first, for 250 ms at most, and hands the role over once such a peer was in reach for 8 s.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -8,6 +8,7 @@
 import type { ConfigHolder } from "./configHolder.js";
 import { Controller } from "./controller.js";
 import type { ConnectLink, TakenRole } from "./controllerContext.js";
+import { ControllerSuitability } from "./controllerSuitability.js";
 import { DirectPathHealth } from "./directPathHealth.js";
 import { Election } from "./election.js";
 import { ForwardingStore } from "./forwardingStore.js";
@@ -54,6 +55,7 @@
     private readonly operatorFollower: TableFollower;
     private readonly peers: PeerLinks;
     private readonly pathHealth: DirectPathHealth;
+    private readonly suitability: ControllerSuitability;
     private readonly election: Election;
     private controller: Controller | undefined;
     private pendingElection: Promise<TakenRole | undefined> | undefined;
@@ -104,7 +106,14 @@
             logger,
             random,
         });
+        this.suitability = new ControllerSuitability({
+            cores: self.cores,
+            replica: this.replica,
+            peers: this.peers,
+            clock,
+        });
         this.election = new Election({
+            suitability: this.suitability,
             vm,
             instanceId,
             store: this.store,
@@ -181,6 +190,7 @@
             if (role === undefined) {
                 return;
             }
+            this.suitability.resetHandOver();
             const { clock, logger, timings, connect, random, config, advice } = this.options;
             this.controller = new Controller({
                 store: this.store,
@@ -197,6 +207,7 @@
                     this.announce(rows);
                 },
                 isIsolated: () => this.peers.isIsolated,
+                shouldHandOver: () => this.suitability.shouldHandOver(),
             }, role);
             const exit = await this.controller.run(signal);
             this.controller = undefined;
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -28,8 +28,8 @@
 /** A controller that reaches no agent and no other entry for this long releases the role. */
 const UNREACHED_TIMEOUT_MS: Millis = 3_000;
 
-/** Why a controller stopped: it lost or released the role, or it could reach only the store. */
-export type ControllerExit = "ended" | "unreached";
+/** Why a controller stopped: it lost or released the role, could reach only the store, or left the role to a peer. */
+export type ControllerExit = "ended" | "unreached" | "handedOver";
 
 /** Schedules and supervises all runs while this process holds the controller role. */
 export class Controller implements AgentEvents {
@@ -310,6 +310,7 @@
             this.pacer.apply();
             this.passSchedule.end();
             await this.releaseIfUnreached();
+            await this.handOverIfOutclassed();
             await this.passSchedule.waitUntilDue(signal);
         }
         for (const connection of this.connections.values()) {
@@ -331,6 +332,14 @@
         }
     }
 
+    /** Releases the role if a peer can carry it better, unless the store is unsettled: peers could not take it then. */
+    private async handOverIfOutclassed(): Promise<void> {
+        if (!this.roleLost.signal.aborted && this.controllerLease.isValid && this.context.shouldHandOver()) {
+            this.exit = "handedOver";
+            await this.release();
+        }
+    }
+
     private startAgentTasks(): void {
         for (const vm of this.context.replica.agents.keys()) {
             this.agentTasks.start(vm, signal => runAgentTask(this.context, vm, this.role.epoch, this, signal));
--- a/packages/control/src/controllerContext.ts
+++ b/packages/control/src/controllerContext.ts
@@ -33,6 +33,8 @@
     readonly announce: (rows: readonly StoredRow[]) => void;
     /** Whether other entries are known but none of them responds. */
     readonly isIsolated: () => boolean;
+    /** Whether a peer on a much larger VM has been in reach for a while. */
+    readonly shouldHandOver: () => boolean;
     /** `undefined` if no advice service is configured. */
     readonly advice?: AdvicePort | undefined;
 }
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -3,6 +3,7 @@
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { TakenRole } from "./controllerContext.js";
+import type { ControllerSuitability } from "./controllerSuitability.js";
 import type { Replica } from "./replica.js";
 import type { RoleRow } from "./rows.js";
 import { rowKeys } from "./rows.js";
@@ -25,6 +26,7 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly random: () => number;
+    readonly suitability: ControllerSuitability;
 }
 
 /** Acquires the controller role once no live process holds it. */
@@ -49,7 +51,8 @@
 
     /** Waits until the role is acquired. Returns `undefined` if `signal` aborts first. */
     async takeRole(signal: AbortSignal): Promise<TakenRole | undefined> {
-        const { replica, clock, random } = this.options;
+        const { replica, clock, random, suitability } = this.options;
+        suitability.resetYield();
         const stopListening = replica.listen(keys => {
             if (keys.includes(rowKeys.role) || keys.some(key => key.startsWith("entry/"))) {
                 this.wake.wake();
@@ -58,7 +61,11 @@
         try {
             while (!signal.aborted) {
                 this.observeTerm();
-                if (this.mayTakeRole() && await this.isTermUnchanged() && !isAborted(signal)) {
+                const isVacant = this.mayTakeRole();
+                if (!isVacant) {
+                    suitability.resetYield();
+                }
+                if (isVacant && !suitability.shouldYield() && await this.isTermUnchanged() && !isAborted(signal)) {
                     const taken = await this.tryTakeRole(signal);
                     if (taken !== undefined) {
                         return taken;
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -39,6 +39,8 @@
 const PING_INTERVAL_MS: Millis = 1_000;
 const PING_TIMEOUT_MS: Millis = 600;
 const ANNOUNCE_TIMEOUT_MS: Millis = 600;
+/** An idle poll of the store returns after 1 s. */
+const MAX_SERVED_STORE_AGE_MS: Millis = 1_500;
 
 /** Connections to the other entries. They carry forwarded store calls and show immediately when an entry dies. */
 export class PeerLinks {
@@ -70,6 +72,11 @@
         return hasPeers && this.openPeers().length === 0;
     }
 
+    /** The connected peers that the store has answered lately. */
+    vmsServedByStore(): readonly string[] {
+        return this.openPeers().filter(({ storeAgeMs }) => storeAgeMs <= MAX_SERVED_STORE_AGE_MS).map(({ vm }) => vm);
+    }
+
     /** Routes to the store through connected peers, starting with the peer that the store answered most recently. */
     routes(table: StoreTable): readonly PeerRoute[] {
         return [...this.openPeers()]
--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -22,6 +22,8 @@
     port: z.number().int().positive().max(MAX_PORT),
     dataCentre: z.string(),
     instanceId: z.string(),
+    /** Processor of the VM in cores; entries with more are preferred as controllers. */
+    cores: z.number().positive().optional(),
 });
 export type ProcessRow = z.infer<typeof processRowSchema>;
 
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -23,6 +23,7 @@
 import type { ConnectLink } from "../src/controllerContext.js";
 import { ControlNode } from "../src/controlNode.js";
 import { parseRow } from "../src/parseRow.js";
+import type { RoleRow } from "../src/rows.js";
 import { roleRowSchema, rowKeys } from "../src/rows.js";
 import { PausableProcess } from "./pausableProcess.js";
 
@@ -54,6 +55,8 @@
     /** Makes the queue require advice, which the entries get from this service. */
     readonly advice?: (clock: FakeClock) => MemoryAdvice;
     readonly policy?: AdvicePolicy;
+    /** Processors of the VMs of the entries, in cores. */
+    readonly cores?: Readonly<Record<string, number>>;
 }
 
 /** Control nodes, agents and executors on one fake clock and one in-memory store. */
@@ -116,8 +119,16 @@
         const process = new PausableProcess(this.clock);
         this.processes.set(name, process);
         const store = process.store(this.store.client(name));
+        const cores = this.options.cores?.[name];
         const node = new ControlNode({
-            self: { vm: name, host: name, port: 1, dataCentre: "dc1", instanceId: `${name}-${this.instances}` },
+            self: {
+                vm: name,
+                host: name,
+                port: 1,
+                dataCentre: "dc1",
+                instanceId: `${name}-${this.instances}`,
+                ...(cores === undefined ? {} : { cores }),
+            },
             stores: { state: store, operator: store },
             operatorRows: { reset: () => undefined, apply: () => undefined },
             config,
@@ -186,8 +197,17 @@
 
     /** The entry named in the role row. */
     get controller(): string {
+        return this.role?.vm ?? "";
+    }
+
+    /** The epoch of the role row. */
+    get epoch(): number {
+        return this.role?.epoch ?? 0;
+    }
+
+    private get role(): RoleRow | undefined {
         const row = this.store.snapshot().find(({ key }) => key === rowKeys.role);
-        return (row === undefined ? undefined : parseRow(roleRowSchema, row.value)?.vm) ?? "";
+        return row === undefined ? undefined : parseRow(roleRowSchema, row.value);
     }
 
     /** Writes a job as an entry does. */
--- a/packages/verification/tests/controllerFixture.ts
+++ b/packages/verification/tests/controllerFixture.ts
@@ -81,6 +81,7 @@
             storeClockOffsetMs: () => 0,
             announce: () => undefined,
             isIsolated: () => false,
+            shouldHandOver: () => false,
         }, {
             epoch: ROLE.epoch,
             rowVersion: taken.isOk ? taken.value.version : 0,
