feat(settings): let changed settings take effect on SIGHUP

Cause: SIGHUP only checked the file, and changed bounds waited for a restart. Test: settings/reloadSettings and control/timings, which fails with timings that the controller copies when it takes the role.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -57,13 +57,16 @@
     private readonly pathHealth: DirectPathHealth;
     private readonly suitability: ControllerSuitability;
     private readonly election: Election;
+    /** One object for all controllers of this process, so that changes reach a running one. */
+    private readonly timings: Timings;
     private controller: Controller | undefined;
     private pendingElection: Promise<TakenRole | undefined> | undefined;
     private readonly stopped = new AbortController();
     private readonly released = new AbortController();
 
     constructor(private readonly options: ControlNodeOptions) {
-        const { self, stores, operatorRows, clock, logger, connect, random } = options;
+        const { self, stores, operatorRows, timings, clock, logger, connect, random } = options;
+        this.timings = { ...timings };
         const { vm, instanceId } = self;
         this.replica = new Replica(logger);
         const pathHealth = new DirectPathHealth(clock);
@@ -155,6 +158,11 @@
         this.peers.announce(rows);
     }
 
+    /** Replaces the timings, also those of a controller that is running. */
+    setTimings(timings: Timings): void {
+        Object.assign(this.timings, timings);
+    }
+
     /** Runs until `stop` is called. */
     async run(): Promise<void> {
         const { signal } = this.stopped;
@@ -191,14 +199,14 @@
                 return;
             }
             this.suitability.resetHandOver();
-            const { clock, logger, timings, connect, random, config, advice } = this.options;
+            const { clock, logger, connect, random, config, advice } = this.options;
             this.controller = new Controller({
                 store: this.store,
                 replica: this.replica,
                 config,
                 clock,
                 logger,
-                timings,
+                timings: this.timings,
                 connect,
                 random,
                 advice,
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -104,7 +104,6 @@
         const { cluster, jobs, writer, controllerLease } = this;
         const { epoch, takenAt } = role;
         const { timings } = context;
-        const { maxLeaseMs } = timings;
         this.pacer = new Pacer({ cluster, timings, clock, logger, epoch, connectionOf });
         this.orders = new OrderSender({
             cluster,
@@ -138,7 +137,7 @@
             orders,
             clock,
             takenAt,
-            maxLeaseMs,
+            timings,
             onJobRemoved: openJob => {
                 this.jobLog.logEnd(openJob);
             },
--- a/packages/control/src/reconciler.ts
+++ b/packages/control/src/reconciler.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { parseTaskName } from "@persimmonpitch/workload/taskName.js";
+import type { Timings } from "@persimmonpitch/workload/timings.js";
 import type { ActiveJobs } from "./activeJobs.js";
 import type { ClusterState } from "./clusterState.js";
 import type { TrackedRun } from "./executorState.js";
@@ -15,7 +16,7 @@
     readonly clock: Clock;
     /** When this controller took the role. */
     readonly takenAt: Millis;
-    readonly maxLeaseMs: Millis;
+    readonly timings: Timings;
     /** Called for each ended job once its last run is gone. */
     readonly onJobRemoved: (openJob: OpenJob) => void;
 }
@@ -26,14 +27,14 @@
 
     /** Marks runs on unreachable executors as lost once the lease has certainly lapsed. */
     markLapsedRunsLost(): void {
-        const { cluster, clock, takenAt, maxLeaseMs } = this.options;
+        const { cluster, clock, takenAt, timings } = this.options;
         const now = clock.now();
         for (const state of cluster.executors.values()) {
             if (state.runs.size === 0 || state.isAttached) {
                 continue;
             }
             const lapsedAt = state.clock === undefined
-                ? inheritedLeaseLapsedAt(takenAt, maxLeaseMs)
+                ? inheritedLeaseLapsedAt(takenAt, timings.maxLeaseMs)
                 : leaseLapsedAt(state.deadlineMs, state.clock);
             if (now >= lapsedAt) {
                 cluster.markAllRunsLost(state, "lapsed");
--- a/platform/src/processLogger.ts
+++ b/packages/logging/src/processLogger.ts
@@ -1,5 +1,5 @@
-import type { Logger } from "@persimmonpitch/logging/logger.js";
-import { createLogger } from "@persimmonpitch/logging/logger.js";
+import type { Logger } from "./logger.js";
+import { createLogger } from "./logger.js";
 
 /** Creates the logger of a daemon. It writes to standard output, which the platform collects. */
 export const createProcessLogger = (): Logger =>
