--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -28,6 +28,9 @@
 /** A controller that reaches no agent and no other entry for this long releases the role. */
 const UNREACHED_TIMEOUT_MS: Millis = 3_000;
 
+/** Interval between log lines on the load of the controller. */
+const LOAD_INTERVAL_MS: Millis = 10_000;
+
 /** Why a controller stopped: it lost or released the role, could reach only the store, or left the role to a peer. */
 export type ControllerExit = "ended" | "unreached" | "handedOver";
 
@@ -162,6 +165,7 @@
                 this.termRenewer.run(roleSignal),
                 this.runPasses(roleSignal),
                 this.advice.run(roleSignal),
+                this.logLoad(roleSignal),
             ]);
             stopListening.forEach(stop => {
                 stop();
@@ -318,6 +322,22 @@
         await this.agentTasks.end();
     }
 
+    private async logLoad(signal: AbortSignal): Promise<void> {
+        const { clock, logger } = this.context;
+        while (!signal.aborted) {
+            await clock.sleep(LOAD_INTERVAL_MS, signal);
+            const { passes, totalMs, longestMs, longestDelayMs } = this.passSchedule.takeLoad();
+            logger.log("info", "controller.load", {
+                executors: this.cluster.executors.size,
+                jobs: this.jobs.byId.size,
+                passes,
+                passMs: Math.round(totalMs),
+                longestPassMs: Math.round(longestMs),
+                longestDelayMs: Math.round(longestDelayMs),
+            });
+        }
+    }
+
     /** Releases the role if only the store is reachable, because another entry may be able to reach the agents. */
     private async releaseIfUnreached(): Promise<void> {
         const { clock, replica, isIsolated } = this.context;
--- a/packages/control/src/passSchedule.ts
+++ b/packages/control/src/passSchedule.ts
@@ -15,6 +15,18 @@
  */
 const MAX_PASS_SHARE: Readonly<Record<PassUrgency, number>> = { urgent: 0.5, normal: 0.25 };
 
+/** Passes since the last report, in milliseconds where not said otherwise. */
+export interface PassLoad {
+    /** Number of passes. */
+    readonly passes: number;
+    readonly totalMs: Millis;
+    readonly longestMs: Millis;
+    /** How late the latest pass began, because the event loop was busy with something else. */
+    readonly longestDelayMs: Millis;
+}
+
+const NO_LOAD: PassLoad = { passes: 0, totalMs: 0, longestMs: 0, longestDelayMs: 0 };
+
 /** Decides when the next pass runs, so that passes that take long run less often. */
 export class PassSchedule {
     private readonly wake = new WakeSignal();
@@ -22,6 +34,7 @@
         urgent: undefined,
         normal: undefined,
     };
+    private load = NO_LOAD;
     private startedAt: Millis;
     private endedAt: Millis;
 
@@ -38,14 +51,31 @@
 
     /** Called when a pass begins: what is requested from now on is for the next one. */
     begin(): void {
+        const delayMs = this.clock.now() - this.dueAt();
         this.requestedAt.urgent = undefined;
         this.requestedAt.normal = undefined;
         this.startedAt = this.clock.now();
+        this.load = { ...this.load, longestDelayMs: Math.max(this.load.longestDelayMs, delayMs) };
     }
 
     /** Called when a pass has ended. */
     end(): void {
         this.endedAt = this.clock.now();
+        const { passes, totalMs, longestMs } = this.load;
+        const passMs = this.endedAt - this.startedAt;
+        this.load = {
+            ...this.load,
+            passes: passes + 1,
+            totalMs: totalMs + passMs,
+            longestMs: Math.max(longestMs, passMs),
+        };
+    }
+
+    /** Returns the load since the last call. */
+    takeLoad(): PassLoad {
+        const { load } = this;
+        this.load = NO_LOAD;
+        return load;
     }
 
     /** Waits until the next pass is due, or until `signal` aborts. */
