perf(control): request no pass for rows that the controller wrote itself

Cause: the controller's own progress rows and terms came back by the feed, and each requested a pass. Change: only rows that other processes write and that decisions depend on do.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -31,6 +31,11 @@
 /** Interval between log lines on the load of the controller. */
 const LOAD_INTERVAL_MS: Millis = 10_000;
 
+/** Rows that other processes write and that a pass depends on; this process writes the other rows itself. */
+const DECISIVE_ROW_KINDS: ReadonlySet<string> = new Set(["job", "cancel", "agent"]);
+
+const kindOf = (key: string): string => key.split("/", 1)[0] ?? "";
+
 /** Why a controller stopped: it lost or released the role, could reach only the store, or left the role to a peer. */
 export type ControllerExit = "ended" | "unreached" | "handedOver";
 
@@ -253,7 +258,9 @@
                 this.cancel(jobId);
             }
         }
-        this.requestPass(keys.some(key => this.isUrgentJob(key)) ? "urgent" : "normal");
+        if (keys.some(key => DECISIVE_ROW_KINDS.has(kindOf(key)))) {
+            this.requestPass(keys.some(key => this.isUrgentJob(key)) ? "urgent" : "normal");
+        }
     }
 
     private isUrgentJob(key: string): boolean {
