--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,6 @@
 import { rowKeys } from "@persimmonpitch/control/rows.js";
 import type { RowStore } from "@persimmonpitch/control/rowStore.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { Queue } from "@persimmonpitch/workload/clusterConfig.js";
 import type { JobState, StepJob, Submission } from "@persimmonpitch/workload/stepJob.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import type { RowTransaction, StoredRow } from "@persimmonpitch/workload/storedRow.js";
@@ -14,33 +13,7 @@
 import { deriveJobState } from "./jobState.js";
 import { findQueue, findTeamByApiKey } from "./queueLookup.js";
 import { RequestLog } from "./requestLog.js";
-
-/** Reasons why a request fails. */
-export type GatewayError =
-    /** There is no configuration yet, or the store is unreachable. The request had no effect. */
-    | "unavailable"
-    /** The result of the commit is unknown: the request may have taken effect. */
-    | "unclear"
-    | "unknownQueue"
-    | "unknownKey"
-    | "unknownJob"
-    /** The store rejects this job permanently; a retry does not help. */
-    | "rejected";
-
-/** Address and credentials of a request. */
-export interface IncomingRequest {
-    readonly host: string;
-    readonly path: string;
-    readonly apiKey: string | undefined;
-}
-
-/** A request that is authorized by the current configuration. */
-export interface AuthorizedRequest {
-    readonly queue: Queue;
-    readonly team: string | undefined;
-    /** Rest of the path after the queue's prefix: a job id, or empty for the queue itself. */
-    readonly jobId: string;
-}
+import type { AuthorizedRequest, GatewayError, IncomingRequest } from "./requests.js";
 
 export interface GatewayOptions {
     readonly store: RowStore;
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -2,7 +2,7 @@
 import type { ConfigHolder } from "@persimmonpitch/control/configHolder.js";
 import type { Logger, LogLevel } from "@persimmonpitch/logging/logger.js";
 import type { Result } from "true-myth/result";
-import type { AuthorizedRequest, GatewayError, IncomingRequest } from "./gateway.js";
+import type { AuthorizedRequest, GatewayError, IncomingRequest } from "./requests.js";
 
 /** Operations on jobs that are logged. */
 export type RequestOperation = "submit" | "read" | "cancel";
--- a/packages/verification/src/control/controlBrokenRules.ts
+++ b/packages/verification/src/control/controlBrokenRules.ts
@@ -1,8 +1,8 @@
 import type { BrokenRuleOf } from "../protocolSpecification.js";
 import type { ControlGuards } from "./controlGuards.js";
-import { CONTROL_GUARDS } from "./controlGuards.js";
 import type { ControlInvariantName } from "./controlInvariants.js";
 import type { ControlScopeName } from "./controlScopes.js";
+import { CONTROL_GUARDS } from "./specifiedControlGuards.js";
 
 /** One fault of the protocol each; the exploration has to find a counterexample to every one. */
 export const CONTROL_BROKEN_RULES = {
--- a/packages/verification/src/control/controlSpecification.ts
+++ b/packages/verification/src/control/controlSpecification.ts
@@ -2,7 +2,6 @@
 import type { ControlBrokenRuleName } from "./controlBrokenRules.js";
 import { CONTROL_BROKEN_RULES } from "./controlBrokenRules.js";
 import type { ControlGuards } from "./controlGuards.js";
-import { CONTROL_GUARDS } from "./controlGuards.js";
 import type { ControlInvariantName } from "./controlInvariants.js";
 import { controlViolatedBy } from "./controlInvariants.js";
 import type { ControlSubject } from "./controlRule.js";
@@ -13,6 +12,7 @@
 import type { ControlBounds, ControlState } from "./controlState.js";
 import { formatControlSubject } from "./formatControlSubject.js";
 import { executorRenamings } from "./renameExecutors.js";
+import { CONTROL_GUARDS } from "./specifiedControlGuards.js";
 
 /** The types of the specification of jobs of steps. */
 export interface ControlTypes {
