--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import { runPass } from "@persimmonpitch/dispatch/dispatchPass.js";
 import { isUrgent } from "@persimmonpitch/dispatch/readyUnits.js";
@@ -333,6 +334,9 @@
         const { clock, logger } = this.context;
         while (!signal.aborted) {
             await clock.sleep(LOAD_INTERVAL_MS, signal);
+            if (isAborted(signal)) {
+                return;
+            }
             const { passes, totalMs, longestMs, longestDelayMs } = this.passSchedule.takeLoad();
             logger.log("info", "controller.load", {
                 executors: this.cluster.executors.size,
--- a/packages/control/src/controllerSuitability.ts
+++ b/packages/control/src/controllerSuitability.ts
@@ -9,7 +9,7 @@
 /** How long an entry lets better peers go first. It bounds the delay where none of them takes the role. */
 const YIELD_MS: Millis = 250;
 /** How long a better peer has to be in reach before the role is handed over to it. */
-const HANDOVER_AFTER_MS: Millis = 8_000;
+const HANDOVER_AFTER_MS: Millis = 4_000;
 
 export interface ControllerSuitabilityOptions {
     /** Processor of this VM in cores; undefined if the settings do not say. */
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -39,8 +39,8 @@
 const PING_INTERVAL_MS: Millis = 1_000;
 const PING_TIMEOUT_MS: Millis = 600;
 const ANNOUNCE_TIMEOUT_MS: Millis = 600;
-/** An idle poll of the store returns after 1 s. */
-const MAX_SERVED_STORE_AGE_MS: Millis = 1_500;
+/** An idle poll of the store returns after 1 s, a ping after another second, and both are late on a busy VM. */
+const MAX_SERVED_STORE_AGE_MS: Millis = 3_000;
 
 /** Connections to the other entries. They carry forwarded store calls and show immediately when an entry dies. */
 export class PeerLinks {
