feat(control,platform,settings): log how a configuration reached an entry

Cause: the lines cannot tell why a configuration came late: no line says by which route and after how much silence it came, a call that does not end writes nothing, failures of single routes are logged at a level that is off, and a malformed row is logged without its version and field. Processes log neither their start nor their stop.

Change: config.applied has silenceMs, config.malformed the version and the first problem; store.routeChanged names the new route and those that failed in between, store.overdue a poll that has not ended after 3 s; process.started, stopping and stopped.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -28,6 +28,7 @@
     logger.log("info", "agent.started", { kind: settings.kind, instance: agent.instanceId });
     const agentStopped = agent.run();
     return Promise.resolve({
+        logger,
         shutdown: async () => {
             await agent.shutdown();
             await agentStopped;
--- a/packages/control/src/configHolder.ts
+++ b/packages/control/src/configHolder.ts
@@ -1,6 +1,13 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { ClusterConfig } from "@persimmonpitch/workload/clusterConfig.js";
 
+/** How a configuration reached this process. */
+export interface ConfigOrigin {
+    /** Time between the store's previous response and the one with the configuration. */
+    readonly silenceMs?: Millis | undefined;
+}
+
 /** Holds the latest configuration known to this process. Never reverts to an older version. */
 export class ConfigHolder {
     private latest: ClusterConfig | undefined;
@@ -21,12 +28,15 @@
     }
 
     /** Applies `config` if it is newer than the current configuration. */
-    applyIfNewer(config: ClusterConfig): void {
+    applyIfNewer(config: ClusterConfig, origin: ConfigOrigin = {}): void {
         if (this.latest !== undefined && config.version <= this.latest.version) {
             return;
         }
         this.latest = config;
-        this.logger.log("info", "config.applied", { version: config.version });
+        this.logger.log("info", "config.applied", {
+            version: config.version,
+            silenceMs: origin.silenceMs === undefined ? undefined : Math.round(origin.silenceMs),
+        });
         for (const listener of this.listeners) {
             listener();
         }
--- a/packages/control/src/forwardingStore.ts
+++ b/packages/control/src/forwardingStore.ts
@@ -16,6 +16,9 @@
 /** After a failed call through a peer, other peers are preferred for this long. */
 const PEER_AVOIDANCE_MS: Millis = 2_000;
 
+/** Name of the direct route in the log. */
+const DIRECT_ROUTE = "direct";
+
 /** Route to the store through a peer. */
 export interface PeerRoute {
     readonly vm: string;
@@ -32,6 +35,12 @@
     readonly name: string;
 }
 
+/** What is logged of an error; some kinds have no detail. */
+interface RouteError {
+    readonly kind: string;
+    readonly detail?: string;
+}
+
 /** How the errors of one kind of call are classified. */
 interface ErrorPolicy<E> {
     readonly isCertainlyNotApplied: (error: E) => boolean;
@@ -62,6 +71,11 @@
 export class ForwardingStore implements RowStore {
     /** Until when to avoid each peer that failed, because the store may refuse it as well. */
     private readonly avoidedUntil = new Map<string, Millis>();
+    /** The route that was answered last. */
+    private answeredRoute = DIRECT_ROUTE;
+    private answeredAt: Millis | undefined;
+    /** The latest failure of each route since any route was answered. */
+    private readonly failures = new Map<string, string>();
 
     constructor(private readonly options: ForwardingStoreOptions) {}
 
@@ -82,7 +96,7 @@
         );
     }
 
-    private async callWithFallback<T, E>(
+    private async callWithFallback<T, E extends RouteError>(
         call: StoreCall<T, E>,
         policy: ErrorPolicy<E>,
         signal?: AbortSignal,
@@ -99,13 +113,13 @@
     }
 
     /** Makes a call through a peer, or directly if `peer` is `undefined`, and records the health of the route. */
-    private async callOnRoute<T, E>(
+    private async callOnRoute<T, E extends RouteError>(
         call: () => Promise<Result<T, E>>,
         { isRouteFailure }: ErrorPolicy<E>,
         peer: PeerRoute | undefined,
         signal: AbortSignal | undefined,
     ): Promise<Result<T, E>> {
-        const { pathHealth, clock, logger, name } = this.options;
+        const { pathHealth, clock } = this.options;
         const outcome = await call();
         const isFailure = outcome.isErr && isRouteFailure(outcome.error);
         if (isFailure && signal?.aborted === true) {
@@ -114,18 +128,38 @@
         }
         if (peer !== undefined && isFailure) {
             this.avoidedUntil.set(peer.vm, clock.now() + PEER_AVOIDANCE_MS);
-            logger.log("debug", "store.peerFailed", { table: name, vm: peer.vm });
         }
         else if (peer === undefined && isFailure) {
             pathHealth.recordFailure();
-            logger.log("debug", "store.directFailed", { table: name });
         }
         else if (peer === undefined) {
             pathHealth.recordAnswer();
         }
+        this.logRouteChange(peer?.vm ?? DIRECT_ROUTE, isFailure ? outcome.error : undefined);
         return outcome;
     }
 
+    /** Logs when another route is answered than before, with the routes that failed in between. */
+    private logRouteChange(route: string, error: RouteError | undefined): void {
+        const { clock, logger, name } = this.options;
+        if (error !== undefined) {
+            this.failures.set(route, error.detail ?? error.kind);
+            return;
+        }
+        if (route !== this.answeredRoute) {
+            logger.log("info", "store.routeChanged", {
+                table: name,
+                route,
+                previous: this.answeredRoute,
+                silenceMs: this.answeredAt === undefined ? undefined : Math.round(clock.now() - this.answeredAt),
+                failed: [...this.failures].map(([failed, detail]) => `${failed}: ${detail}`).join("; "),
+            });
+        }
+        this.answeredRoute = route;
+        this.answeredAt = clock.now();
+        this.failures.clear();
+    }
+
     /** Returns the first peer without a recent failure, otherwise the first peer. */
     private bestPeer(): PeerRoute | undefined {
         const now = this.options.clock.now();
--- a/packages/control/src/tableFollower.ts
+++ b/packages/control/src/tableFollower.ts
@@ -1,3 +1,4 @@
+import { WAIT_OVER } from "@persimmonpitch/clock/abortReasons.js";
 import type { BackoffOptions } from "@persimmonpitch/clock/backoff.js";
 import { backoffDelay } from "@persimmonpitch/clock/backoff.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
@@ -11,8 +12,9 @@
 /** Receives the rows of a table. */
 export interface RowSink {
     /** Replaces all rows with those of the table at `version`. Rows that are not included no longer exist. */
-    reset(rows: readonly StoredRow[], version: number): void;
-    apply(rows: readonly ChangedRow[]): void;
+    reset(rows: readonly StoredRow[], version: number, silenceMs?: Millis): void;
+    /** Applies changes. `silenceMs` is the time between the store's previous response and the one with the changes. */
+    apply(rows: readonly ChangedRow[], silenceMs?: Millis): void;
 }
 
 export interface TableFollowerOptions {
@@ -29,6 +31,8 @@
 }
 
 const DEFAULT_WAIT_MS: Millis = 1_000;
+/** A poll that is answered directly or, after one timeout, by a peer ends within this time. */
+const OVERDUE_MS: Millis = 3_000;
 const SCAN_LIMIT = 500;
 const RETRY_BACKOFF: BackoffOptions = { baseMs: 50, maxMs: 400 };
 
@@ -77,12 +81,13 @@
         const rows: StoredRow[] = [];
         let from = "";
         let version: number | undefined;
+        let silenceMs: Millis | undefined;
         for (;;) {
             const page = await this.options.store.scan({ from, limit: SCAN_LIMIT });
             if (page.isErr) {
                 return err(page.error);
             }
-            this.recordAnswer(page.value.nowMs);
+            silenceMs ??= this.recordAnswer(page.value.nowMs);
             // Changes made between two pages arrive again with the first poll, which starts at the version of the first
             // page.
             version ??= page.value.version;
@@ -93,7 +98,7 @@
             }
             from = `${last.key}\u0000`;
         }
-        this.options.sink.reset(rows, version);
+        this.options.sink.reset(rows, version, silenceMs);
         this.version = version;
         this.hasScanned = true;
         return ok(undefined);
@@ -101,12 +106,12 @@
 
     private async poll(after: number, signal: AbortSignal): Promise<Result<void, ReadError>> {
         const { clock, store, sink, waitMs = DEFAULT_WAIT_MS, pauseMs } = this.options;
-        const changes = await store.follow(after, waitMs, signal);
+        const changes = await this.logIfOverdue(store.follow(after, waitMs, signal));
         if (changes.isErr) {
             return err(changes.error);
         }
-        this.recordAnswer(changes.value.nowMs);
-        sink.apply(changes.value.rows);
+        const silenceMs = this.recordAnswer(changes.value.nowMs);
+        sink.apply(changes.value.rows, silenceMs);
         this.version = changes.value.version;
         const pause = pauseMs?.() ?? 0;
         if (pause > 0 && changes.value.rows.length > 0) {
@@ -115,6 +120,23 @@
         return ok(undefined);
     }
 
+    /** Logs a poll that has not ended after `OVERDUE_MS`, which no other line shows while it lasts. */
+    private async logIfOverdue<T>(poll: Promise<T>): Promise<T> {
+        const { clock, logger, name } = this.options;
+        const pollEnded = new AbortController();
+        void clock.sleep(OVERDUE_MS, pollEnded.signal).then(() => {
+            if (!pollEnded.signal.aborted) {
+                logger.log("warn", "store.overdue", { table: name, ms: OVERDUE_MS });
+            }
+        });
+        try {
+            return await poll;
+        }
+        finally {
+            pollEnded.abort(WAIT_OVER);
+        }
+    }
+
     private recordFailure(detail: string): void {
         const { clock, logger, name } = this.options;
         if (this.unavailableSince === undefined) {
@@ -128,13 +150,16 @@
         }
     }
 
-    private recordAnswer(nowMs: number): void {
+    /** Returns the time since the previous response. */
+    private recordAnswer(nowMs: number): Millis | undefined {
         const { clock, logger, name } = this.options;
+        const silenceMs = this.answerAgeMs;
         if (this.unavailableSince !== undefined) {
             logger.log("info", "store.regained", { table: name, ms: Math.round(clock.now() - this.unavailableSince) });
             this.unavailableSince = undefined;
         }
         this.answeredAt = clock.now();
         this.storeClockOffsetMs = nowMs - this.answeredAt;
+        return silenceMs;
     }
 }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -32,6 +32,7 @@
     logger.log("info", "entry.started", { http: url, innerPort: innerServer.port });
     const running = entry.run();
     return {
+        logger,
         shutdown: async () => {
             innerServer.server.close();
             await entry.shutdown();
--- a/packages/settings/src/runBinary.ts
+++ b/packages/settings/src/runBinary.ts
@@ -1,5 +1,6 @@
 import type { Finding } from "@persimmonpitch/findings/finding.js";
 import { formatFindings } from "@persimmonpitch/findings/finding.js";
+import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Result } from "true-myth/result";
 
 /** Exit codes of all binaries. */
@@ -7,6 +8,8 @@
 
 /** A running process that can be shut down. */
 export interface RunningProcess {
+    /** Receives a line when the process has started, when a signal stops it and when it has stopped. */
+    readonly logger: Logger;
     /** Finishes what is in progress and ends. */
     shutdown(): Promise<void>;
     /** Called on SIGHUP, when the settings may have changed. */
@@ -27,7 +30,7 @@
         return;
     }
     // The signals are awaited before the start, so that one that comes during the start is not lost.
-    const stopped = new Promise<void>(resolve => {
+    const stopped = new Promise<NodeJS.Signals>(resolve => {
         process.once("SIGTERM", resolve);
         process.once("SIGINT", resolve);
     });
@@ -37,8 +40,12 @@
     });
     try {
         running = await start(settings.value);
-        await stopped;
+        const { logger } = running;
+        logger.log("info", "process.started");
+        const signal = await stopped;
+        logger.log("info", "process.stopping", { signal });
         await running.shutdown();
+        logger.log("info", "process.stopped");
         process.exit(EXIT_CODES.success);
     }
     catch (err) {
--- a/packages/settings/tests/runBinary.test.ts
+++ b/packages/settings/tests/runBinary.test.ts
@@ -8,8 +8,8 @@
 import { runDaemon } from ${JSON.stringify(new URL("../src/runBinary.js", import.meta.url).href)};
 const timer = setInterval(() => undefined, 1_000);
 await runDaemon(ok({}), async () => {
-    setImmediate(() => process.stdout.write("started\\n"));
     return {
+        logger: { log: (_level, event) => process.stdout.write(event + "\\n") },
         onSettingsChanged: () => process.stdout.write("changed\\n"),
         shutdown: async () => {
             clearInterval(timer);
@@ -20,11 +20,12 @@
 `;
 
 // Guards against a daemon that SIGHUP ends, with all requests in progress.
+// Guards also against a stop that the log does not show.
 void t.test("SIGHUP tells a daemon of changed settings and SIGTERM ends it", async t => {
     const cwd = fileURLToPath(new URL("../..", import.meta.url));
     const child = spawn(process.execPath, ["--input-type=module", "-e", PROGRAM], { cwd });
     const seen: string[] = [];
-    const next: Readonly<Record<string, NodeJS.Signals>> = { started: "SIGHUP", changed: "SIGTERM" };
+    const next: Readonly<Record<string, NodeJS.Signals>> = { "process.started": "SIGHUP", changed: "SIGTERM" };
     child.stdout.setEncoding("utf8").on("data", (text: string) => {
         for (const line of text.split("\n").filter(Boolean)) {
             seen.push(line);
@@ -35,6 +36,6 @@
         }
     });
     const exited = await once(child, "close");
-    t.same(seen, ["started", "changed", "ended"]);
+    t.same(seen, ["process.started", "changed", "process.stopping", "ended", "process.stopped"]);
     t.equal(exited[0], 0);
 });
--- a/tap-snapshots/platform/dist/tests/translations.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/translations.test.js.test.cjs
@@ -634,3 +634,13 @@
   version: 4
 }
 `
+
+exports[`platform/dist/tests/translations.test.js > TAP > the operator's configuration row > problems of malformed configurations 1`] = `
+[
+  { detail: 'The row is not JSON.' },
+  { detail: 'Invalid input: expected object, received array', version: undefined },
+  { detail: 'version: Invalid input: expected number, received undefined', version: undefined },
+  { detail: 'version: Invalid input: expected int, received number', version: 1.5 },
+  { detail: 'queues.0.priority: Too small: expected number to be >=0', version: 4 }
+]
+`
