fix(platform): keep the timeout of a call that can also be aborted

Callers saw a configuration handled as an older version allows, on processes whose own path to the store was whole.

Cause: callHttp joined a signal of the process with AbortSignal.timeout() in AbortSignal.any(), which holds its sources weakly. Once the runtime has optimized callHttp, after about 2,000 calls, nothing else refers to the timeout, and it is garbage-collected. A poll whose answer is lost then waits until the network ends the connection, and the entry keeps its configuration and rows for as long. Before that many calls the suspended function still refers to the timeout, which is why short trials did not show it.

Change: withTimeoutSignal refers to its timer until the work is over. HttpClient uses it in place of its own copy. The other uses of AbortSignal.any (retryOrder, orderForwarder, schedulingRole) join signals that their owners hold, so none was lost; they use withAnySignal all the same, and the linter refuses AbortSignal.any.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -13,6 +13,11 @@
             curly: "error",
             eqeqeq: "error",
             "one-var": ["error", "never"],
+            "no-restricted-properties": ["error", {
+                object: "AbortSignal",
+                property: "any",
+                message: "It can lose a timeout to garbage collection. Use withAnySignal or withTimeoutSignal.",
+            }],
         },
     },
     // Scripts stand outside the TypeScript projects, so the rules that need types do not apply to them.
--- a/packages/backing/src/httpClient.ts
+++ b/packages/backing/src/httpClient.ts
@@ -1,4 +1,6 @@
+import { WAIT_OVER } from "@persimmonpitch/clock/abortReasons.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { withTimeoutSignal } from "@persimmonpitch/clock/withTimeoutSignal.js";
 import { Result } from "true-myth";
 import { Agent } from "undici";
 import type * as z from "zod";
@@ -78,10 +80,8 @@
 
     /** Sends a request and reads the whole response. */
     async send({ method, path, body, timeoutMs, signal }: HttpRequest): Promise<Result<HttpResponse, TransportError>> {
-        const timerCancellation = new AbortController();
         const requestTimeoutMs = timeoutMs ?? this.options.timeoutMs;
-        const abortSignal = signal ?? this.createTimeoutSignal(requestTimeoutMs, timerCancellation.signal);
-        try {
+        const request = async (abortSignal: AbortSignal): Promise<HttpResponse> => {
             const response = await this.agent.request({
                 origin: this.options.baseUrl,
                 method,
@@ -89,25 +89,20 @@
                 signal: abortSignal,
                 ...encodeBody(body),
             });
-            return Result.ok({ status: response.statusCode, text: await response.body.text() });
+            return { status: response.statusCode, text: await response.body.text() };
+        };
+        try {
+            const { clock } = this.options;
+            return Result.ok(
+                await (signal === undefined
+                    ? withTimeoutSignal({ clock, timeoutMs: requestTimeoutMs }, request)
+                    : request(signal)),
+            );
         }
         catch (error) {
-            const detail = abortSignal.aborted && signal === undefined
-                ? `no answer within ${requestTimeoutMs} ms`
-                : String(error);
+            const detail = error === WAIT_OVER ? `no answer within ${requestTimeoutMs} ms` : String(error);
             return Result.err({ mayHaveBeenSent: !CONNECT_ERROR_CODES.has(errorCodeOf(error)), detail });
         }
-        finally {
-            timerCancellation.abort();
-        }
-    }
-
-    private createTimeoutSignal(timeoutMs: Millis, cancelSignal: AbortSignal): AbortSignal {
-        const controller = new AbortController();
-        void this.options.clock.sleep(timeoutMs, cancelSignal).then(() => {
-            controller.abort();
-        });
-        return controller.signal;
     }
 
     /** Closes all connections after their pending requests have completed. */
--- a/packages/executor/src/orderForwarder.ts
+++ b/packages/executor/src/orderForwarder.ts
@@ -90,7 +90,7 @@
             send: () => port.start(order),
             timeLeft: () =>
                 executor.startRefusalFor(params.born) === undefined ? startTimeLeft(executor, deadlineMs) : 0,
-            signal: AbortSignal.any([abandonSignal, supersededSignal, signal]),
+            signals: [abandonSignal, supersededSignal, signal],
         });
         if (outcome.response?.isOk === true) {
             return { kind: "started", clockMs: outcome.response.value.clockMs };
@@ -148,7 +148,7 @@
         const { response } = await this.retryUntilAnswered(executor, {
             send: () => port.stop({ executorId, fencingToken: epoch, task, run }),
             timeLeft: () => executor.isExpired ? 0 : Infinity,
-            signal: AbortSignal.any([supersededSignal, signal]),
+            signals: [supersededSignal, signal],
         });
         if (response?.isOk === true) {
             return { kind: "stopped", clockMs: response.value.clockMs };
@@ -161,7 +161,7 @@
 
     private async retryUntilAnswered(
         executor: ObservedExecutor,
-        options: Pick<Parameters<typeof retryOrder>[0], "send" | "timeLeft" | "signal">,
+        options: Pick<Parameters<typeof retryOrder>[0], "send" | "timeLeft" | "signals">,
     ): Promise<OrderOutcome> {
         const { clock, logger } = this.context;
         const outcome = await retryOrder({
--- a/packages/executor/src/retryOrder.ts
+++ b/packages/executor/src/retryOrder.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import type { Result } from "true-myth";
 import type { ExecutorFailure, OrderConfirmation } from "./executorPort.js";
 
@@ -20,15 +21,14 @@
     readonly send: () => Promise<Result<OrderConfirmation, ExecutorFailure>>;
     /** Time left for further attempts; the retries end once it is 0 or less. */
     readonly timeLeft: () => Millis;
-    readonly signal: AbortSignal;
+    readonly signals: readonly AbortSignal[];
     readonly onUnanswered: () => void;
 }
 
-/** Sends an order repeatedly until an attempt is answered, no time is left or `signal` aborts. */
+/** Sends an order repeatedly until an attempt is answered, no time is left or one of `signals` aborts. */
 export const retryOrder = async (options: RetryOptions): Promise<OrderOutcome> => {
-    const { clock, send, timeLeft, signal, onUnanswered } = options;
+    const { clock, send, timeLeft, signals, onUnanswered } = options;
     const answeredAbort = new AbortController();
-    const endSignal = AbortSignal.any([answeredAbort.signal, signal]);
     let response: OrderResponse | undefined;
     let attempts = 0;
     // A late response to an earlier attempt counts too; otherwise the retries to a slow executor would never end.
@@ -39,14 +39,16 @@
             answeredAbort.abort();
         }
     };
-    while (!endSignal.aborted && timeLeft() > 0) {
-        if (attempts > 0) {
-            onUnanswered();
+    await withAnySignal([answeredAbort.signal, ...signals], async endSignal => {
+        while (!endSignal.aborted && timeLeft() > 0) {
+            if (attempts > 0) {
+                onUnanswered();
+            }
+            attempts += 1;
+            void sendAttempt();
+            await clock.sleep(Math.min(ORDER_RETRY_INTERVAL_MS, timeLeft()), endSignal);
         }
-        attempts += 1;
-        void sendAttempt();
-        await clock.sleep(Math.min(ORDER_RETRY_INTERVAL_MS, timeLeft()), endSignal);
-    }
+    });
     return { response, attempts };
 };
 
--- a/packages/scheduler/src/schedulingRole.ts
+++ b/packages/scheduler/src/schedulingRole.ts
@@ -1,6 +1,7 @@
 import type { Table } from "@persimmonpitch/backing/table.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import type { InvariantMonitor } from "@persimmonpitch/logging/invariantMonitor.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { GuaranteeBinding, VmCondition } from "@persimmonpitch/placement/clusterView.js";
@@ -139,21 +140,22 @@
         this.context = context;
         this.options.onAcquired?.();
         const leaseLost = new AbortController();
-        const stopSignal = AbortSignal.any([signal, leaseLost.signal]);
-        const renewal = lease.renewUntilLost(stopSignal).then(() => {
+        await withAnySignal([signal, leaseLost.signal], async stopSignal => {
+            const renewal = lease.renewUntilLost(stopSignal).then(() => {
+                leaseLost.abort();
+                this.wakeSignal.wake();
+            });
+            await this.runPlacementLoop(context, stopSignal);
+            if (signal.aborted) {
+                await lease.release();
+            }
+            lease.isLost = true;
+            [...context.activeJobs.all()].forEach(job => {
+                job.wakeSignal.wake();
+            });
             leaseLost.abort();
-            this.wakeSignal.wake();
-        });
-        await this.runPlacementLoop(context, stopSignal);
-        if (signal.aborted) {
-            await lease.release();
-        }
-        lease.isLost = true;
-        [...context.activeJobs.all()].forEach(job => {
-            job.wakeSignal.wake();
+            await renewal;
         });
-        leaseLost.abort();
-        await renewal;
         this.lease = undefined;
         this.context = undefined;
         this.guaranteeBindings = [];
