fix(control): take newer configurations over from peers

Callers saw a configuration that had been confirmed over 2 s before not in force on an entry.

Cause: an entry that the store does not answer tries its routes one after the other: its own poll (1.7 s), then a poll through a peer (2.5 s) that the store may not answer either, then a backoff. The sum is over the bound, and connected peers that have the configuration do not hand it on.

The bound is 2 s. For this test the store's stand-in leaves polls without an answer that are open when a silence begins; before, they still heard of the next change, as no store that is silent does.

Change: pings report the version of the configuration, and an entry with an older one reads it from that peer. A version never goes back: the holder drops older ones.

--- a/packages/control/src/configHolder.ts
+++ b/packages/control/src/configHolder.ts
@@ -6,6 +6,8 @@
 export interface ConfigOrigin {
     /** Time between the store's previous response and the one with the configuration. */
     readonly silenceMs?: Millis | undefined;
+    /** VM of the peer that it was read from, if it did not come from the store. */
+    readonly peer?: string;
 }
 
 /** Holds the latest configuration known to this process. Never reverts to an older version. */
@@ -35,6 +37,7 @@
         this.latest = config;
         this.logger.log("info", "config.applied", {
             version: config.version,
+            peer: origin.peer,
             silenceMs: origin.silenceMs === undefined ? undefined : Math.round(origin.silenceMs),
         });
         for (const listener of this.listeners) {
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -65,7 +65,7 @@
     private readonly released = new AbortController();
 
     constructor(private readonly options: ControlNodeOptions) {
-        const { self, stores, operatorRows, timings, clock, logger, connect, random } = options;
+        const { self, stores, operatorRows, config, timings, clock, logger, connect, random } = options;
         this.timings = { ...timings };
         const { vm, instanceId } = self;
         this.replica = new Replica(logger);
@@ -74,6 +74,7 @@
         this.peers = new PeerLinks({
             vm,
             replica: this.replica,
+            config,
             clock,
             logger,
             connect,
@@ -144,8 +145,15 @@
 
     /** Serves a link opened by another entry. */
     async servePeer(link: Link): Promise<void> {
-        await servePeer(link, this.options.clock, this.options.stores, this.pathHealth, rows => {
-            this.replica.apply(rows);
+        const { clock, stores, config } = this.options;
+        await servePeer(link, {
+            clock,
+            stores,
+            pathHealth: this.pathHealth,
+            config,
+            onRowsChanged: rows => {
+                this.replica.apply(rows);
+            },
         });
     }
 
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -6,6 +6,8 @@
 import type { StoreMethods, StoreTable } from "@persimmonpitch/protocol/storeMessages.js";
 import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
 import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
+import type { ConfigHolder } from "./configHolder.js";
+import { ConfigTakeover } from "./configTakeover.js";
 import type { ConnectLink } from "./controllerContext.js";
 import type { PeerRoute } from "./forwardingStore.js";
 import { KeyedTasks } from "./keyedTasks.js";
@@ -15,6 +17,7 @@
 export interface PeerLinksOptions {
     readonly vm: string;
     readonly replica: Replica;
+    readonly config: ConfigHolder;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly connect: ConnectLink;
@@ -42,12 +45,17 @@
 /** An idle poll of the store returns after 1 s, a ping after another second, and both are late on a busy VM. */
 const MAX_SERVED_STORE_AGE_MS: Millis = 3_000;
 
-/** Connections to the other entries. They carry forwarded store calls and show immediately when an entry dies. */
+/**
+ * Connections to the other entries. They carry forwarded store calls and newer configurations, and show immediately when
+ * an entry dies.
+ */
 export class PeerLinks {
     private readonly peers = new Map<string, ConnectedPeer>();
     private readonly tasks: KeyedTasks;
+    private readonly configTakeover: ConfigTakeover;
 
     constructor(private readonly options: PeerLinksOptions) {
+        this.configTakeover = new ConfigTakeover(options.config);
         this.tasks = new KeyedTasks({ name: "peer", clock: options.clock, logger: options.logger });
     }
 
@@ -98,7 +106,7 @@
         return [...this.peers.values()].filter(({ connection }) => connection.isOpen);
     }
 
-    /** Pings the peer and closes the connection once it stops responding. */
+    /** Pings the peer, takes over a newer configuration, and closes the connection once the peer stops responding. */
     private async keepAlive(peer: ConnectedPeer, signal: AbortSignal): Promise<void> {
         const { clock } = this.options;
         const { connection } = peer;
@@ -108,6 +116,7 @@
                 break;
             }
             peer.storeAgeMs = answer.value.storeAgeMs ?? Infinity;
+            await this.configTakeover.takeIfNewer(peer.vm, connection, answer.value.configVersion);
             await clock.sleep(PING_INTERVAL_MS, signal);
         }
         connection.close();
--- a/packages/control/src/peerServer.ts
+++ b/packages/control/src/peerServer.ts
@@ -6,6 +6,7 @@
 import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
 import type { ChangedRow } from "@persimmonpitch/workload/storedRow.js";
 import type { Result } from "true-myth";
+import type { ConfigHolder } from "./configHolder.js";
 import type { DirectPathHealth } from "./directPathHealth.js";
 import type { RowStore } from "./rowStore.js";
 
@@ -20,17 +21,22 @@
 /** Receives rows written by a peer. */
 export type OnRowsChanged = (rows: readonly ChangedRow[]) => void;
 
+/** What a peer is served from. */
+export interface PeerServerOptions {
+    readonly clock: Clock;
+    readonly stores: DirectStores;
+    readonly pathHealth: DirectPathHealth;
+    readonly config: ConfigHolder;
+    readonly onRowsChanged: OnRowsChanged;
+}
+
 const handlersFor = (
-    stores: DirectStores,
-    pathHealth: DirectPathHealth,
-    onChanged: OnRowsChanged,
+    { stores, pathHealth, config, onRowsChanged }: PeerServerOptions,
 ): HandlerTable<StoreMethods> => ({
-    "store.ping": () => {
-        const { answerAgeMs } = pathHealth;
-        return Promise.resolve(answerAgeMs === undefined ? {} : { storeAgeMs: answerAgeMs });
-    },
+    "store.ping": () => Promise.resolve({ storeAgeMs: pathHealth.answerAgeMs, configVersion: config.current?.version }),
+    "config.read": () => Promise.resolve({ config: config.current }),
     "store.changed": ({ rows }) => {
-        onChanged(rows);
+        onRowsChanged(rows);
         return Promise.resolve({});
     },
     "store.commit": async ({ table, transaction }) => toAnswer(await stores[table].commit(transaction)),
@@ -39,19 +45,13 @@
 });
 
 /** Serves one peer until its link closes. */
-export const servePeer = async (
-    link: Link,
-    clock: Clock,
-    stores: DirectStores,
-    pathHealth: DirectPathHealth,
-    onChanged: OnRowsChanged,
-): Promise<void> => {
+export const servePeer = async (link: Link, options: PeerServerOptions): Promise<void> => {
     const connection = new Connection({
         link,
-        clock,
+        clock: options.clock,
         local: storeMethods,
         remote: {},
-        handlers: handlersFor(stores, pathHealth, onChanged),
+        handlers: handlersFor(options),
     });
     await connection.run();
 };
--- a/packages/standins/src/memoryRowStore.ts
+++ b/packages/standins/src/memoryRowStore.ts
@@ -144,6 +144,10 @@
             await wake.wait(this.clock, until - this.clock.now(), signal);
         }
         this.followers.delete(wake);
+        if (this.isSilent(client)) {
+            await this.clock.sleep(this.faults.silenceMs, signal);
+            return Result.err({ kind: "unavailable", detail: `the store does not answer ${client}` });
+        }
         return signal?.aborted === true
             ? Result.err({ kind: "unavailable", detail: "the call was aborted" })
             : this.changesAfter(client, after);
