fix(control): choose the fallback peer after the direct call has failed

Cause: the peer for a fallback was chosen before the direct call, which can take 1.7 s until it fails. By then the peer may be disconnected, and the call fails although another peer is connected.

Evidence: store.test, 'forwarding chooses the peer after the direct call has failed', failed before.

Change: the peer is chosen when it is called.

--- a/packages/control/src/forwardingStore.ts
+++ b/packages/control/src/forwardingStore.ts
@@ -102,14 +102,19 @@
         signal?: AbortSignal,
     ): Promise<Result<T, E>> {
         const { pathHealth, direct } = this.options;
-        const peer = this.bestPeer();
         const isProbe = pathHealth.isSuspect && policy.mayProbe && pathHealth.tryStartProbe();
-        const isViaPeer = peer !== undefined && pathHealth.isSuspect && !isProbe;
+        const firstPeer = pathHealth.isSuspect && !isProbe ? this.bestPeer() : undefined;
         const callThrough = (route: PeerRoute | undefined) =>
             this.callOnRoute(() => call(route?.store ?? direct, isProbe), policy, route, signal);
-        const outcome = await callThrough(isViaPeer ? peer : undefined);
-        const isFinal = outcome.isOk || signal?.aborted === true || !policy.isCertainlyNotApplied(outcome.error);
-        return isFinal || peer === undefined ? outcome : callThrough(isViaPeer ? undefined : peer);
+        const outcome = await callThrough(firstPeer);
+        if (outcome.isOk || signal?.aborted === true || !policy.isCertainlyNotApplied(outcome.error)) {
+            return outcome;
+        }
+        if (firstPeer !== undefined) {
+            return callThrough(undefined);
+        }
+        const fallbackPeer = this.bestPeer();
+        return fallbackPeer === undefined ? outcome : callThrough(fallbackPeer);
     }
 
     /** Makes a call through a peer, or directly if `peer` is `undefined`, and records the health of the route. */
--- a/packages/control/tests/store.test.ts
+++ b/packages/control/tests/store.test.ts
@@ -57,6 +57,26 @@
     });
 }
 
+// Guards against a call that fails because the peer that was chosen before the direct call is disconnected by then.
+void t.test("forwarding chooses the peer after the direct call has failed", async t => {
+    const clock = new FakeClock();
+    const store = new MemoryRowStore(clock);
+    let connected = "n2";
+    const forwarding = new ForwardingStore({
+        direct: store.client("n1"),
+        pathHealth: new DirectPathHealth(clock),
+        peers: () => [{ vm: connected, store: store.client(connected) }],
+        clock,
+        logger: silentLogger,
+        name: "state",
+    });
+    store.setFaults({ silent: ["n1"], refused: ["n2"] });
+    const scanned = forwarding.scan({ from: "", limit: 1 });
+    connected = "n3";
+    await clock.advance(1_000);
+    t.ok((await scanned).isOk);
+});
+
 interface WriterCase {
     readonly guardsAgainst: string;
     readonly faults: Partial<RowStoreFaults>;
