fix(executor): let many orders listen to one signal

Cause: retryOrder listens to the signals of the agent itself since AbortSignal.any is gone, and Node.js prints a warning for more than ten listeners of one signal.

Evidence: 'many orders in progress cause no warning' fails with the default limit.

Change: signals that many tasks share are made without the limit.

--- a/packages/executor/src/controllerEpoch.ts
+++ b/packages/executor/src/controllerEpoch.ts
@@ -1,7 +1,9 @@
+import { createSharedAbortController } from "@persimmonpitch/clock/createSharedAbortController.js";
+
 /** The highest epoch with which a controller has attached to this agent; requests with a lower epoch are refused. */
 export class ControllerEpoch {
     private highest = 0;
-    private supersededAbort = new AbortController();
+    private supersededAbort = createSharedAbortController();
 
     /** 0 until the first controller attaches. */
     get current(): number {
@@ -18,7 +20,7 @@
         if (epoch > this.highest) {
             this.highest = epoch;
             this.supersededAbort.abort();
-            this.supersededAbort = new AbortController();
+            this.supersededAbort = createSharedAbortController();
         }
         return epoch === this.highest;
     }
--- a/packages/executor/src/executorAgent.ts
+++ b/packages/executor/src/executorAgent.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@persimmonpitch/clock/clock.js";
+import { createSharedAbortController } from "@persimmonpitch/clock/createSharedAbortController.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { ExecutorInfo } from "@persimmonpitch/workload/executorReport.js";
@@ -19,7 +20,7 @@
 
 /** The agent for the executors of one VM, where an old executor may drain while its successor starts. */
 export class ExecutorAgent {
-    private readonly shutdownAbort = new AbortController();
+    private readonly shutdownAbort = createSharedAbortController();
     private readonly openConnections = new Set<ControllerConnectionHandle>();
     private readonly executors = new Map<string, ObservedExecutor>();
     private readonly tasks = new Set<Promise<void>>();
--- a/packages/executor/tests/executorAgent.test.ts
+++ b/packages/executor/tests/executorAgent.test.ts
@@ -26,6 +26,7 @@
 }
 
 const LONG_RUNNING = { isLongRunning: true };
+const ORDERS_IN_PROGRESS = 12;
 
 const CASES: readonly TestCase[] = [
     {
@@ -339,3 +340,26 @@
     );
     await fixture.agent.stop();
 });
+
+// Guards against a warning of a leak, once for each process, when an executor answers many orders late.
+void t.test("many orders in progress cause no warning", async t => {
+    const warnings: string[] = [];
+    const note = ({ message }: Error) => {
+        warnings.push(message);
+    };
+    process.on("warning", note);
+    const fixture = new AgentFixture({});
+    const controller = await fixture.attachController();
+    const [executor] = fixture.executors;
+    if (executor === undefined) {
+        return;
+    }
+    executor.setFaults({ unansweredOrders: ORDERS_IN_PROGRESS });
+    for (let task = 0; task < ORDERS_IN_PROGRESS; task += 1) {
+        void controller.start(executor, `t${task}`, LONG_RUNNING);
+    }
+    await fixture.clock.advance(200);
+    process.off("warning", note);
+    t.same(warnings, []);
+    await fixture.agent.stop();
+});
