--- a/packages/backing/src/httpClient.ts
+++ b/packages/backing/src/httpClient.ts
@@ -100,7 +100,8 @@
             );
         }
         catch (error) {
-            const detail = error === WAIT_OVER ? `no answer within ${requestTimeoutMs} ms` : String(error);
+            const isTimeout = signal === undefined && error === WAIT_OVER;
+            const detail = isTimeout ? `no answer within ${requestTimeoutMs} ms` : String(error);
             return Result.err({ mayHaveBeenSent: !CONNECT_ERROR_CODES.has(errorCodeOf(error)), detail });
         }
     }
