--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -3,6 +3,7 @@
 import type { TaskProgress } from "@persimmonpitch/workload/progress.js";
 import { NO_TASK_PROGRESS } from "@persimmonpitch/workload/progress.js";
 import type { Demand } from "@persimmonpitch/workload/step.js";
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 import { addTo, coreEquivalent, countedDemand } from "./demand.js";
@@ -19,7 +20,6 @@
     StopDecision,
 } from "./dispatchView.js";
 import { type FakeGroup, type FakeRun, groupRate, type Rate, reportProgress } from "./fakeRun.js";
-import { stepKeys } from "./openOccurrences.js";
 
 const TICK_MS: Millis = 50;
 const REPORT_MS: Millis = 500;
@@ -325,7 +325,7 @@
         if (isFailure && members.some(({ key }) => (tasks[key]?.failures ?? 0) >= maxAttempts)) {
             this.close(jobId, "failed");
         }
-        const keys = steps.flatMap((step, index) => stepKeys(0, index, step));
+        const keys = steps.flatMap((step, index) => stepKeys(step, 0, index));
         const record = this.records.get(jobId);
         if (record !== undefined && this.jobs.has(jobId) && keys.every(key => tasks[key]?.isDone === true)) {
             record.endedAt = this.now;
--- a/packages/dispatch/src/occurrenceForecasts.ts
+++ b/packages/dispatch/src/occurrenceForecasts.ts
@@ -1,9 +1,10 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { criticalPathMs } from "./criticalPath.js";
 import { coreEquivalent } from "./demand.js";
 import { byPriority, type DispatchOptions } from "./dispatchOptions.js";
 import type { JobView } from "./dispatchView.js";
-import { type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
+import { type OpenOccurrence, progressOf } from "./openOccurrences.js";
 import type { RunGroup } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
 import type { StepWaves } from "./stepWaves.js";
@@ -75,7 +76,7 @@
 const countUnplacedTasks = ({ view, occurrence }: OpenOccurrence, stepIndex: number): number => {
     const step = view.job.steps[stepIndex];
     let unplaced = 0;
-    for (const key of step === undefined ? [] : stepKeys(occurrence, stepIndex, step)) {
+    for (const key of step === undefined ? [] : stepKeys(step, occurrence, stepIndex)) {
         const { placement, isDone } = progressOf(view, key);
         unplaced += Number(placement === undefined && !isDone);
     }
--- a/packages/dispatch/src/openOccurrences.ts
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { NO_TASK_PROGRESS, type TaskProgress } from "@persimmonpitch/workload/progress.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
-import { stepKeys as keysOfStep } from "@persimmonpitch/workload/stepKeys.js";
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import type { JobView } from "./dispatchView.js";
 
 /** An occurrence of the steps of an open job that is due and not done. A job without repetition has one occurrence. */
@@ -17,14 +17,10 @@
 /** Progress of the task with the given key. */
 export const progressOf = ({ progress }: JobView, key: string): TaskProgress => progress.tasks[key] ?? NO_TASK_PROGRESS;
 
-/** The keys of all tasks of a step. */
-export const stepKeys = (occurrence: number, stepIndex: number, step: Step): readonly string[] =>
-    keysOfStep(step, occurrence, stepIndex);
-
 /** Whether all tasks of a step are done. The members of a gang are done together, so one of them is enough. */
 const isStepDone = (view: JobView, occurrence: number, stepIndex: number, step: Step): boolean => {
     const isTaskDone = (key: string): boolean => progressOf(view, key).isDone;
-    const keys = stepKeys(occurrence, stepIndex, step);
+    const keys = stepKeys(step, occurrence, stepIndex);
     return step.isGang ? keys.some(isTaskDone) : keys.every(isTaskDone);
 };
 
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -1,9 +1,10 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { coreEquivalent } from "./demand.js";
 import { byPriority } from "./dispatchOptions.js";
 import type { ExecutorResources } from "./executorResources.js";
 import { type OccurrenceForecast, occurrenceId } from "./occurrenceForecasts.js";
-import { progressOf, stepKeys } from "./openOccurrences.js";
+import { progressOf } from "./openOccurrences.js";
 import type { PassState } from "./passState.js";
 import type { RunGroup } from "./runGroups.js";
 import type { RankedUnit } from "./unitOrder.js";
@@ -61,7 +62,7 @@
     if (!step.isLongRunning || step.mayMiss === undefined) {
         return false;
     }
-    const absentKeys = stepKeys(occurrence, stepIndex, step)
+    const absentKeys = stepKeys(step, occurrence, stepIndex)
         .filter(key => progressOf(view, key).placement === undefined || absent.has(`${view.job.jobId} ${key}`));
     return absentKeys.length >= step.mayMiss;
 };
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -1,8 +1,9 @@
 import type { Demand, Step } from "@persimmonpitch/workload/step.js";
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { stepName } from "@persimmonpitch/workload/taskName.js";
 import { countedDemand } from "./demand.js";
 import type { AdvisedExecutors } from "./dispatchView.js";
-import { type OpenOccurrence, progressOf, stepKeys } from "./openOccurrences.js";
+import { type OpenOccurrence, progressOf } from "./openOccurrences.js";
 import { stepId } from "./stepId.js";
 
 /** Tasks of one step that can start now: a whole gang, or all unplaced tasks of a step that is not a gang. */
@@ -27,7 +28,7 @@
 
 /** Keys of the tasks of a step that are neither placed nor done; for a gang all of its keys or none. */
 export const startableKeys = (openOccurrence: OpenOccurrence, stepIndex: number, step: Step): readonly string[] => {
-    const keys = stepKeys(openOccurrence.occurrence, stepIndex, step);
+    const keys = stepKeys(step, openOccurrence.occurrence, stepIndex);
     const isUnplaced = (key: string): boolean => {
         const { placement, isDone } = progressOf(openOccurrence.view, key);
         return placement === undefined && !isDone;
--- a/packages/dispatch/src/runGroups.ts
+++ b/packages/dispatch/src/runGroups.ts
@@ -1,9 +1,10 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { parseTaskKey, parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { ExecutorView, JobView, RunView, StopDecision, StopReason } from "./dispatchView.js";
 import { groupBy } from "./groupBy.js";
-import { progressOf, stepKeys } from "./openOccurrences.js";
+import { progressOf } from "./openOccurrences.js";
 import { measureRate, type RateMeasurement } from "./rateMeasurement.js";
 
 /** A run and its executor, given by its index in the view. */
@@ -139,7 +140,7 @@
 /** Decisions that stop all members of a group with a placement, including those on unreachable executors. */
 export const stopDecisions = (group: RunGroup, reason: StopReason): readonly StopDecision[] => {
     const { view, occurrence, stepIndex, step, members } = group;
-    const keys = step.isGang ? stepKeys(occurrence, stepIndex, step) : members.map(({ run }) => run.key);
+    const keys = step.isGang ? stepKeys(step, occurrence, stepIndex) : members.map(({ run }) => run.key);
     return keys
         .map(key => ({ key, progress: progressOf(view, key) }))
         .filter(({ progress }) => progress.placement !== undefined)
--- a/packages/dispatch/src/stepsNeedingAdvice.ts
+++ b/packages/dispatch/src/stepsNeedingAdvice.ts
@@ -1,3 +1,4 @@
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { stepName } from "@persimmonpitch/workload/taskName.js";
 import { slotsIn } from "./demand.js";
 import type { DispatchView } from "./dispatchView.js";
@@ -8,7 +9,7 @@
     slotsFor,
     slotsWhenEmpty,
 } from "./executorResources.js";
-import { type OpenOccurrence, openOccurrences, progressOf, stepKeys } from "./openOccurrences.js";
+import { type OpenOccurrence, openOccurrences, progressOf } from "./openOccurrences.js";
 import { isStepReady, type ReadyUnit, startableKeys, toReadyUnit } from "./readyUnits.js";
 import { findRunSteps } from "./runGroups.js";
 
@@ -47,7 +48,7 @@
 const isPlacedOrDone = ({ view, occurrence, doneSteps }: OpenOccurrence, stepIndex: number): boolean => {
     const step = view.job.steps[stepIndex];
     return doneSteps[stepIndex] === true || step !== undefined && !step.isLongRunning
-            && stepKeys(occurrence, stepIndex, step).every(key => {
+            && stepKeys(step, occurrence, stepIndex).every(key => {
                 const { placement, isDone } = progressOf(view, key);
                 return placement !== undefined || isDone;
             });
--- a/packages/dispatch/tests/dispatchRules.ts
+++ b/packages/dispatch/tests/dispatchRules.ts
@@ -1,7 +1,8 @@
 import type { Demand } from "@persimmonpitch/workload/step.js";
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { parseTaskName, taskKey, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { DispatchDecision, DispatchView, JobView } from "../src/dispatchView.js";
-import { progressOf, stepKeys } from "../src/openOccurrences.js";
+import { progressOf } from "../src/openOccurrences.js";
 
 const stepOfKey = (view: JobView, key: string) => {
     const position = parseTaskName(taskName(view.job.jobId, key));
@@ -52,7 +53,7 @@
         const { step, step: { after }, occurrence, step: { count } } = stepOfKey(job, keys[0] ?? "");
         const stepIndex = job.job.steps.indexOf(step);
         if (decision.kind === "stop") {
-            const placed = stepKeys(occurrence, stepIndex, step).filter(key =>
+            const placed = stepKeys(step, occurrence, stepIndex).filter(key =>
                 progressOf(job, key).placement !== undefined
             );
             const stopped = decisions.filter(one =>
