--- a/packages/entry/src/agentRegistry.ts
+++ b/packages/entry/src/agentRegistry.ts
@@ -183,10 +183,6 @@
         return updates;
     }
 
-    get hasPendingUpdates(): boolean {
-        return this.pendingChanges.size > 0;
-    }
-
     async sendOrder<Name extends keyof OrderMethods>(
         vmId: string,
         name: Name,
