--- a/packages/control/src/tableFollower.ts
+++ b/packages/control/src/tableFollower.ts
@@ -120,9 +120,10 @@
         return ok(undefined);
     }
 
-    /** Logs a poll that has not ended after `OVERDUE_MS`, which no other line shows while it lasts. */
+    /** Logs a poll that has not ended after `OVERDUE_MS`, which no other line shows while it lasts, and its end. */
     private async logIfOverdue<T>(poll: Promise<T>): Promise<T> {
         const { clock, logger, name } = this.options;
+        const startedAt = clock.now();
         const pollEnded = new AbortController();
         void clock.sleep(OVERDUE_MS, pollEnded.signal).then(() => {
             if (!pollEnded.signal.aborted) {
@@ -134,6 +135,10 @@
         }
         finally {
             pollEnded.abort(WAIT_OVER);
+            const elapsedMs = clock.now() - startedAt;
+            if (elapsedMs >= OVERDUE_MS) {
+                logger.log("info", "store.overdueEnded", { table: name, ms: Math.round(elapsedMs) });
+            }
         }
     }
 
--- a/tap-snapshots/packages/control/dist/tests/storeRoutes.test.js.test.cjs
+++ b/tap-snapshots/packages/control/dist/tests/storeRoutes.test.js.test.cjs
@@ -8,6 +8,7 @@
 exports[`packages/control/dist/tests/storeRoutes.test.js > TAP > the log shows a poll that does not end > events 1`] = `
 [
   { event: 'store.overdue', level: 'warn', ms: 3000, table: 'operator' },
+  { event: 'store.overdueEnded', level: 'info', ms: 8000, table: 'operator' },
   {
     ageMs: 8000,
     detail: 'the store does not answer n1',
