--- a/review/lib/executor.mjs
+++ b/review/lib/executor.mjs
@@ -55,10 +55,12 @@
         clearInterval(state.leaseTimer);
         clearInterval(state.beatTimer);
         this.note("executor down", { born: state.born, running: [...state.running.keys()] });
-        state.running.forEach(run => {
+        const runs = [...state.running.values()];
+        state.running.clear();
+        runs.forEach(run => {
             clearTimeout(run.timer);
+            this.options.gangs?.leave(run);
         });
-        state.running.clear();
         state.server.close();
     }
 
@@ -166,12 +168,17 @@
         }
         this.extendLease(state, deadlineMs);
         const workMs = this.options.workMs(task, spec);
-        const started = { task, run, workMs, startedAt: performance.now() };
-        started.timer = setTimeout(() => {
-            this.end(state, started, "done");
-        }, workMs);
+        const started = { task, run, workMs, startedAt: undefined, end: how => this.end(state, started, how) };
         state.running.set(`${task}#${run}`, started);
         this.note("start", { task, run, fence: state.fence, born: state.born });
+        const gang = this.options.gangOf?.(task, run, spec);
+        if (gang === undefined) {
+            started.startedAt = performance.now();
+            started.timer = setTimeout(started.end, workMs, "done");
+        }
+        else {
+            this.options.gangs.join(started, { ...gang, workMs });
+        }
         sendJson(res, { clock_ms: this.clock(state) });
     }
 
@@ -191,6 +198,9 @@
     }
 
     end(state, run, how) {
+        if (!state.running.has(`${run.task}#${run.run}`)) {
+            return;
+        }
         clearTimeout(run.timer);
         state.running.delete(`${run.task}#${run.run}`);
         state.last.set(run.task, Math.max(run.run, state.last.get(run.task) ?? 0));
@@ -200,6 +210,7 @@
         state.waiters.forEach(wake => {
             wake();
         });
+        this.options.gangs?.leave(run);
     }
 
     checkLease(state) {
@@ -231,7 +242,7 @@
                     task,
                     run,
                     "",
-                    Math.min(99, Math.floor((performance.now() - startedAt) / workMs * 100)),
+                    startedAt === undefined ? 0 : Math.min(99, Math.floor((performance.now() - startedAt) / workMs * 100)),
                     100,
                 ]),
                 finished: state.ends.slice(0, MAX_LISTED_ENDS),
--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -41,14 +41,32 @@
     };
 };
 
-/** Free loopback ports. */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+
+const isFree = async port => {
+    try {
+        (await serve(() => undefined, port)).close();
+        return true;
+    }
+    catch {
+        return false;
+    }
+};
+
+/**
+ * Free loopback ports, below those that the system gives to outgoing connections and chosen at random, so that two
+ * scripts that start at the same time do not choose the same ones.
+ */
 export const freePorts = async count => {
-    const servers = await Promise.all(Array.from({ length: count }, () => serve(() => undefined)));
-    const ports = servers.map(({ port }) => port);
-    servers.forEach(({ close }) => {
-        close();
-    });
-    return ports;
+    const ports = new Set();
+    while (ports.size < count) {
+        const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+        if (!ports.has(port) && await isFree(port)) {
+            ports.add(port);
+        }
+    }
+    return [...ports];
 };
 
 /** Calls on a connection of its own. The status is 0 without a complete answer. */
--- a/review/lib/programs.mjs
+++ b/review/lib/programs.mjs
@@ -36,6 +36,25 @@
     return /^run = "(.*)"$/m.exec(section)[1].split(" ");
 };
 
+const LIMIT_MS = 116_000;
+const children = new Set();
+
+// Whatever ends a script, the programs end with it.
+process.once("exit", () => {
+    children.forEach(child => {
+        child.kill("SIGKILL");
+    });
+});
+for (const name of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+    process.once(name, () => {
+        process.exit(2);
+    });
+}
+setTimeout(() => {
+    process.stdout.write("COULD NOT RUN: the case took too long.\n");
+    process.exit(2);
+}, LIMIT_MS).unref();
+
 /** One program with its settings file; it can be killed and started again. */
 export class Program {
     child = undefined;
@@ -53,7 +72,9 @@
             stdio: ["ignore", "pipe", "pipe"],
         });
         this.child = child;
+        children.add(child);
         this.ended = new Promise(resolve => child.once("exit", (code, signal) => {
+            children.delete(child);
             this.record.write("process ended", { vm: this.settings.vm, code, signal });
             resolve();
         }));
