--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -12,9 +12,10 @@
 /** Share of the writes whose answers are lost, and how much later they are done. */
 const LOST_SHARE = 0.35;
 const LATE_MS = 6_000;
-const JOB_EVERY_MS = 100;
-/** Jobs are handed in during the first part of a window only. */
-const SUBMIT_MS = 2_500;
+const JOB_EVERY_MS = 80;
+/** Jobs are handed in from 1.6 s to 3.6 s of a window, so that late writes are done when the store has long been calm. */
+const SUBMIT_AFTER_MS = 1_600;
+const SUBMIT_MS = 2_000;
 const WORK_MS = 500;
 const CANCEL_MS = 3_000;
 const CONTACT_MS = 3_000;
@@ -83,12 +84,13 @@
         for (let window = 0; window < WINDOWS; window += 1) {
             isLosing = HAS_TROUBLE;
             record.write("answers of the store are lost from now on", { isLosing });
+            await sleep(SUBMIT_AFTER_MS);
             for (let spent = 0; spent < SUBMIT_MS; spent += JOB_EVERY_MS) {
                 pending.push(handIn(count));
                 count += 1;
                 await sleep(JOB_EVERY_MS);
             }
-            await sleep(WINDOW_MS - SUBMIT_MS);
+            await sleep(WINDOW_MS - SUBMIT_AFTER_MS - SUBMIT_MS);
             isLosing = false;
             windowEnds.push(record.now());
             record.write("answers of the store are not lost any more");
