--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -23,13 +23,23 @@
     return FIRST_WORK_MS + WORK_STEP_MS * (job * TASKS_PER_JOB + Number(index));
 };
 
-/** Starts of a task after one of its runs had ended `done`, if that end was taken note of then or later. */
+/**
+ * Starts of a task after one of its runs had ended `done`, if that end was taken note of then or later. An end does not
+ * count if the lease of its executor lapsed between the two.
+ */
 const secondRuns = events => {
-    const noted = new Set(events.filter(({ what }) => what === "end taken note of").map(({ task, run }) => `${task}#${run}`));
+    const lapses = events.filter(({ what }) => what === "lease lapsed").map(({ at }) => at);
+    const notedAt = new Map(
+        events.filter(({ what }) => what === "end taken note of").map(({ task, run, at }) => [`${task}#${run}`, at]),
+    );
+    const isCounted = ({ task, run, at }) => {
+        const noted = notedAt.get(`${task}#${run}`);
+        return noted !== undefined && !lapses.some(lapse => lapse >= at && lapse <= noted);
+    };
     const done = new Map();
     const found = [];
     for (const event of events) {
-        if (event.what === "end" && event.how === "done" && noted.has(`${event.task}#${event.run}`)) {
+        if (event.what === "end" && event.how === "done" && isCounted(event)) {
             done.set(event.task, event);
         }
         else if (event.what === "start" && done.has(event.task)) {
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -9,7 +9,9 @@
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const ROUNDS = 4;
 const CUT_MS = 5_000;
-const REBORN_AFTER_MS = 1_000;
+const CRASH_AFTER_MS = 500;
+/** `address_reuse_s` of the site is 2 s. */
+const DOWN_MS = 2_200;
 const SUBMIT_AFTER_MS = 3_300;
 const WORK_MS = 4_000;
 const CALM_MS = 9_000;
@@ -80,11 +82,11 @@
                 record.write("cut begins", { executor: first.options.id });
                 isCut = true;
                 proxy.cut();
-                await sleep(REBORN_AFTER_MS);
+                await sleep(CRASH_AFTER_MS);
                 first.crash();
-                await sleep(500);
+                await sleep(DOWN_MS);
                 await first.start();
-                await sleep(SUBMIT_AFTER_MS - REBORN_AFTER_MS - 500);
+                await sleep(SUBMIT_AFTER_MS - CRASH_AFTER_MS - DOWN_MS);
             }
             else {
                 await sleep(SUBMIT_AFTER_MS);
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -7,20 +7,24 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const WINDOWS = 3;
-const WINDOW_MS = 4_500;
-const CALM_MS = 11_000;
+/** How long answers of the store are lost. */
+const WINDOW_MS = 2_500;
 /** Share of the writes whose answers are lost, and how much later they are done. */
 const LOST_SHARE = 0.35;
 const LATE_MS = 6_000;
-const JOB_EVERY_MS = 80;
-/** Jobs are handed in from 1.6 s to 3.6 s of a window, so that late writes are done when the store has long been calm. */
-const SUBMIT_AFTER_MS = 1_600;
-const SUBMIT_MS = 2_000;
+const SUBMIT_MS = 1_500;
+const JOB_EVERY_MS = 60;
+/** Previews that fill both executors: 16 tasks with one GPU each. */
+const FILL = { count: 16, cpu: 11_000, task_memory_mb: 33_000, gpus: 1, estimated_ms: 13_571 };
+const FILL_MS = 13_571;
 const WORK_MS = 500;
+/** From the first lost answer to the end of a round: all late jobs have had their turn by then. */
+const ROUND_MS = 18_000;
 const CANCEL_MS = 3_000;
 const CONTACT_MS = 3_000;
 
 const record = openRecord(fileURLToPath(new URL("record.txt", import.meta.url)));
+const fillId = window => `00000000000000f${window}`;
 const idOf = index => (0xe000000000000000n + BigInt(index)).toString(16);
 
 const play = async () => {
@@ -49,7 +53,7 @@
             rack: `r${index + 1}`,
             capacity: { cpu: 128_000, task_memory_mb: 524_288, gpus: 8 },
             control: () => agent.settings.announcements,
-            workMs: () => WORK_MS,
+            workMs: (_task, spec) => spec === "fill" ? FILL_MS : WORK_MS,
         })
     );
     try {
@@ -72,7 +76,7 @@
             const entry = programs.entries[index % 2];
             const { status } = await requester.submit(entry, idOf(index), {
                 task_spec: "preview",
-                steps: [{ count: 1, cpu: 1_000, task_memory_mb: 256, estimated_ms: WORK_MS }],
+                steps: [{ count: 1, cpu: 1_000, task_memory_mb: 256, gpus: 1, estimated_ms: WORK_MS }],
             });
             if (status !== 200) {
                 const answer = await requester.cancel(programs.entries[(index + 1) % 2], idOf(index));
@@ -81,24 +85,33 @@
                 }
             }
         };
+        const startsOf = id => executors.flatMap(({ events }) => events)
+            .filter(({ what, task }) => what === "start" && task.startsWith(`${id}.`));
         for (let window = 0; window < WINDOWS; window += 1) {
+            await requester.submit(programs.entries[0], fillId(window), { task_spec: "fill", steps: [FILL] });
+            if (!await waitFor(() => startsOf(fillId(window)).length === FILL.count, 5_000, 10)) {
+                return [2, "The executors were not filled."];
+            }
+            const roundEnds = sleep(ROUND_MS);
             isLosing = HAS_TROUBLE;
             record.write("answers of the store are lost from now on", { isLosing });
-            await sleep(SUBMIT_AFTER_MS);
             for (let spent = 0; spent < SUBMIT_MS; spent += JOB_EVERY_MS) {
                 pending.push(handIn(count));
                 count += 1;
                 await sleep(JOB_EVERY_MS);
             }
-            await sleep(WINDOW_MS - SUBMIT_AFTER_MS - SUBMIT_MS);
+            await sleep(WINDOW_MS - SUBMIT_MS);
             isLosing = false;
             windowEnds.push(record.now());
             record.write("answers of the store are not lost any more");
-            await sleep(CALM_MS);
+            await roundEnds;
         }
         await Promise.all(pending);
         const starts = executors.flatMap(({ events }) => events).filter(({ what }) => what === "start");
-        const isCalm = at => windowEnds.some(end => at >= end + CONTACT_MS && at <= end + CALM_MS);
+        // The disturbance ends when the last late write has been done; the core is stable `contact_timeout_ms` later.
+        const isCalm = at => windowEnds.some(end =>
+            at >= end + LATE_MS + CONTACT_MS && at <= end + ROUND_MS - WINDOW_MS
+        );
         const late = cancelled.flatMap(({ id, submitted, status, at }) =>
             starts.filter(start => start.task.startsWith(`${id}.`) && start.at > at + CANCEL_MS && isCalm(start.at))
                 .map(start => ({ id, submitted, cancel: status, cancelledAt: at, startedAt: start.at }))
@@ -110,7 +123,7 @@
         if (late.length > 0) {
             return [1, `UNASKED: ${text}; the first is ${JSON.stringify(late[0])}.`];
         }
-        return [!HAS_TROUBLE && starts.length < count ? 2 : 0, `${text}.`];
+        return [!HAS_TROUBLE && starts.length < count + WINDOWS * FILL.count ? 2 : 0, `${text}.`];
     }
     finally {
         executors.forEach(executor => {
--- a/review/lib/executor.mjs
+++ b/review/lib/executor.mjs
@@ -32,6 +32,7 @@
             endNumber: 0,
             fence: 0,
             leaseEnd: -Infinity,
+            hasLapsed: false,
             waiters: new Set(),
             isUp: true,
         };
@@ -137,6 +138,8 @@
 
     extendLease(state, deadlineMs) {
         if (deadlineMs !== undefined) {
+            this.checkLease(state);
+            state.hasLapsed = false;
             state.leaseEnd = Math.max(state.leaseEnd, Math.min(deadlineMs, this.clock(state) + MAX_HOLD_MS));
         }
     }
@@ -214,7 +217,8 @@
     }
 
     checkLease(state) {
-        if (state.running.size > 0 && this.clock(state) > state.leaseEnd) {
+        if (!state.hasLapsed && Number.isFinite(state.leaseEnd) && this.clock(state) > state.leaseEnd) {
+            state.hasLapsed = true;
             this.note("lease lapsed", { born: state.born });
             [...state.running.values()].forEach(run => {
                 this.end(state, run, "lapsed");
