fix(dispatch): let suspected executors be proved by gangs or time

Cause: an executor on which two jobs failed took a single task at a time, no gang, until a success, and nothing else ended that state. When only gangs wait, no success can come. Failures counted against an executor whatever the same jobs did elsewhere.

Change: a probe is one task or one gang; probing ends 15 s after it began; a job that failed on an executor which then succeeded with other work says nothing about other executors.

--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -31,8 +31,10 @@
     readonly maxSearchedSets: number;
     /** Number of executors of one set that such a search covers first, those with the most free accelerators. */
     readonly maxSearchedExecutors: number;
-    /** How long an executor that fails the runs of all jobs gets no tasks before it is probed with one. */
+    /** How long an executor that fails the runs of all jobs gets no tasks before it is probed with a task or gang. */
     readonly probeAfterMs: Millis;
+    /** How long such an executor gets one task or gang at a time; afterwards it only ranks behind others. */
+    readonly probeForMs: Millis;
     /** How long an executor is ranked behind others after a run on it was interrupted. */
     readonly suspectMs: Millis;
     /** How long a task avoids an executor on which it failed. */
@@ -60,6 +62,7 @@
     maxSearchedSets: 8,
     maxSearchedExecutors: 32,
     probeAfterMs: 5_000,
+    probeForMs: 15_000,
     suspectMs: 10_000,
     avoidAfterFailureMs: 5_000,
     stallMs: 2_500,
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -2,7 +2,7 @@
 import { DEFAULT_DISPATCH_OPTIONS, type DispatchOptions } from "./dispatchOptions.js";
 import type { DispatchDecision, DispatchView, JobView } from "./dispatchView.js";
 import { type Eviction, findEvictions } from "./evictions.js";
-import { executorHealth } from "./executorHealth.js";
+import { executorHealth, findFaultyJobs } from "./executorHealth.js";
 import { ExecutorIndex } from "./executorIndex.js";
 import { executorResources } from "./executorResources.js";
 import { guaranteedOccurrences } from "./guarantees.js";
@@ -87,11 +87,10 @@
         return { decisions: [], executors: [], waiting: [] };
     }
     const unhealthy = unhealthyExecutors(evictions);
+    const healthContext = { jobs, faultyJobs: findFaultyJobs(view.executors), now: view.now, options };
     const executors = executorResources(view, runSteps, index => {
         const executor = view.executors[index];
-        return executor === undefined
-            ? "failing"
-            : executorHealth(executor, jobs, unhealthy.has(index), view.now, options);
+        return executor === undefined ? "failing" : executorHealth(executor, unhealthy.has(index), healthContext);
     });
     const forecasts = forecastOccurrences(occurrences, groups, runTimes, stepWaves(view.executors), view.now, options);
     const guaranteed = guaranteedOccurrences(view, occurrences);
--- a/packages/dispatch/src/executorHealth.ts
+++ b/packages/dispatch/src/executorHealth.ts
@@ -4,19 +4,44 @@
 import { progressOf } from "./openOccurrences.js";
 
 /**
- * A `failing` executor gets no tasks, a `probing` one gets a single task at a time, and a `suspect` one gets only tasks
- * that fit on no healthy executor.
+ * A `failing` executor gets no tasks, a `probing` one gets a single task or gang at a time, and a `suspect` one gets
+ * only tasks that fit on no healthy executor. `failing` and `probing` end by time, because work that could end them may
+ * never come.
  */
 export type ExecutorHealth = "healthy" | "suspect" | "probing" | "failing";
 
 /** Failures of a single job may be caused by the job; failures of several jobs point to the executor. */
 const MIN_FAILED_JOBS = 2;
 
-/** Whether runs of different jobs failed on the executor since its last success. */
-const failsAllJobs = ({ recentEnds }: ExecutorView): boolean => {
+/**
+ * Jobs that failed on an executor which then succeeded with other work. Their failures are likely their own, so they
+ * say nothing about any executor.
+ */
+export const findFaultyJobs = (executors: readonly ExecutorView[]): ReadonlySet<string> =>
+    new Set(executors.flatMap(({ recentEnds }) => {
+        const lastSuccess = recentEnds.findLastIndex(({ isFailure }) => !isFailure);
+        return recentEnds.slice(0, Math.max(0, lastSuccess))
+            .filter(({ isFailure }) => isFailure)
+            .map(({ jobId }) => jobId);
+    }));
+
+/** Whether runs of different jobs, none of them known as faulty, failed on the executor since its last success. */
+const failsAllJobs = ({ recentEnds }: ExecutorView, faultyJobs: ReadonlySet<string>): boolean => {
     const lastSuccess = recentEnds.findLastIndex(({ isFailure }) => !isFailure);
-    const failedJobs = new Set(recentEnds.slice(lastSuccess + 1).map(({ jobId }) => jobId));
-    return failedJobs.size >= MIN_FAILED_JOBS;
+    const failedJobs = recentEnds.slice(lastSuccess + 1).map(({ jobId }) => jobId)
+        .filter(jobId => !faultyJobs.has(jobId));
+    return new Set(failedJobs).size >= MIN_FAILED_JOBS;
+};
+
+/** Health of an executor that fails all jobs, by the time since its last failure. */
+const healthAfterFailures = (
+    sinceFailureMs: Millis,
+    { probeAfterMs, probeForMs }: DispatchOptions,
+): ExecutorHealth => {
+    if (sinceFailureMs < probeAfterMs) {
+        return "failing";
+    }
+    return sinceFailureMs < probeAfterMs + probeForMs ? "probing" : "suspect";
 };
 
 /** Whether a run ended without failure before its task was done, as after a stop because it was stalled or slow. */
@@ -46,17 +71,23 @@
         && !hasProgressSince(executor, lastEnd.at);
 };
 
+/** What the health of an executor depends on besides its own ends. */
+export interface HealthContext {
+    readonly jobs: ReadonlyMap<string, JobView>;
+    readonly faultyJobs: ReadonlySet<string>;
+    readonly now: Millis;
+    readonly options: DispatchOptions;
+}
+
 /** Derives the health of an executor from its recent ends and from whether a run on it is stalled or slow. */
 export const executorHealth = (
     executor: ExecutorView,
-    jobs: ReadonlyMap<string, JobView>,
     hasUnhealthyRun: boolean,
-    now: Millis,
-    { probeAfterMs, suspectMs }: DispatchOptions,
+    { jobs, faultyJobs, now, options }: HealthContext,
 ): ExecutorHealth => {
-    if (failsAllJobs(executor)) {
-        const lastEnd = executor.recentEnds.at(-1)?.at ?? now;
-        return now - lastEnd >= probeAfterMs ? "probing" : "failing";
+    if (failsAllJobs(executor, faultyJobs)) {
+        const lastFailureAt = executor.recentEnds.at(-1)?.at ?? now;
+        return healthAfterFailures(now - lastFailureAt, options);
     }
-    return hasUnhealthyRun || hasRecentInterruption(executor, jobs, now, suspectMs) ? "suspect" : "healthy";
+    return hasUnhealthyRun || hasRecentInterruption(executor, jobs, now, options.suspectMs) ? "suspect" : "healthy";
 };
--- a/packages/dispatch/src/executorResources.ts
+++ b/packages/dispatch/src/executorResources.ts
@@ -135,8 +135,12 @@
 } = {
     healthy: slots => slots,
     suspect: slots => slots,
-    probing: (slots, { taskCount }, { step }) =>
-        taskCount > 0 || step.isGang && step.count > 1 ? 0 : Math.min(1, slots),
+    probing: (slots, { taskCount }, { step }) => {
+        if (taskCount > 0) {
+            return 0;
+        }
+        return step.isGang ? slots : Math.min(1, slots);
+    },
     failing: () => 0,
 };
 
