fix(control,workload): bound rows of progress, and a refusal to its own job

Cause: the progress of a job stood in one row, which outgrew the longest row of the store (65,536 bytes).

Change: the progress of a job of more than 100 tasks is stored in rows of 100 tasks, of which only changed ones are written. Rows of earlier releases are read and moved. A refused transaction is repeated job by job; a job whose own rows are refused fails, with a line that names it. A job has at most 200,000 tasks in all occurrences, and a pass considers 100 due occurrences of a job. A checkpoint of over 256 bytes is not kept.

--- a/packages/control/src/activeJobs.ts
+++ b/packages/control/src/activeJobs.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import { NO_PROGRESS } from "@persimmonpitch/workload/progress.js";
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
+import { readStoredProgress } from "./jobProgressRows.js";
 import { OpenJob } from "./openJob.js";
 import type { Replica } from "./replica.js";
 
@@ -21,14 +21,14 @@
         if (row === undefined || this.byId.has(jobId) || this.endedIds.has(jobId)) {
             return false;
         }
-        if (this.replica.isProgressUnreadable(jobId)) {
+        const stored = readStoredProgress(this.replica, row.value);
+        if (stored === undefined) {
             // Without its progress the job could run twice, and writing its progress would fail and cost the controller
             // role.
             this.logger.log("error", "job.unreadable", { job: jobId });
             return false;
         }
-        const progress = this.replica.progress.get(jobId);
-        const openJob = new OpenJob(row.value, progress?.value ?? NO_PROGRESS, progress?.version ?? 0);
+        const openJob = new OpenJob(row.value, stored);
         if (!openJob.isOpen) {
             this.endedIds.add(jobId);
             return false;
--- a/packages/control/src/clusterState.ts
+++ b/packages/control/src/clusterState.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { RunEnd, RunInProgress, RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { Placement } from "@persimmonpitch/workload/progress.js";
+import { isStorableCheckpoint } from "@persimmonpitch/workload/progressLayout.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { ActiveJobs } from "./activeJobs.js";
@@ -272,13 +273,18 @@
     }
 
     /** Returns the ended run unless its task is done or the run was never claimed. */
-    private findEndedRun({ task, run, checkpoint }: RunEnd): EndedRun | undefined {
+    private findEndedRun({ task, run, checkpoint: listedCheckpoint }: RunEnd): EndedRun | undefined {
         const parsed = parseTaskName(task);
         const openJob = parsed === undefined ? undefined : this.options.jobs.byId.get(parsed.jobId);
         if (parsed === undefined || openJob === undefined) {
             return undefined;
         }
         const { isDone, run: lastRun } = openJob.task(parsed.key);
+        const isStorable = isStorableCheckpoint(listedCheckpoint);
+        if (!isStorable) {
+            this.options.logger.log("warn", "checkpoint.tooLong", { task, run, bytes: listedCheckpoint.length });
+        }
+        const checkpoint = isStorable ? listedCheckpoint : "";
         return isDone || run > lastRun ? undefined : { openJob, task, key: parsed.key, run, checkpoint };
     }
 
@@ -318,7 +324,7 @@
         const openJob = this.options.jobs.byId.get(tracked.jobId);
         // Kept in memory and written with the next change, so that the task resumes from it if the run is lost.
         if (
-            openJob !== undefined && listed.checkpoint !== ""
+            openJob !== undefined && listed.checkpoint !== "" && isStorableCheckpoint(listed.checkpoint)
             && openJob.task(tracked.key).checkpoint !== listed.checkpoint
         ) {
             openJob.update(tracked.key, { checkpoint: listed.checkpoint });
--- a/packages/control/src/progressWriter.ts
+++ b/packages/control/src/progressWriter.ts
@@ -2,14 +2,13 @@
 import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import { encodeProgress } from "@persimmonpitch/workload/progressRow.js";
 import type { CommitError, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { OpenJob } from "./openJob.js";
 import { rowKeys } from "./rows.js";
 import type { RowStore } from "./rowStore.js";
 
 /** The store accepts 100 entries and 1 MB per call; conditions and rows both count. */
-const MAX_JOBS_PER_COMMIT = 45;
+const MAX_ROWS_PER_COMMIT = 45;
 const MAX_BYTES_PER_COMMIT = 600_000;
 const RETRY_MS: Millis = 100;
 
@@ -87,7 +86,7 @@
     }
 
     private async writeAll(jobs: readonly OpenJob[], signal: AbortSignal): Promise<void> {
-        let remaining = jobs.map(openJob => this.pendingRow(openJob));
+        let remaining = jobs.flatMap(openJob => this.pendingRows(openJob));
         while (remaining.length > 0 && !signal.aborted && !this.isStopped) {
             const batch = nextBatch(remaining);
             await this.writeBatch(batch, signal);
@@ -95,10 +94,14 @@
         }
     }
 
-    private pendingRow(openJob: OpenJob): PendingRow {
-        const value = encodeProgress(openJob.progress);
-        const key = rowKeys.run(openJob.job.jobId);
-        return { openJob, key, value, expectedVersion: openJob.rowVersion, isJobEnd: !openJob.isOpen };
+    private pendingRows(openJob: OpenJob): readonly PendingRow[] {
+        return openJob.rows.takeChanged(openJob.progress).map(({ key, value }) => ({
+            openJob,
+            key,
+            value,
+            expectedVersion: openJob.rows.versionOf(key),
+            isJobEnd: !openJob.isOpen && openJob.rows.isHead(key),
+        }));
     }
 
     private async writeBatch(batch: readonly PendingRow[], signal: AbortSignal): Promise<void> {
@@ -118,6 +121,10 @@
                 this.recordCommitted(batch, () => outcome.value.version);
                 return;
             }
+            if (outcome.error.kind === "rejected") {
+                await this.handleRejection(batch, outcome.error.detail, signal);
+                return;
+            }
             if (this.handleError(batch, outcome.error)) {
                 return;
             }
@@ -126,14 +133,13 @@
     }
 
     /** Handles a failed commit. Returns whether the batch is finished. */
-    private handleError(batch: readonly PendingRow[], error: CommitError): boolean {
+    private handleError(
+        batch: readonly PendingRow[],
+        error: Exclude<CommitError, { readonly kind: "rejected"; }>,
+    ): boolean {
         switch (error.kind) {
             case "conflict":
                 return this.handleConflict(batch, error.rows);
-            case "rejected":
-                this.options.logger.log("error", "progress.rejected", { detail: error.detail });
-                this.endRole("The store rejected a progress write.");
-                return true;
             case "unavailable":
             case "unclear":
                 this.options.logger.log("debug", "progress.retried", { kind: error.kind, detail: error.detail });
@@ -145,6 +151,31 @@
         }
     }
 
+    /**
+     * Writes the rows of each job by themselves, so that a job whose rows the store refuses affects no other. Such a job
+     * fails, because its runs could not be accounted for.
+     */
+    private async handleRejection(batch: readonly PendingRow[], detail: string, signal: AbortSignal): Promise<void> {
+        const jobs = [...new Set(batch.map(({ openJob }) => openJob))];
+        const [openJob] = jobs;
+        if (openJob === undefined || jobs.length > 1) {
+            for (const job of jobs) {
+                await this.writeBatch(batch.filter(row => row.openJob === job), signal);
+            }
+            return;
+        }
+        this.options.logger.log("error", "progress.rejected", {
+            job: openJob.job.jobId,
+            rows: batch.map(({ key }) => key).join(" "),
+            longestRow: Math.max(...batch.map(({ value }) => value.length)),
+            detail,
+        });
+        if (!openJob.rows.isReduced) {
+            openJob.failUnstorable();
+            await this.writeBatch(this.pendingRows(openJob), signal);
+        }
+    }
+
     private handleConflict(batch: readonly PendingRow[], rows: readonly StoredRow[]): boolean {
         const byKey = new Map(rows.map(row => [row.key, row]));
         const written = batch.map(({ key, value }) => ({ row: byKey.get(key), value }));
@@ -152,7 +183,7 @@
             this.endRole("The conditions of a progress write no longer hold.");
             return true;
         }
-        this.recordCommitted(batch, ({ openJob, key }) => byKey.get(key)?.version ?? openJob.rowVersion);
+        this.recordCommitted(batch, ({ openJob, key }) => byKey.get(key)?.version ?? openJob.rows.versionOf(key));
         return true;
     }
 
@@ -161,12 +192,12 @@
      */
     private recordCommitted(batch: readonly PendingRow[], versionOf: (row: PendingRow) => number): void {
         batch.forEach(row => {
-            row.openJob.rowVersion = versionOf(row);
+            row.openJob.rows.setVersion(row.key, versionOf(row));
         });
         const ended = batch.filter(({ isJobEnd }) => isJobEnd);
         if (ended.length > 0) {
             this.options.announce(
-                ended.map(({ openJob, key, value }) => ({ key, value, version: openJob.rowVersion })),
+                ended.map(({ openJob, key, value }) => ({ key, value, version: openJob.rows.versionOf(key) })),
             );
         }
     }
@@ -181,7 +212,7 @@
     let bytes = 0;
     const end = rows.findIndex((row, index) => {
         bytes += row.value.length;
-        return index > 0 && (bytes > MAX_BYTES_PER_COMMIT || index >= MAX_JOBS_PER_COMMIT);
+        return index > 0 && (bytes > MAX_BYTES_PER_COMMIT || index >= MAX_ROWS_PER_COMMIT);
     });
     return end < 0 ? rows : rows.slice(0, end);
 };
--- a/packages/control/src/replica.ts
+++ b/packages/control/src/replica.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
-import type { JobProgress } from "@persimmonpitch/workload/progress.js";
-import { progressRowSchema } from "@persimmonpitch/workload/progressRow.js";
+import type { JobProgress, TaskProgress } from "@persimmonpitch/workload/progress.js";
+import { progressRowSchema, taskRowSchema } from "@persimmonpitch/workload/progressRow.js";
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import type { ChangedRow, StoredRow } from "@persimmonpitch/workload/storedRow.js";
@@ -31,6 +31,7 @@
     readonly job: RowSet<StepJob>;
     readonly cancel: RowSet<CancelRow>;
     readonly run: RowSet<JobProgress>;
+    readonly tasks: RowSet<Readonly<Record<string, TaskProgress>>>;
     readonly agent: RowSet<ProcessRow>;
     readonly entry: RowSet<ProcessRow>;
     readonly role: RowSet<RoleRow>;
@@ -41,6 +42,7 @@
     job: createRowSet<StepJob>(stepJobSchema),
     cancel: createRowSet<CancelRow>(cancelRowSchema),
     run: createRowSet<JobProgress>(progressRowSchema),
+    tasks: createRowSet<Readonly<Record<string, TaskProgress>>>(taskRowSchema),
     agent: createRowSet<ProcessRow>(processRowSchema),
     entry: createRowSet<ProcessRow>(processRowSchema),
     role: createRowSet<RoleRow>(roleRowSchema),
@@ -49,6 +51,12 @@
 
 const isKind = (kind: string, rowSets: RowSets): kind is keyof RowSets => Object.hasOwn(rowSets, kind);
 
+/** Splits a key at its first slash; a key without one is a kind that has a single row. */
+const splitKey = (key: string): { readonly kind: string; readonly name: string; } => {
+    const slash = key.indexOf("/");
+    return slash < 0 ? { kind: key, name: "" } : { kind: key.slice(0, slash), name: key.slice(slash + 1) };
+};
+
 /** Called with the changed keys after each change. */
 export type ReplicaListener = (keys: readonly string[]) => void;
 
@@ -76,6 +84,16 @@
         return this.rowSets.run.unreadable.has(jobId);
     }
 
+    /** The progress of tasks of a large job in the row with that key. */
+    taskRows(key: string): Versioned<Readonly<Record<string, TaskProgress>>> | undefined {
+        return this.rowSets.tasks.rows.get(splitKey(key).name);
+    }
+
+    /** Whether the row of tasks with that key cannot be parsed by this process. */
+    isTaskRowUnreadable(key: string): boolean {
+        return this.rowSets.tasks.unreadable.has(splitKey(key).name);
+    }
+
     get agents(): ReadonlyMap<string, Versioned<ProcessRow>> {
         return this.rowSets.agent.rows;
     }
@@ -127,9 +145,7 @@
     }
 
     private applyRow({ key, value, version }: ChangedRow): void {
-        const slash = key.indexOf("/");
-        const kind = slash < 0 ? key : key.slice(0, slash);
-        const name = slash < 0 ? "" : key.slice(slash + 1);
+        const { kind, name } = splitKey(key);
         if (!isKind(kind, this.rowSets)) {
             this.logger.log("warn", "replica.unknownRow", { key });
             return;
--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -37,6 +37,8 @@
     job: (jobId: string) => `job/${jobId}`,
     cancel: (jobId: string) => `cancel/${jobId}`,
     run: (jobId: string) => `run/${jobId}`,
+    /** Progress of some tasks of a large job. */
+    tasks: (jobId: string, row: number) => `tasks/${jobId}/${row}`,
     agent: (vm: string) => `agent/${vm}`,
     entry: (vm: string) => `entry/${vm}`,
 } as const;
--- a/packages/control/tests/jobLog.test.ts
+++ b/packages/control/tests/jobLog.test.ts
@@ -8,6 +8,7 @@
 import t from "tap";
 import { ConfigHolder } from "../src/configHolder.js";
 import { JobLog } from "../src/jobLog.js";
+import { NOTHING_STORED } from "../src/jobProgressRows.js";
 import { OpenJob } from "../src/openJob.js";
 
 const STORE_CLOCK_OFFSET_MS = 50_000;
@@ -20,7 +21,7 @@
 
 const createOpenJob = (steps: readonly object[], acceptedAt: number): OpenJob => {
     const job = stepJobSchema.parse({ jobId: "a", queue: "render", payload: "", steps, acceptedAt });
-    return new OpenJob(job, { outcome: "open", tasks: {} }, 0);
+    return new OpenJob(job, NOTHING_STORED);
 };
 
 const createJobLog = (clock: FakeClock) => {
--- a/packages/control/tests/store.test.ts
+++ b/packages/control/tests/store.test.ts
@@ -6,6 +6,7 @@
 import t from "tap";
 import { DirectPathHealth } from "../src/directPathHealth.js";
 import { ForwardingStore } from "../src/forwardingStore.js";
+import { NOTHING_STORED } from "../src/jobProgressRows.js";
 import { inheritedLeaseLapsedAt, leaseLapsedAt } from "../src/leaseRules.js";
 import { OpenJob } from "../src/openJob.js";
 import { ProgressWriter } from "../src/progressWriter.js";
@@ -119,7 +120,7 @@
         const running = writer.run(stop.signal);
         for (const jobId of ["a", "b"]) {
             const job = { jobId, queue: "q", acceptedAt: 0, payload: "", steps: [] };
-            writer.markDirty(new OpenJob(job, { outcome: "open", tasks: {} }, 0));
+            writer.markDirty(new OpenJob(job, NOTHING_STORED));
         }
         const flushed = writer.flushed();
         await clock.advance(5_000);
--- a/packages/dispatch/src/openOccurrences.ts
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -31,22 +31,33 @@
     doneSteps: view.job.steps.map((step, index) => isStepDone(view, occurrence, index, step)),
 });
 
-/** The occurrences of a job that are due. Due times are on the wall clock and are converted to the clock of `now`. */
-const dueOccurrences = (view: JobView, now: Millis, wallTime: Millis): readonly OpenOccurrence[] => {
+/** Maximum number of occurrences of one job that a pass considers, the earliest first; bounds the duration of a pass. */
+const MAX_OPEN_OCCURRENCES = 100;
+
+const isOpen = ({ doneSteps }: OpenOccurrence): boolean => doneSteps.includes(false);
+
+/**
+ * The occurrences of a job that are due and not done. Due times are on the wall clock and are converted to the clock of
+ * `now`.
+ */
+const openOccurrencesOf = (view: JobView, now: Millis, wallTime: Millis): readonly OpenOccurrence[] => {
     const { acceptedAt, repetition } = view.job;
     if (repetition === undefined) {
-        return [occurrenceOf(view, 0, acceptedAt)];
+        return [occurrenceOf(view, 0, acceptedAt)].filter(isOpen);
     }
     const { count, firstDueAt, intervalMs } = repetition;
-    const due: OpenOccurrence[] = [];
-    for (let occurrence = 0; occurrence < count; occurrence += 1) {
+    const open: OpenOccurrence[] = [];
+    for (let occurrence = 0; occurrence < count && open.length < MAX_OPEN_OCCURRENCES; occurrence += 1) {
         const dueAt = firstDueAt + occurrence * intervalMs;
         if (dueAt > wallTime) {
             break;
         }
-        due.push(occurrenceOf(view, occurrence, now - (wallTime - dueAt)));
+        const due = occurrenceOf(view, occurrence, now - (wallTime - dueAt));
+        if (isOpen(due)) {
+            open.push(due);
+        }
     }
-    return due;
+    return open;
 };
 
 /** The occurrences of open jobs that are due and not done. */
@@ -57,5 +68,4 @@
 ): readonly OpenOccurrence[] =>
     jobs
         .filter(({ progress }) => progress.outcome === "open")
-        .flatMap(view => dueOccurrences(view, now, wallTime))
-        .filter(({ doneSteps }) => doneSteps.includes(false));
+        .flatMap(view => openOccurrencesOf(view, now, wallTime));
--- a/packages/gateway/src/jobState.ts
+++ b/packages/gateway/src/jobState.ts
@@ -9,6 +9,7 @@
     if (isCancelled) {
         return "cancelled";
     }
-    const hasStartedTask = Object.values(progress?.tasks ?? {}).some(({ run }) => run > 0);
+    const hasStartedTask = progress?.split?.isStarted
+        ?? Object.values(progress?.tasks ?? {}).some(({ run }) => run > 0);
     return hasStartedTask ? "running" : "queued";
 };
--- a/packages/history/src/exportStepJobs.ts
+++ b/packages/history/src/exportStepJobs.ts
@@ -4,7 +4,9 @@
 import { cancelRowSchema, rowKeys } from "@persimmonpitch/control/rows.js";
 import type { RowStore } from "@persimmonpitch/control/rowStore.js";
 import { NO_PROGRESS } from "@persimmonpitch/workload/progress.js";
-import { progressRowSchema } from "@persimmonpitch/workload/progressRow.js";
+import { ProgressLayout } from "@persimmonpitch/workload/progressLayout.js";
+import { progressRowSchema, taskRowSchema } from "@persimmonpitch/workload/progressRow.js";
+import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import type { RowPage, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import { createHash } from "node:crypto";
@@ -65,17 +67,30 @@
     }
     const cancels = await readRange(options, rowKeys.cancel(first), rowKeys.cancel(last));
     const runs = await readRange(options, rowKeys.run(first), rowKeys.run(last));
-    return jobs.map(job => {
+    const lines: StepJobLine[] = [];
+    for (const job of jobs) {
         const cancel = cancels.get(rowKeys.cancel(job.jobId));
         const run = runs.get(rowKeys.run(job.jobId));
         const { outcome, tasks } = run === undefined ? NO_PROGRESS : parsed(progressRowSchema, run);
-        return {
+        lines.push({
             job,
             ...(cancel === undefined ? {} : { cancelledAt: parsed(cancelRowSchema, cancel).at }),
             outcome,
-            tasks,
-        };
-    });
+            tasks: { ...tasks, ...await readTaskRows(options, job) },
+        });
+    }
+    return lines;
+};
+
+/** Reads the progress of the tasks of a large job, which is stored in rows of its own. */
+const readTaskRows = async (options: StepExportOptions, job: StepJob): Promise<StepJobLine["tasks"]> => {
+    const { taskRowCount } = new ProgressLayout(job);
+    if (taskRowCount === 0) {
+        return {};
+    }
+    const prefix = rowKeys.tasks(job.jobId, 0).slice(0, -1);
+    const rows = await readRange(options, prefix, afterPrefix(prefix));
+    return Object.assign({}, ...[...rows.values()].map(row => parsed(taskRowSchema, row))) as StepJobLine["tasks"];
 };
 
 const parsed = <S extends z.ZodType>(schema: S, { key, value }: StoredRow): z.output<S> => {
--- a/packages/history/tests/exportStepJobs.test.ts
+++ b/packages/history/tests/exportStepJobs.test.ts
@@ -2,7 +2,8 @@
 import { formatFindings } from "@persimmonpitch/findings/finding.js";
 import { formatSnapshot } from "@persimmonpitch/snapshots/formatSnapshot.js";
 import { MemoryRowStore } from "@persimmonpitch/standins/memoryRowStore.js";
-import { encodeProgress } from "@persimmonpitch/workload/progressRow.js";
+import { encodeProgress, encodeSplitHead, encodeTasks } from "@persimmonpitch/workload/progressRow.js";
+import { stepSchema } from "@persimmonpitch/workload/step.js";
 import t from "tap";
 import { exportStepJobs } from "../src/exportStepJobs.js";
 import { verifyStepJobs } from "../src/verifyStepJobs.js";
@@ -56,6 +57,30 @@
     await t.rejects(readAll(store, 1), { message: "the export is incomplete: the store answers unavailable" });
 });
 
+// Guards against tasks of a large job that are missing in the export, because they are stored in rows of their own.
+void t.test("a team's export of a large job", async t => {
+    const store = new MemoryRowStore(new FakeClock());
+    const steps = [{ count: 250, demand: {} }];
+    const puts = [
+        {
+            key: "job/a",
+            value: JSON.stringify({ jobId: "a", team: "t", queue: "q", acceptedAt: 5, payload: "p", steps }),
+        },
+        { key: "run/a", value: encodeSplitHead("open", { isStarted: true }) },
+        { key: "tasks/a/0", value: encodeTasks({ "0.0.0": task }) },
+        { key: "tasks/a/2", value: encodeTasks({ "0.0.249": task }) },
+        { key: "tasks/ab/0", value: encodeTasks({ "0.0.7": task }) },
+    ];
+    await store.client("x").commit({ puts });
+    const lines = await readAll(store, 1);
+    t.same(JSON.parse(lines[0] ?? ""), {
+        job: { ...JSON.parse(puts[0]?.value ?? "") as object, steps: [stepSchema.parse(steps[0])] },
+        outcome: "open",
+        tasks: { "0.0.0": task, "0.0.249": task },
+    });
+    t.same(await verifyStepJobs(lines, "export"), []);
+});
+
 // Guards against an export that was changed or cut and still passes.
 void t.test("findings", async t => {
     const lines = await readAll(await createStore(), 100);
--- a/packages/standins/src/memoryRowStore.ts
+++ b/packages/standins/src/memoryRowStore.ts
@@ -34,6 +34,10 @@
     commitDelayMs: z.number().nonnegative(),
     /** Followers hear of no changes. */
     quietFollows: z.boolean(),
+    /** Bytes of the longest value that is accepted, encoded as base64. */
+    maxValueBytes: z.number(),
+    /** Keys that begin with one of these texts are refused. */
+    refusedKeys: z.array(z.string()),
 });
 export type RowStoreFaults = z.infer<typeof rowStoreFaultsSchema>;
 
@@ -47,6 +51,8 @@
     delayCommits: 0,
     commitDelayMs: 2_000,
     quietFollows: false,
+    maxValueBytes: 65_536,
+    refusedKeys: [],
 };
 
 /** Calls that the store has answered without a fault. */
@@ -99,6 +105,10 @@
         if (fault !== undefined) {
             return Result.err(this.isSilent(client) ? { ...fault, kind: "unclear" } : fault);
         }
+        const refused = (transaction.puts ?? []).find(put => this.isRefused(put));
+        if (refused !== undefined) {
+            return Result.err({ kind: "rejected", detail: `the row ${refused.key} is refused` });
+        }
         if (this.faults.delayCommits > 0) {
             this.faults.delayCommits -= 1;
             void this.clock.sleep(this.faults.commitDelayMs).then(() => this.decide(transaction));
@@ -112,6 +122,11 @@
         return outcome;
     }
 
+    private isRefused({ key, value }: { readonly key: string; readonly value: string; }): boolean {
+        const encodedBytes = Buffer.from(value).toString("base64").length;
+        return encodedBytes > this.faults.maxValueBytes || this.faults.refusedKeys.some(text => key.startsWith(text));
+    }
+
     private async scan(client: string, { from, to, limit }: RowRange): Promise<Result<RowPage, ReadError>> {
         const fault = await this.delayOrFail(client);
         if (fault !== undefined) {
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -29,10 +29,19 @@
 export const outcomeSchema = z.enum(["open", "completed", "failed", "cancelled"]);
 export type Outcome = z.infer<typeof outcomeSchema>;
 
+/** What the row with the outcome says of tasks that are stored in rows of their own. */
+export const splitProgressSchema = z.object({
+    /** Whether any task was ever started. */
+    isStarted: z.boolean(),
+});
+export type SplitProgress = z.infer<typeof splitProgressSchema>;
+
 /** Progress of a job, with one entry by task key for each task that was ever started. */
 export interface JobProgress {
     readonly outcome: Outcome;
     readonly tasks: Readonly<Record<string, TaskProgress>>;
+    /** Present if the row with the outcome holds no tasks, because they are stored in rows of their own. */
+    readonly split?: SplitProgress | undefined;
 }
 
 /** Progress of a job none of whose tasks was ever started. */
--- a/packages/workload/src/step.ts
+++ b/packages/workload/src/step.ts
@@ -1,6 +1,7 @@
 import * as z from "zod";
 
-const MAX_TASKS_PER_STEP = 1_000;
+/** Maximum number of tasks of a step. */
+export const MAX_TASKS_PER_STEP = 1_000;
 
 /** Resources that one task of a step needs on its executor. */
 export const demandSchema = z.object({
--- a/packages/workload/src/stepJob.ts
+++ b/packages/workload/src/stepJob.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import { stepSchema } from "./step.js";
+import { MAX_TASKS_PER_STEP, stepSchema } from "./step.js";
 
 const MAX_STEPS = 200;
 
@@ -13,8 +13,10 @@
 });
 export type Repetition = z.infer<typeof repetitionSchema>;
 
-/** A job as a requester submits it. */
-export const submissionSchema = z.object({
+/** Maximum number of tasks of a job in all occurrences of its steps. */
+export const MAX_TASKS_PER_JOB = MAX_STEPS * MAX_TASKS_PER_STEP;
+
+const submissionShape = z.object({
     payload: z.string(),
     steps: z.array(stepSchema).min(1).max(MAX_STEPS).refine(
         steps => steps.every((step, index) => step.after.every(earlier => earlier < index)),
@@ -22,10 +24,16 @@
     ),
     repetition: repetitionSchema.optional(),
 });
+
+/** A job as a requester submits it. */
+export const submissionSchema = submissionShape.refine(
+    job => totalTasksOf(job) <= MAX_TASKS_PER_JOB,
+    `A job may have at most ${MAX_TASKS_PER_JOB} tasks in all occurrences of its steps.`,
+);
 export type Submission = z.infer<typeof submissionSchema>;
 
-/** An accepted job; immutable. */
-export const stepJobSchema = submissionSchema.extend({
+/** An accepted job; immutable. Jobs that an earlier release accepted may be larger than a submission may be now. */
+export const stepJobSchema = submissionShape.extend({
     jobId: z.string().min(1),
     queue: z.string(),
     team: z.string().optional(),
@@ -34,6 +42,10 @@
 });
 export type StepJob = z.infer<typeof stepJobSchema>;
 
+/** Returns the number of tasks of a job in all occurrences of its steps. */
+export const totalTasksOf = ({ steps, repetition }: Pick<StepJob, "steps" | "repetition">): number =>
+    (repetition?.count ?? 1) * steps.reduce((sum, { count }) => sum + count, 0);
+
 /** State of a job as reported to requesters. */
 export const jobStateSchema = z.enum(["queued", "running", "completed", "failed", "cancelled"]);
 export type JobState = z.infer<typeof jobStateSchema>;
