fix(control,workload): draw no conclusion from a list without all ends

Cause: an executor lists at most 500 unacknowledged ends, and the controller took a run that the list does not name for gone.

Change: a list says whether there may be further ends. Until they are listed, a run that the list does not name is neither lost nor stalled; this holds for runs of an earlier controller, for started and for stopped ones.

--- a/packages/control/src/clusterState.ts
+++ b/packages/control/src/clusterState.ts
@@ -123,7 +123,7 @@
             }
         }
         for (const tracked of [...state.runs.values()]) {
-            this.applyListedRun(state, tracked, listed.get(tracked.task), list.clockMs);
+            this.applyListedRun(state, tracked, listed.get(tracked.task), list);
         }
         updateUnclaimedRuns(this.options.jobs, state, list);
     }
@@ -292,7 +292,7 @@
         state: ExecutorState,
         tracked: TrackedRun,
         listed: RunInProgress | undefined,
-        clockMs: number,
+        { clockMs, hasMoreEnds }: RunList,
     ): void {
         if (listed?.run === tracked.run) {
             if (tracked.born !== state.born) {
@@ -302,6 +302,12 @@
             this.updateMeasurement(tracked, listed, clockMs);
             return;
         }
+        if (hasMoreEnds) {
+            // The run may have ended: the list contains its end only once the ends before it are acknowledged. Until then
+            // it must not count as stalled either.
+            tracked.progressAt = this.options.clock.now();
+            return;
+        }
         if (tracked.isInherited) {
             this.markRunLost(tracked, "notListed");
         }
--- a/packages/control/tests/lateEnds.test.ts
+++ b/packages/control/tests/lateEnds.test.ts
@@ -51,6 +51,7 @@
             born: 100,
             clockMs: 1,
             running: [],
+            hasMoreEnds: false,
             ends: ends.map((kind, index) => ({
                 number: index + 1,
                 task: `a.0.0.${index}`,
--- a/packages/control/tests/replacedExecutor.test.ts
+++ b/packages/control/tests/replacedExecutor.test.ts
@@ -44,7 +44,7 @@
 void t.test("only a newer list of an executor counts as a reading of its clock", async t => {
     const { cluster, clock } = restoreCluster([{ count: 1, demand: {} }], { "0.0.0": TASK });
     const state = cluster.getOrAddExecutor("worker-1", "old");
-    const list = { born: 100, clockMs: 7_000, running: [], ends: [] };
+    const list = { born: 100, clockMs: 7_000, running: [], ends: [], hasMoreEnds: false };
     cluster.applyRunList(state, list);
     const { clock: first } = state;
     await clock.advance(1_000);
--- a/packages/standins/src/memoryStepExecutor.ts
+++ b/packages/standins/src/memoryStepExecutor.ts
@@ -30,6 +30,9 @@
 const FULL_PERCENTAGE = 100;
 const MAX_LEASE_MS: Millis = 10_000;
 
+/** An executor lists at most so many ends at a time. */
+const MAX_LISTED_ENDS = 500;
+
 /** A silent executor's callers give up after this time. */
 const SILENCE_MS: Millis = 5_000;
 
@@ -209,7 +212,8 @@
             born: this.born,
             clockMs: this.now(),
             running: [...this.running.values()].map(run => this.reportOf(run)),
-            ends: structuredClone(this.ends),
+            ends: structuredClone(this.ends.slice(0, MAX_LISTED_ENDS)),
+            hasMoreEnds: this.ends.length >= MAX_LISTED_ENDS,
         };
     }
 
--- a/packages/verification/tests/controllerFixture.ts
+++ b/packages/verification/tests/controllerFixture.ts
@@ -12,6 +12,7 @@
 import { MemoryRowStore } from "@persimmonpitch/standins/memoryRowStore.js";
 import { MemoryStepExecutor } from "@persimmonpitch/standins/memoryStepExecutor.js";
 import { progressRowSchema } from "@persimmonpitch/workload/progressRow.js";
+import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import { stepJobSchema } from "@persimmonpitch/workload/stepJob.js";
 import type { RowTransaction } from "@persimmonpitch/workload/storedRow.js";
 import { timingsSchema } from "@persimmonpitch/workload/timings.js";
@@ -26,7 +27,7 @@
     services: [{ name: "steps", enforcesCapacity: true, isStandby: false, maxConnections: 64 }],
     maxBodyBytes: 262_144,
 };
-const JOB = { jobId: "a", queue: QUEUE.name, payload: "", steps: [{ count: 1, demand: {} }], acceptedAt: 0 };
+const JOB = { jobId: "a", queue: QUEUE.name, acceptedAt: 0 };
 const FIRST_BORN = 1_000;
 /** Longer than a step, so that a run that is being stopped is seen at work. */
 const STOP_MS: Millis = 400;
@@ -44,6 +45,10 @@
 export interface ControllerFixtureOptions {
     readonly executors?: number;
     readonly payload?: string;
+    /** Tasks of the job. */
+    readonly tasks?: number;
+    /** Delay of each message between controller and agent. */
+    readonly linkDelayMs?: Millis;
 }
 
 /** The real controller and one agent with its executors; a test holds back the answer to the claim. */
@@ -58,7 +63,8 @@
     /** The store answers no renewal of the term. */
     isTermDown = false;
     private readonly store = new MemoryRowStore(this.clock);
-    private readonly payload: string;
+    private readonly job: StepJob;
+    private readonly linkDelayMs: Millis;
     private agent: ExecutorAgent;
     private readonly stopped = new AbortController();
     private answer: () => void = () => undefined;
@@ -66,7 +72,7 @@
         this.answer = resolve;
     });
 
-    constructor({ executors = 1, payload = "" }: ControllerFixtureOptions = {}) {
+    constructor({ executors = 1, payload = "", tasks = 1, linkDelayMs = 1 }: ControllerFixtureOptions = {}) {
         this.executors = Array.from(
             { length: executors },
             (_, index) =>
@@ -77,7 +83,8 @@
                     stopMs: STOP_MS,
                 }),
         );
-        this.payload = payload;
+        this.linkDelayMs = linkDelayMs;
+        this.job = stepJobSchema.parse({ ...JOB, payload, steps: [{ count: tasks, demand: {} }] });
         this.agent = this.createAgent();
     }
 
@@ -91,7 +98,7 @@
                 { key: rowKeys.agent(VM), value: JSON.stringify(agentRow) },
                 {
                     key: rowKeys.job("a"),
-                    value: JSON.stringify(stepJobSchema.parse({ ...JOB, payload: this.payload })),
+                    value: JSON.stringify(this.job),
                 },
             ],
         });
@@ -106,7 +113,10 @@
             logger: silentLogger,
             timings: timingsSchema.parse({}),
             connect: () => {
-                const [here, there] = createMemoryLink(this.clock, { delayMs: () => 1, isPartitioned: () => false });
+                const [here, there] = createMemoryLink(this.clock, {
+                    delayMs: () => this.linkDelayMs,
+                    isPartitioned: () => false,
+                });
                 void this.agent.serve(there);
                 return Promise.resolve(Result.ok(here));
             },
@@ -144,11 +154,17 @@
         return this.executors.find(executor => executor.executorId === executorId);
     }
 
-    /** Replaces the agent by a new process, which knows nothing. */
-    async restartAgent(): Promise<void> {
-        const ended = this.agent;
+    /** The stored outcome of the job. */
+    outcome(): string | undefined {
+        const row = this.store.snapshot().find(({ key }) => key === rowKeys.run("a"));
+        return row === undefined ? undefined : progressRowSchema.parse(JSON.parse(row.value)).outcome;
+    }
+
+    /** Replaces the agent by a new process, which knows nothing and starts `downMs` after the old one has ended. */
+    async restartAgent(downMs: Millis = 0): Promise<void> {
+        await this.agent.stop();
+        await this.pass(downMs);
         this.agent = this.createAgent();
-        await ended.stop();
     }
 
     async pass(duration: Millis): Promise<void> {
--- a/packages/workload/src/executorReport.ts
+++ b/packages/workload/src/executorReport.ts
@@ -62,7 +62,10 @@
     /** Reading of the monotonic clock of the executor. */
     clockMs: z.number(),
     running: z.array(runInProgressSchema),
+    /** The first unacknowledged ends, in order of their numbers. */
     ends: z.array(runEndSchema),
+    /** Whether there may be further ends, so that a run that is not listed may have ended in any way. */
+    hasMoreEnds: z.boolean().default(false),
 });
 export type RunList = z.infer<typeof runListSchema>;
 
--- a/tap-snapshots/platform/dist/tests/executorClient.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/executorClient.test.js.test.cjs
@@ -19,6 +19,7 @@
       born: 1,
       clockMs: 5,
       ends: [ { checkpoint: '', kind: 'done', number: 9, run: 1, task: 'j.0.0.1' } ],
+      hasMoreEnds: false,
       running: [
         { checkpoint: 'c', percent: 40, run: 2, task: 'j.0.0.0' },
         { checkpoint: '', percent: 0, run: 1, task: 'j.0.0.1' }
@@ -37,6 +38,7 @@
       born: 1,
       clockMs: 5,
       ends: [ { checkpoint: '', kind: 'done', number: 9, run: 1, task: 'j.0.0.1' } ],
+      hasMoreEnds: false,
       running: [ { checkpoint: 'c', load: 7, percent: 40, run: 2, task: 'j.0.0.0' } ]
     },
     variant: 'Ok'
@@ -61,7 +63,7 @@
 
 exports[`platform/dist/tests/executorClient.test.js > TAP > responses of the executor > list, with wait and deadline 1`] = `
 {
-  result: { value: { born: 1, clockMs: 5, ends: [], running: [] }, variant: 'Ok' },
+  result: { value: { born: 1, clockMs: 5, ends: [], hasMoreEnds: false, running: [] }, variant: 'Ok' },
   sent: [
     {
       body: { deadline_ms: 90, fencing_token: 3, last_seen: 4, wait_ms: 20 },
