--- a/packages/control/src/jobProgressRows.ts
+++ b/packages/control/src/jobProgressRows.ts
@@ -50,6 +50,8 @@
 
 /** The rows that hold the progress of one job, their versions, and which of them have to be written. */
 export class JobProgressRows {
+    /** Whether only the outcome is written. */
+    isReduced = false;
     private readonly layout: ProgressLayout;
     private readonly headKey: string;
     private readonly versions: Map<string, number>;
@@ -57,7 +59,6 @@
     private readonly changedTaskRows = new Set<number>();
     private isHeadChanged = false;
     private isStarted: boolean;
-    private onlyOutcome = false;
 
     constructor(private readonly job: StepJob, { progress, versions }: StoredProgress) {
         this.layout = new ProgressLayout(job);
@@ -75,7 +76,7 @@
         }
     }
 
-    /** Whether the last row to write, which holds the outcome, is the one with this key. */
+    /** Whether the row with this key holds the outcome. */
     isHead(key: string): boolean {
         return key === this.headKey;
     }
@@ -96,15 +97,10 @@
 
     /** Writes only the outcome from now on, because the store refuses the rows as they are. */
     reduceToOutcome(): void {
-        this.onlyOutcome = true;
+        this.isReduced = true;
         this.isHeadChanged = true;
     }
 
-    /** Whether only the outcome is written. */
-    get isReduced(): boolean {
-        return this.onlyOutcome;
-    }
-
     versionOf(key: string): number {
         return this.versions.get(key) ?? 0;
     }
