--- a/packages/control/src/clusterState.ts
+++ b/packages/control/src/clusterState.ts
@@ -282,7 +282,11 @@
         const { isDone, run: lastRun } = openJob.task(parsed.key);
         const isStorable = isStorableCheckpoint(listedCheckpoint);
         if (!isStorable) {
-            this.options.logger.log("warn", "checkpoint.tooLong", { task, run, bytes: Buffer.byteLength(listedCheckpoint) });
+            this.options.logger.log("warn", "checkpoint.tooLong", {
+                task,
+                run,
+                bytes: Buffer.byteLength(listedCheckpoint),
+            });
         }
         const checkpoint = isStorable ? listedCheckpoint : "";
         return isDone || run > lastRun ? undefined : { openJob, task, key: parsed.key, run, checkpoint };
