--- a/packages/control/src/clusterState.ts
+++ b/packages/control/src/clusterState.ts
@@ -6,8 +6,9 @@
 import type { Step } from "@persimmonpitch/workload/step.js";
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { ActiveJobs } from "./activeJobs.js";
+import { carriedOver, mayStartAfterRestart } from "./carriedRun.js";
 import type { TrackedRun } from "./executorState.js";
-import { ExecutorState, mayStartAfterRestart } from "./executorState.js";
+import { ExecutorState } from "./executorState.js";
 import type { OpenJob } from "./openJob.js";
 import { runDemand } from "./runDemand.js";
 import type { EndedRun } from "./runEnds.js";
@@ -194,23 +195,13 @@
 
     /** Replaces the tracked run, so that answers to orders for the previous incarnation no longer apply to it. */
     private carryOver(state: ExecutorState, tracked: TrackedRun): void {
-        const { unansweredStarts, startSentAt, isStopping, isTaskDone } = tracked;
         this.options.logger.log("info", "run.carriedOver", {
             task: tracked.task,
             run: tracked.run,
             executor: state.executorId,
-            unansweredStarts,
-        });
-        state.runs.set(tracked.task, {
-            ...withoutAnswers(tracked),
-            isCarriedOver: true,
-            unansweredStarts,
-            ...(startSentAt === undefined ? {} : { startSentAt }),
-            isAwaitingRenewal: false,
-            isStopping,
-            isStopSent: false,
-            isTaskDone,
+            unansweredStarts: tracked.unansweredStarts,
         });
+        state.runs.set(tracked.task, carriedOver(tracked));
     }
 
     /** Claims a run for the incarnation that lists it, which received the order for the previous one. */
@@ -357,24 +348,6 @@
     ...(address === undefined ? {} : { address }),
 });
 
-/** The part of a tracked run that does not depend on what an executor answered or listed. */
-const withoutAnswers = (
-    { jobId, key, task, run, executorId, born, demand, isBackground, servingTargetMs, orderedAt, ...rest }: TrackedRun,
-) => ({
-    jobId,
-    key,
-    task,
-    run,
-    executorId,
-    born,
-    demand,
-    isBackground,
-    servingTargetMs,
-    orderedAt,
-    isInherited: rest.isInherited,
-    isClaimDurable: rest.isClaimDurable,
-});
-
 const stepOfKey = (openJob: OpenJob, key: string): Step | undefined => openJob.job.steps[Number(key.split(".")[1])];
 
 const servingTargetOf = (step: Step | undefined): number | undefined =>
--- a/packages/control/src/executorState.ts
+++ b/packages/control/src/executorState.ts
@@ -104,13 +104,3 @@
         }
     }
 }
-
-/**
- * Whether an order to start the run may reach another incarnation of the executor than the one it was sent for, as both
- * have the same ID. That is ruled out once all orders are answered and the intended incarnation has listed the run.
- */
-export const mayStartAfterRestart = (tracked: TrackedRun): boolean => {
-    const { unansweredStarts, firstListedAt, isInherited, startAnswerClockMs } = tracked;
-    const isUnconfirmed = firstListedAt === undefined && (isInherited || startAnswerClockMs !== undefined);
-    return unansweredStarts > 0 || isUnconfirmed;
-};
