--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -24,6 +24,7 @@
 import { PassSchedule } from "./passSchedule.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { Reconciler } from "./reconciler.js";
+import { RowChangeHandler } from "./rowChangeHandler.js";
 import { TermRenewer } from "./termRenewer.js";
 
 /** A controller that reaches no agent and no other entry for this long releases the role. */
@@ -32,11 +33,6 @@
 /** Interval between log lines on the load of the controller. */
 const LOAD_INTERVAL_MS: Millis = 10_000;
 
-/** Rows that other processes write and that a pass depends on; this process writes the other rows itself. */
-const DECISIVE_ROW_KINDS: ReadonlySet<string> = new Set(["job", "cancel", "agent"]);
-
-const kindOf = (key: string): string => key.split("/", 1)[0] ?? "";
-
 /** Why a controller stopped: it lost or released the role, could reach only the store, or left the role to a peer. */
 export type ControllerExit = "ended" | "unreached" | "handedOver";
 
@@ -55,6 +51,7 @@
     private readonly advice: AdviceCache;
     private readonly pacer: Pacer;
     private readonly jobLog: JobLog;
+    private readonly rowChanges: RowChangeHandler;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks: KeyedTasks;
     private readonly passSchedule: PassSchedule;
@@ -84,6 +81,15 @@
             this.endRole(detail);
         };
         this.writer = new ProgressWriter({ store, clock, logger, roleVersion: role.rowVersion, onRoleLost, announce });
+        this.rowChanges = new RowChangeHandler({
+            replica,
+            config: context.config,
+            jobs: this.jobs,
+            writer: this.writer,
+            requestPass: urgency => {
+                this.requestPass(urgency);
+            },
+        });
         this.advice = new AdviceCache({
             port: context.advice,
             clock,
@@ -158,13 +164,13 @@
     async run(signal: AbortSignal): Promise<ControllerExit> {
         const stopListening = [
             this.context.replica.listen(keys => {
-                this.applyRowChanges(keys);
+                this.rowChanges.apply(keys);
             }),
             this.context.config.listen(() => {
                 this.requestPass();
             }),
         ];
-        this.applyRowChanges([...this.context.replica.cancels.keys()].map(jobId => `cancel/${jobId}`));
+        this.rowChanges.applyStoredCancellations();
         await withAnySignal([signal, this.roleLost.signal], async roleSignal => {
             await Promise.all([
                 this.writer.run(roleSignal),
@@ -248,44 +254,10 @@
         return queues.find(({ name }) => name === openJob.job.queue)?.maxAttempts ?? Number.POSITIVE_INFINITY;
     }
 
-    private applyRowChanges(keys: readonly string[]): void {
-        for (const key of keys) {
-            const [kind, jobId = ""] = key.split("/");
-            if (kind === "job") {
-                this.jobs.load(jobId);
-                // A full scan returns keys in order, so a cancellation arrives before its job.
-                if (this.context.replica.cancels.has(jobId)) {
-                    this.cancel(jobId);
-                }
-            }
-            else if (kind === "cancel") {
-                this.cancel(jobId);
-            }
-        }
-        if (keys.some(key => DECISIVE_ROW_KINDS.has(kindOf(key)))) {
-            this.requestPass(keys.some(key => this.isUrgentJob(key)) ? "urgent" : "normal");
-        }
-    }
-
-    private isUrgentJob(key: string): boolean {
-        const [kind, jobId = ""] = key.split("/");
-        const queue = kind === "job" ? this.jobs.byId.get(jobId)?.job.queue : undefined;
-        return this.context.config.current?.queues.some(({ name, priority }) => name === queue && priority === 0)
-            ?? false;
-    }
-
     private requestPass(urgency: PassUrgency = this.isUrgentWorkWaiting ? "urgent" : "normal"): void {
         this.passSchedule.request(urgency);
     }
 
-    private cancel(jobId: string): void {
-        const openJob = this.jobs.byId.get(jobId);
-        if (openJob?.isOpen === true) {
-            openJob.finish("cancelled");
-            this.writer.markDirty(openJob);
-        }
-    }
-
     private applyList(state: ExecutorState, list: NonNullable<ExecutorReport["list"]>): void {
         const isFirstList = !state.isAttached || state.born !== list.born;
         this.cluster.applyRunList(state, list);
