fix(gateway,control): keep a cancelled job from being stored by a late write

Cause: an absent row was taken as proof. DELETE of a job that is not stored was answered 410 and nothing was written, while the only condition of a submission was that the job's row does not exist. So a write that the store performs late, the entry's own retry of a write without an answer, and a write that merely takes long, still stored the job.

Now such a cancellation writes a tombstone (tombstone/ID/OWNER) on condition that the job's row does not exist, and a submission is conditional on the absence of both rows. The store takes one of the two, whatever the order and whichever entries, and 410 is answered once the tombstone is durable. The owner (team, or queue without a key) keeps cancellations of unused ids from stopping other teams' jobs. A conflict of a submission is answered by the rows that it shows: 200, 409 idInUse, 410 cancelled; it was 200 whatever was there. Jobs that an entry of the earlier release stores in spite of a tombstone are cancelled by the controller. The controller removes tombstones after the retention of ended jobs, by their versions; 500 for each owner and 5,000 in all bound a flood (429). A malformed id gets 410 at once; one longer than a key of the store got 503.

Test changed: case 08 of requesterServer cancelled an unknown id that later cases submit.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -26,6 +26,7 @@
 import { Reconciler } from "./reconciler.js";
 import { RowChangeHandler } from "./rowChangeHandler.js";
 import { TermRenewer } from "./termRenewer.js";
+import { TombstoneSweeper } from "./tombstoneSweeper.js";
 
 /** A controller that reaches no agent and no other entry for this long releases the role. */
 const UNREACHED_TIMEOUT_MS: Millis = 3_000;
@@ -52,6 +53,7 @@
     private readonly pacer: Pacer;
     private readonly jobLog: JobLog;
     private readonly rowChanges: RowChangeHandler;
+    private readonly tombstoneSweeper: TombstoneSweeper;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks: KeyedTasks;
     private readonly passSchedule: PassSchedule;
@@ -90,6 +92,7 @@
                 this.requestPass(urgency);
             },
         });
+        this.tombstoneSweeper = new TombstoneSweeper({ ...context, roleVersion: role.rowVersion });
         this.advice = new AdviceCache({
             port: context.advice,
             clock,
@@ -177,6 +180,7 @@
                 this.termRenewer.run(roleSignal),
                 this.runPasses(roleSignal),
                 this.advice.run(roleSignal),
+                this.tombstoneSweeper.run(roleSignal),
                 this.logLoad(roleSignal),
             ]);
             stopListening.forEach(stop => {
--- a/packages/control/src/replica.ts
+++ b/packages/control/src/replica.ts
@@ -6,8 +6,15 @@
 import type { ChangedRow, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type * as z from "zod";
 import { parseRow } from "./parseRow.js";
-import type { CancelRow, ProcessRow, RoleRow, TermRow } from "./rows.js";
-import { cancelRowSchema, processRowSchema, roleRowSchema, termRowSchema } from "./rows.js";
+import type { CancelRow, JobOwner, ProcessRow, RoleRow, TermRow, TombstoneRow } from "./rows.js";
+import {
+    cancelRowSchema,
+    processRowSchema,
+    roleRowSchema,
+    rowKeys,
+    termRowSchema,
+    tombstoneRowSchema,
+} from "./rows.js";
 import type { RowSink } from "./tableFollower.js";
 
 /** A parsed row with the version that a conditional write has to name. */
@@ -30,6 +37,7 @@
 interface RowSets {
     readonly job: RowSet<StepJob>;
     readonly cancel: RowSet<CancelRow>;
+    readonly tombstone: RowSet<TombstoneRow>;
     readonly run: RowSet<JobProgress>;
     readonly tasks: RowSet<Readonly<Record<string, TaskProgress>>>;
     readonly agent: RowSet<ProcessRow>;
@@ -41,6 +49,7 @@
 const createRowSets = (): RowSets => ({
     job: createRowSet<StepJob>(stepJobSchema),
     cancel: createRowSet<CancelRow>(cancelRowSchema),
+    tombstone: createRowSet<TombstoneRow>(tombstoneRowSchema),
     run: createRowSet<JobProgress>(progressRowSchema),
     tasks: createRowSet<Readonly<Record<string, TaskProgress>>>(taskRowSchema),
     agent: createRowSet<ProcessRow>(processRowSchema),
@@ -75,6 +84,16 @@
         return this.rowSets.cancel.rows;
     }
 
+    /** Tombstones by job id and owner, as in their keys. */
+    get tombstones(): ReadonlyMap<string, Versioned<TombstoneRow>> {
+        return this.rowSets.tombstone.rows;
+    }
+
+    /** Whether the owner cancelled the job before it was stored. */
+    hasTombstone(jobId: string, owner: JobOwner): boolean {
+        return this.tombstones.has(splitKey(rowKeys.tombstone(jobId, owner)).name);
+    }
+
     get progress(): ReadonlyMap<string, Versioned<JobProgress>> {
         return this.rowSets.run.rows;
     }
--- a/packages/control/src/rowChangeHandler.ts
+++ b/packages/control/src/rowChangeHandler.ts
@@ -24,23 +24,26 @@
 
     /** Ends the open jobs that were cancelled before this process took the role. */
     applyStoredCancellations(): void {
-        this.apply([...this.options.replica.cancels.keys()].map(rowKeys.cancel));
+        const { cancels, tombstones } = this.options.replica;
+        this.apply([...cancels.keys()].map(rowKeys.cancel));
+        this.apply([...tombstones.keys()].map(name => `tombstone/${name}`));
     }
 
     apply(keys: readonly string[]): void {
-        const { jobs, replica, requestPass } = this.options;
+        const { jobs, requestPass } = this.options;
         for (const key of keys) {
             const [kind, jobId = ""] = key.split("/");
             if (kind === "job") {
                 jobs.load(jobId);
                 // A full scan returns keys in order, so a cancellation arrives before its job.
-                if (replica.cancels.has(jobId)) {
-                    this.cancel(jobId);
-                }
+                this.cancelIfRequested(jobId);
             }
             else if (kind === "cancel") {
                 this.cancel(jobId);
             }
+            else if (kind === "tombstone") {
+                this.cancelIfRequested(jobId);
+            }
         }
         if (keys.some(key => DECISIVE_ROW_KINDS.has(kindOf(key)))) {
             requestPass(keys.some(key => this.isUrgentJob(key)) ? "urgent" : "normal");
@@ -54,12 +57,22 @@
         return config.current?.queues.some(({ name, priority }) => name === queue && priority === 0) ?? false;
     }
 
+    private cancelIfRequested(jobId: string): void {
+        const { jobs, replica } = this.options;
+        const job = jobs.byId.get(jobId)?.job;
+        // Entries of the release before tombstones store jobs in spite of them.
+        if (job !== undefined && (replica.cancels.has(jobId) || replica.hasTombstone(jobId, job))) {
+            this.cancel(jobId);
+        }
+    }
+
     private cancel(jobId: string): void {
-        const { jobs, writer } = this.options;
+        const { jobs, writer, requestPass } = this.options;
         const openJob = jobs.byId.get(jobId);
         if (openJob?.isOpen === true) {
             openJob.finish("cancelled");
             writer.markDirty(openJob);
+            requestPass("normal");
         }
     }
 }
--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -1,3 +1,4 @@
+import { digestOf } from "@persimmonpitch/protocol/digest.js";
 import { MAX_PORT } from "@persimmonpitch/protocol/port.js";
 import * as z from "zod";
 
@@ -31,11 +32,37 @@
 export const cancelRowSchema = z.object({ at: z.number() });
 export type CancelRow = z.infer<typeof cancelRowSchema>;
 
+/**
+ * A cancellation that was answered before its job was stored. Submissions are conditional on its absence, so a write of
+ * the job that takes effect later fails. It counts only for jobs of the same owner.
+ */
+export const tombstoneRowSchema = z.object({
+    /** Time of the cancellation, by the clock of the store. */
+    at: z.number(),
+    queue: z.string(),
+    team: z.string().optional(),
+});
+export type TombstoneRow = z.infer<typeof tombstoneRowSchema>;
+
+/** Who may cancel a job before it is stored: its team, or the callers of its queue if it has no team. */
+export interface JobOwner {
+    readonly queue: string;
+    readonly team?: string | undefined;
+}
+
+/** Number of hexadecimal digits that tell owners apart; names may be longer than a key. */
+const OWNER_DIGITS = 32;
+
+/** Returns the part of a tombstone's key that names the owner. */
+export const ownerKeyOf = ({ queue, team }: JobOwner): string =>
+    digestOf(team === undefined ? `queue/${queue}` : `team/${team}`).slice(0, OWNER_DIGITS);
+
 export const rowKeys = {
     role: "role",
     term: "term",
     job: (jobId: string) => `job/${jobId}`,
     cancel: (jobId: string) => `cancel/${jobId}`,
+    tombstone: (jobId: string, owner: JobOwner) => `tombstone/${jobId}/${ownerKeyOf(owner)}`,
     run: (jobId: string) => `run/${jobId}`,
     /** Progress of some tasks of a large job. */
     tasks: (jobId: string, row: number) => `tasks/${jobId}/${row}`,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type { ConfigHolder } from "@persimmonpitch/control/configHolder.js";
 import { parseRow } from "@persimmonpitch/control/parseRow.js";
 import type { Replica } from "@persimmonpitch/control/replica.js";
+import type { JobOwner } from "@persimmonpitch/control/rows.js";
 import { rowKeys } from "@persimmonpitch/control/rows.js";
 import type { RowStore } from "@persimmonpitch/control/rowStore.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
@@ -10,10 +11,14 @@
 import type { RowTransaction, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import { err, ok } from "true-myth/result";
 import type { Result } from "true-myth/result";
+import type { CommitOutcome } from "./commitWithRetry.js";
+import { commitWithRetry } from "./commitWithRetry.js";
 import { deriveJobState } from "./jobState.js";
 import { findQueue, findTeamByApiKey } from "./queueLookup.js";
+import type { RequestOperation } from "./requestLog.js";
 import { RequestLog } from "./requestLog.js";
 import type { AuthorizedRequest, GatewayError, IncomingRequest } from "./requests.js";
+import { mayAddTombstone } from "./tombstoneQuota.js";
 
 export interface GatewayOptions {
     readonly store: RowStore;
@@ -31,13 +36,6 @@
     readonly publishRows: (rows: readonly StoredRow[]) => void;
 }
 
-/**
- * How long a commit with an unclear result is retried, at least once, before the request fails with `unclear`. Requesters
- * retry with the same id, so an early failure serves them better than a late one that leaves no time for a retry.
- */
-const UNCLEAR_COMMIT_RETRY_MS: Millis = 300;
-const UNCLEAR_COMMIT_RETRY_INTERVAL_MS: Millis = 100;
-
 /** Authorizes requests and submits, reads and cancels jobs, independently of the transport. */
 export class Gateway {
     private readonly requestLog: RequestLog;
@@ -68,6 +66,15 @@
         return this.requestLog.runLogged("cancel", request, () => this.insertCancellation(request));
     }
 
+    /** Logs a request that a front end refuses by itself, for example because of a malformed id. */
+    async refuse(
+        operation: RequestOperation,
+        request: AuthorizedRequest,
+        error: GatewayError,
+    ): Promise<Result<never, GatewayError>> {
+        return this.requestLog.runLogged(operation, request, () => Promise.resolve(err(error)));
+    }
+
     /** Counts the jobs of the queue that have not started, ended or been cancelled. */
     countPending({ queue }: AuthorizedRequest): Result<number, GatewayError> {
         const { replica, isReady } = this.options;
@@ -100,32 +107,34 @@
     }
 
     private async insertJob(request: AuthorizedRequest, submission: Submission): Promise<Result<void, GatewayError>> {
-        const { replica, isReady, clock, storeClockOffsetMs, publishRows } = this.options;
+        const { replica, isReady } = this.options;
+        const { jobId, queue, team } = request;
         if (!isReady()) {
             return err("unavailable");
         }
-        if (replica.jobs.has(request.jobId)) {
-            return ok(undefined);
+        const replicatedJob = replica.jobs.get(jobId)?.value;
+        if (replicatedJob !== undefined) {
+            return checkRepeatedSubmission(replicatedJob, request);
+        }
+        const owner = ownerOf(request);
+        if (replica.hasTombstone(jobId, owner)) {
+            return err("cancelled");
         }
         const job: StepJob = {
             ...submission,
-            jobId: request.jobId,
-            queue: request.queue.name,
-            ...(request.team === undefined ? {} : { team: request.team }),
-            acceptedAt: Math.round(clock.now() + storeClockOffsetMs()),
+            jobId,
+            queue: queue.name,
+            ...(team === undefined ? {} : { team }),
+            acceptedAt: this.storeTime(),
         };
-        const key = rowKeys.job(request.jobId);
-        const value = JSON.stringify(job);
-        const committed = await this.commitWithRetry({ expected: [{ key, version: 0 }], puts: [{ key, value }] });
-        committed.match({
-            Ok: version => {
-                if (version !== undefined) {
-                    publishRows([{ key, value, version }]);
-                }
-            },
-            Err: () => undefined,
+        const key = rowKeys.job(jobId);
+        const committed = await this.commit({
+            expected: [{ key, version: 0 }, { key: rowKeys.tombstone(jobId, owner), version: 0 }],
+            puts: [{ key, value: JSON.stringify(job) }],
         });
-        return committed.map(() => undefined);
+        return committed.andThen(outcome =>
+            outcome.kind === "committed" ? ok(undefined) : explainRefusedSubmission(outcome.rows, request)
+        );
     }
 
     private async lookUpJobState(request: AuthorizedRequest): Promise<Result<JobState, GatewayError>> {
@@ -139,27 +148,60 @@
     }
 
     private async insertCancellation(request: AuthorizedRequest): Promise<Result<void, GatewayError>> {
-        const { replica, isReady, clock, publishRows } = this.options;
         const found = await this.findJob(request);
-        if (found.isErr) {
-            return err(found.error);
+        if (found.isOk) {
+            return this.cancelStoredJob(request);
         }
-        const outcome = replica.progress.get(request.jobId)?.value.outcome ?? "open";
-        if (outcome !== "open" || replica.cancels.has(request.jobId)) {
+        return found.error === "unknownJob" ? this.cancelUnstoredJob(request) : err(found.error);
+    }
+
+    private async cancelStoredJob({ jobId }: AuthorizedRequest): Promise<Result<void, GatewayError>> {
+        const { replica, isReady, clock } = this.options;
+        const outcome = replica.progress.get(jobId)?.value.outcome ?? "open";
+        if (outcome !== "open" || replica.cancels.has(jobId)) {
             return ok(undefined);
         }
         if (!isReady()) {
             return err("unavailable");
         }
-        const key = rowKeys.cancel(request.jobId);
         const value = JSON.stringify({ at: clock.wallTime() });
-        const committed = await this.commitWithRetry({ expected: [], puts: [{ key, value }] });
-        if (committed.isOk && committed.value !== undefined) {
-            publishRows([{ key, value, version: committed.value }]);
-        }
+        const committed = await this.commit({ puts: [{ key: rowKeys.cancel(jobId), value }] });
         return committed.map(() => undefined);
     }
 
+    /**
+     * Cancels a job that is not stored. A write of the job may still be under way, here or at another entry, so the
+     * answer is given only once a tombstone makes such a write fail.
+     */
+    private async cancelUnstoredJob(request: AuthorizedRequest): Promise<Result<void, GatewayError>> {
+        const { replica } = this.options;
+        const { jobId } = request;
+        const owner = ownerOf(request);
+        if (replica.jobs.has(jobId) || replica.hasTombstone(jobId, owner)) {
+            return err("unknownJob");
+        }
+        if (!mayAddTombstone(replica.tombstones, owner)) {
+            return err("tooManyCancellations");
+        }
+        const key = rowKeys.tombstone(jobId, owner);
+        const committed = await this.commit({
+            expected: [{ key: rowKeys.job(jobId), version: 0 }, { key, version: 0 }],
+            puts: [{ key, value: JSON.stringify({ at: this.storeTime(), ...owner }) }],
+        });
+        if (committed.isErr) {
+            return err(committed.error);
+        }
+        if (committed.value.kind === "committed") {
+            return err("unknownJob");
+        }
+        const { rows } = committed.value;
+        const job = findJobRow(rows, jobId);
+        if (job !== undefined) {
+            return checkJobAccess(job, request).isOk ? this.cancelStoredJob(request) : err("unknownJob");
+        }
+        return err(rows.some(row => row.key === key) ? "unknownJob" : "unclear");
+    }
+
     private async findJob(request: AuthorizedRequest): Promise<Result<StepJob, GatewayError>> {
         const { replica, isReady, store } = this.options;
         const replicatedJob = replica.jobs.get(request.jobId)?.value;
@@ -179,41 +221,48 @@
         return job === undefined ? err("unknownJob") : checkJobAccess(job, request);
     }
 
-    /** Commits and returns the version of the rows, or undefined when they already existed. */
-    private async commitWithRetry(transaction: RowTransaction): Promise<Result<number | undefined, GatewayError>> {
-        const { store, clock } = this.options;
-        const retryDeadline = clock.now() + UNCLEAR_COMMIT_RETRY_MS;
-        for (let isPossiblyCommitted = false, attempt = 1;; attempt += 1) {
-            const commitResult = await store.commit(transaction);
-            if (commitResult.isOk) {
-                return ok(commitResult.value.version);
-            }
-            switch (commitResult.error.kind) {
-                case "conflict":
-                    return ok(undefined);
-                case "rejected":
-                    return err("rejected");
-                case "unavailable":
-                    if (!isPossiblyCommitted) {
-                        return err("unavailable");
-                    }
-                    break;
-                case "unclear":
-                    isPossiblyCommitted = true;
-                    break;
-                default: {
-                    const unhandledError: never = commitResult.error;
-                    return unhandledError;
-                }
-            }
-            if (clock.now() >= retryDeadline && attempt > 1) {
-                return err("unclear");
-            }
-            await clock.sleep(UNCLEAR_COMMIT_RETRY_INTERVAL_MS);
+    /** Commits a transaction and shares the rows that it wrote. */
+    private async commit(transaction: RowTransaction): Promise<Result<CommitOutcome, GatewayError>> {
+        const { store, clock, publishRows } = this.options;
+        const committed = await commitWithRetry(store, clock, transaction);
+        if (committed.isOk && committed.value.kind === "committed") {
+            const { version } = committed.value;
+            publishRows((transaction.puts ?? []).map(row => ({ ...row, version })));
         }
+        return committed;
+    }
+
+    private storeTime(): Millis {
+        const { clock, storeClockOffsetMs } = this.options;
+        return Math.round(clock.now() + storeClockOffsetMs());
     }
 }
 
+const ownerOf = ({ queue, team }: AuthorizedRequest): JobOwner => ({ queue: queue.name, team });
+
+const findJobRow = (rows: readonly StoredRow[], jobId: string): StepJob | undefined => {
+    const row = rows.find(({ key }) => key === rowKeys.job(jobId));
+    return row === undefined ? undefined : parseRow(stepJobSchema, row.value);
+};
+
+/** A submission is idempotent, unless its id belongs to a job that its requester has no access to. */
+const checkRepeatedSubmission = (job: StepJob, request: AuthorizedRequest): Result<void, GatewayError> =>
+    checkJobAccess(job, request).isOk ? ok(undefined) : err("idInUse");
+
+/** Answers a submission by the rows that its conditions exclude. */
+const explainRefusedSubmission = (
+    rows: readonly StoredRow[],
+    request: AuthorizedRequest,
+): Result<void, GatewayError> => {
+    const { jobId } = request;
+    const job = findJobRow(rows, jobId);
+    if (job !== undefined) {
+        return checkRepeatedSubmission(job, request);
+    }
+    const isCancelled = rows.some(({ key }) => key === rowKeys.tombstone(jobId, ownerOf(request)));
+    return err(isCancelled ? "cancelled" : "unclear");
+};
+
 /**
  * Reports a job of another team as unknown, so that its existence is not disclosed. In public queues, jobs and requests
  * may have no team; then access is not restricted.
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -22,6 +22,9 @@
     unknownQueue: "info",
     unknownKey: "info",
     unknownJob: "info",
+    cancelled: "info",
+    idInUse: "info",
+    tooManyCancellations: "warn",
     rejected: "info",
 };
 
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -9,6 +9,12 @@
     | "unknownQueue"
     | "unknownKey"
     | "unknownJob"
+    /** The requester cancelled the job before it was stored. It is not stored and never runs. */
+    | "cancelled"
+    /** The id belongs to another requester's job. The submitted job is not stored and never runs. */
+    | "idInUse"
+    /** The requester has cancelled too many jobs that are not stored; this one is not cancelled. */
+    | "tooManyCancellations"
     /** The store rejects this job permanently; a retry does not help. */
     | "rejected";
 
--- /dev/null
+++ b/packages/gateway/tests/lateSubmission.test.ts
@@ -0,0 +1,252 @@
+import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
+import { ConfigHolder } from "@persimmonpitch/control/configHolder.js";
+import { Replica } from "@persimmonpitch/control/replica.js";
+import { rowKeys } from "@persimmonpitch/control/rows.js";
+import { silentLogger } from "@persimmonpitch/logging/logger.js";
+import type { RowStoreFaults } from "@persimmonpitch/standins/memoryRowStore.js";
+import { MemoryRowStore } from "@persimmonpitch/standins/memoryRowStore.js";
+import { clusterConfigSchema } from "@persimmonpitch/workload/clusterConfig.js";
+import { submissionSchema } from "@persimmonpitch/workload/stepJob.js";
+import fc from "fast-check";
+import t from "tap";
+import type { Result } from "true-myth/result";
+import { Gateway } from "../src/gateway.js";
+import type { AuthorizedRequest, GatewayError } from "../src/requests.js";
+
+const SUBMISSION = submissionSchema.parse({ payload: "p", steps: [{ count: 1, demand: {} }] });
+const QUEUE = { name: "q", host: "q.example", pathPrefix: "/jobs/", service: "steps" };
+const CONFIG = clusterConfigSchema.parse({
+    version: 1,
+    queues: [QUEUE, { ...QUEUE, name: "open", pathPrefix: "/open/", isPublic: true }],
+    teams: [{ name: "team", apiKeys: ["k1"] }, { name: "other", apiKeys: ["k2"] }],
+    services: [],
+});
+/** Longer than any call and any write that is done late. */
+const SETTLED_MS = 20_000;
+
+interface Caller {
+    readonly path: string;
+    readonly apiKey: string | undefined;
+}
+const OWNER: Caller = { path: "/jobs/a", apiKey: "k1" };
+const OTHER_TEAM: Caller = { path: "/jobs/a", apiKey: "k2" };
+const KEYLESS: Caller = { path: "/open/a", apiKey: undefined };
+
+/** One entry; entries do not hear of each other's rows, as if each row took long to reach the others. */
+class Entry {
+    private readonly config = new ConfigHolder(silentLogger);
+    private readonly replica = new Replica(silentLogger);
+    private readonly gateway: Gateway;
+
+    constructor(private readonly clock: FakeClock, store: MemoryRowStore) {
+        this.config.applyIfNewer(CONFIG);
+        this.gateway = new Gateway({
+            store: store.client("entry"),
+            replica: this.replica,
+            config: this.config,
+            clock,
+            logger: silentLogger,
+            timeSinceStoreResponseMs: () => 0,
+            isReady: () => true,
+            storeClockOffsetMs: () => 0,
+            publishRows: rows => {
+                this.replica.apply(rows);
+            },
+        });
+    }
+
+    submit(caller = OWNER): Promise<string> {
+        return describe(this.gateway.submit(this.authorize(caller), SUBMISSION));
+    }
+
+    cancel(caller = OWNER): Promise<string> {
+        return describe(this.gateway.cancel(this.authorize(caller)));
+    }
+
+    /** Cancels while the clock runs on. */
+    async cancelNow(caller = OWNER): Promise<string> {
+        const answer = this.cancel(caller);
+        await this.clock.advance(3_000);
+        return answer;
+    }
+
+    /** Submits while the clock runs on. */
+    async submitNow(caller = OWNER): Promise<string> {
+        const answer = this.submit(caller);
+        await this.clock.advance(3_000);
+        return answer;
+    }
+
+    private authorize({ path, apiKey }: Caller): AuthorizedRequest {
+        const authorized = this.gateway.authorize({ host: QUEUE.host, path, apiKey });
+        if (authorized.isErr) {
+            throw new Error(`The request was not authorized: ${authorized.error}.`);
+        }
+        return authorized.value;
+    }
+}
+
+const describe = async (answer: Promise<Result<unknown, GatewayError>>): Promise<string> => {
+    const result = await answer;
+    return result.isOk ? "ok" : result.error;
+};
+
+const createEntries = () => {
+    const clock = new FakeClock();
+    const store = new MemoryRowStore(clock);
+    const keys = () => store.snapshot().map(({ key }) => key);
+    return { clock, store, first: new Entry(clock, store), second: new Entry(clock, store), keys };
+};
+
+const JOB_KEY = rowKeys.job("a");
+
+/** Answers to a cancellation that the requester may rely on: its job is not started later. */
+const CANCELLED_ANSWERS: ReadonlySet<string> = new Set(["ok", "unknownJob"]);
+
+// Guards against starting a job whose cancellation was answered while the write of the job was under way.
+void t.test("a job is not stored by a late write after its cancellation was answered", async t => {
+    const { clock, store, first, second, keys } = createEntries();
+    store.setFaults({ delayCommits: 50, commitDelayMs: 6_000 });
+    t.equal(await first.submitNow(), "unclear");
+    store.setFaults({ delayCommits: 0 });
+    t.equal(await second.cancelNow(), "unknownJob");
+    await clock.advance(SETTLED_MS);
+    t.notOk(keys().includes(JOB_KEY));
+});
+
+// Guards against starting a cancelled job because the entry repeats a write without an answer.
+void t.test("a job is not stored by the entry's own retry after its cancellation was answered", async t => {
+    const { clock, store, first, second, keys } = createEntries();
+    store.setFaults({ delayCommits: 1, commitDelayMs: 6_000 });
+    const submission = first.submit();
+    await clock.advance(50);
+    const cancellation = second.cancel();
+    await clock.advance(SETTLED_MS);
+    t.equal(await cancellation, "unknownJob");
+    t.equal(await submission, "cancelled");
+    t.notOk(keys().includes(JOB_KEY));
+});
+
+// Guards against an answer that reports a job as stored although it was cancelled before.
+void t.test("a submission that is repeated after its cancellation is answered as cancelled on each entry", async t => {
+    const { first, second, keys } = createEntries();
+    t.equal(await first.cancelNow(), "unknownJob");
+    t.equal(await first.submitNow(), "cancelled", "the entry knows the cancellation");
+    t.equal(await second.submitNow(), "cancelled", "only the store knows the cancellation");
+    t.notOk(keys().includes(JOB_KEY));
+});
+
+// Guards against a job that runs on because its cancellation found no row while it was being stored.
+void t.test("a job that is stored between the read and the write of its cancellation is cancelled", async t => {
+    const { clock, store, first, second, keys } = createEntries();
+    store.setFaults({ delayCommits: 50, commitDelayMs: 1_000 });
+    t.equal(await first.submitNow(), "unclear");
+    store.setFaults({ delayCommits: 0 });
+    t.equal(await second.cancelNow(), "ok", "the late write was done before");
+    store.setFaults({ slow: 100 });
+    const cancellation = second.cancel({ ...OWNER, path: "/jobs/b" });
+    await clock.advance(50);
+    const submission = first.submit({ ...OWNER, path: "/jobs/b" });
+    await clock.advance(SETTLED_MS);
+    t.equal(await submission, "ok");
+    t.equal(await cancellation, "ok");
+    t.ok(keys().includes(rowKeys.cancel("b")));
+});
+
+// Guards against a team that stops the work of another team by cancelling ids that are not in use yet.
+for (const [name, caller] of Object.entries({ "another team": OTHER_TEAM, "a caller without a key": KEYLESS })) {
+    void t.test(`a cancellation by ${name} does not stop a job that is stored later`, async t => {
+        const { first, second, keys } = createEntries();
+        t.equal(await first.cancelNow(caller), "unknownJob");
+        t.equal(await second.submitNow(), "ok");
+        t.ok(keys().includes(JOB_KEY));
+        t.notOk(keys().includes(rowKeys.cancel("a")));
+    });
+}
+
+// Guards against an answer that reports a job as stored although the id belongs to a job of another team.
+void t.test("a submission with the id of another team's job is refused on each entry", async t => {
+    const { first, second } = createEntries();
+    t.equal(await first.submitNow(), "ok");
+    t.equal(await first.submitNow(OTHER_TEAM), "idInUse", "the entry knows the job");
+    t.equal(await second.submitNow(OTHER_TEAM), "idInUse", "only the store knows the job");
+    t.equal(await second.submitNow(), "ok", "a repeat by the owner is idempotent");
+});
+
+const UNREACHED: readonly (readonly [string, Partial<RowStoreFaults>, string])[] = [
+    ["is down", { down: true }, "unavailable"],
+    ["does not answer", { silent: ["entry"] }, "unavailable"],
+    ["loses the answers of writes", { delayCommits: 10, commitDelayMs: SETTLED_MS }, "unclear"],
+];
+
+// Guards against answering a cancellation that is not durable.
+for (const [name, faults, expected] of UNREACHED) {
+    void t.test(`the cancellation of an unknown job fails while the store ${name}`, async t => {
+        const { store, first, keys } = createEntries();
+        store.setFaults(faults);
+        t.equal(await first.cancelNow(), expected);
+        t.same(keys(), []);
+    });
+}
+
+// Guards against a store and replicas that are filled by cancellations of ids that nobody uses.
+void t.test("a team with very many cancellations of unknown jobs is refused, and others are not", async t => {
+    const { store, first, keys } = createEntries();
+    const answers: string[] = [];
+    for (let index = 0; index < 600; index += 1) {
+        answers.push(await first.cancel({ ...OTHER_TEAM, path: `/jobs/${index}` }));
+    }
+    t.equal(answers.filter(answer => answer === "unknownJob").length, 500);
+    t.equal(answers.filter(answer => answer === "tooManyCancellations").length, 100);
+    t.equal(keys().length, 500);
+    t.equal(await first.cancelNow(), "unknownJob", "another team");
+    t.equal(await first.cancel({ ...OTHER_TEAM, path: "/jobs/0" }), "unknownJob", "a repeated cancellation");
+    t.equal(store.counts.commits, 501);
+});
+
+interface Step {
+    readonly isCancellation: boolean;
+    readonly isOnSecond: boolean;
+    readonly delayCommits: number;
+    readonly loseAnswers: number;
+    readonly slow: number;
+    readonly pauseMs: number;
+}
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+    isCancellation: fc.boolean(),
+    isOnSecond: fc.boolean(),
+    delayCommits: fc.nat(2),
+    loseAnswers: fc.nat(1),
+    slow: fc.constantFrom(0, 20, 300),
+    pauseMs: fc.constantFrom(0, 10, 150, 800, 3_000, 9_000),
+});
+
+// Guards against any order of submissions, cancellations and late writes in which a job with an answered cancellation
+// is stored and not cancelled, or a job that was answered as stored is missing.
+void t.test("answers to submissions and cancellations hold in each order", async t => {
+    const property = fc.asyncProperty(fc.array(stepArbitrary, { minLength: 2, maxLength: 6 }), async steps => {
+        const { clock, store, first, second, keys } = createEntries();
+        const submissions: Promise<string>[] = [];
+        const cancellations: Promise<string>[] = [];
+        for (const { isCancellation, isOnSecond, delayCommits, loseAnswers, slow, pauseMs } of steps) {
+            store.setFaults({ delayCommits, loseAnswers, slow, commitDelayMs: 6_000 });
+            const entry = isOnSecond ? second : first;
+            if (isCancellation) {
+                cancellations.push(entry.cancel());
+            }
+            else {
+                submissions.push(entry.submit());
+            }
+            await clock.advance(pauseMs);
+        }
+        store.setFaults({ delayCommits: 0, loseAnswers: 0, slow: 0 });
+        await clock.advance(SETTLED_MS);
+        const isStored = keys().includes(JOB_KEY);
+        const isCancelled = keys().includes(rowKeys.cancel("a"));
+        const wasAccepted = (await Promise.all(submissions)).includes("ok");
+        const wasCancelled = (await Promise.all(cancellations)).some(answer => CANCELLED_ANSWERS.has(answer));
+        return (!wasAccepted || isStored) && (!wasCancelled || !isStored || isCancelled);
+    });
+    await t.resolves(fc.assert(property, { numRuns: 300, seed: 37 }));
+});
--- a/tap-snapshots/platform/dist/tests/requesterServer.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/requesterServer.test.js.test.cjs
@@ -124,3 +124,47 @@
 exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 29 entry not ready, read a known job 1`] = `
 { body: '{"state":"cancelled"}', connection: 'close', retryAfter: undefined, status: 200 }
 `
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 30 submit a job that was cancelled before 1`] = `
+{ body: '{"error":"cancelled"}', retryAfter: undefined, status: 410 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 31 read a job that was cancelled before 1`] = `
+{ body: '{"error":"unknownJob"}', retryAfter: undefined, status: 410 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 32 cancel a job that was cancelled before 1`] = `
+{ body: '{"error":"unknownJob"}', retryAfter: undefined, status: 410 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 33 submit with the id of another team's job 1`] = `
+{ body: '{"error":"idInUse"}', retryAfter: undefined, status: 409 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 34 malformed id, cancel 1`] = `
+{ body: '{"error":"unknownJob"}', retryAfter: undefined, status: 410 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 35 malformed id, read 1`] = `
+{ body: '{"error":"unknownJob"}', retryAfter: undefined, status: 410 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 36 no id, cancel 1`] = `
+{ body: '{"error":"unknownJob"}', retryAfter: undefined, status: 410 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 37 id longer than a key of the store, cancel 1`] = `
+{ body: '{"error":"unknownJob"}', retryAfter: undefined, status: 410 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 38 id longer than a key of the store, read 1`] = `
+{ body: '{"error":"unknownJob"}', retryAfter: undefined, status: 410 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 39 unknown job, cancel, store down 1`] = `
+{ body: '{"error":"unavailable"}', retryAfter: '1', status: 503 }
+`
+
+exports[`platform/dist/tests/requesterServer.test.js > TAP > calls of requesters > 40 unknown job, cancel, all store responses lost 1`] = `
+{ body: '{"error":"unclear"}', retryAfter: '1', status: 504 }
+`
