--- a/packages/control/src/rowChangeHandler.ts
+++ b/packages/control/src/rowChangeHandler.ts
@@ -3,7 +3,7 @@
 import type { PassUrgency } from "./passSchedule.js";
 import type { ProgressWriter } from "./progressWriter.js";
 import type { Replica } from "./replica.js";
-import { rowKeys } from "./rows.js";
+import { rowKeys, tombstoneKey } from "./rows.js";
 
 /** Rows that other processes write and that a pass depends on; this process writes the other rows itself. */
 const DECISIVE_ROW_KINDS: ReadonlySet<string> = new Set(["job", "cancel", "agent"]);
@@ -26,7 +26,7 @@
     applyStoredCancellations(): void {
         const { cancels, tombstones } = this.options.replica;
         this.apply([...cancels.keys()].map(rowKeys.cancel));
-        this.apply([...tombstones.keys()].map(name => `tombstone/${name}`));
+        this.apply([...tombstones.keys()].map(tombstoneKey));
     }
 
     apply(keys: readonly string[]): void {
--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -57,12 +57,15 @@
 export const ownerKeyOf = ({ queue, team }: JobOwner): string =>
     digestOf(team === undefined ? `queue/${queue}` : `team/${team}`).slice(0, OWNER_DIGITS);
 
+/** Returns the key of a tombstone by its name, which consists of the job's id and the owner. */
+export const tombstoneKey = (name: string): string => `tombstone/${name}`;
+
 export const rowKeys = {
     role: "role",
     term: "term",
     job: (jobId: string) => `job/${jobId}`,
     cancel: (jobId: string) => `cancel/${jobId}`,
-    tombstone: (jobId: string, owner: JobOwner) => `tombstone/${jobId}/${ownerKeyOf(owner)}`,
+    tombstone: (jobId: string, owner: JobOwner) => tombstoneKey(`${jobId}/${ownerKeyOf(owner)}`),
     run: (jobId: string) => `run/${jobId}`,
     /** Progress of some tasks of a large job. */
     tasks: (jobId: string, row: number) => `tasks/${jobId}/${row}`,
--- a/packages/control/src/tombstoneSweeper.ts
+++ b/packages/control/src/tombstoneSweeper.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 import type { Replica } from "./replica.js";
-import { rowKeys } from "./rows.js";
+import { rowKeys, tombstoneKey } from "./rows.js";
 import type { RowStore } from "./rowStore.js";
 
 const SWEEP_INTERVAL_MS: Millis = 1_000;
@@ -70,7 +70,7 @@
         return [...replica.tombstones]
             // A time in the future comes from a clock of the store that was set back.
             .filter(([, { value }]) => Math.abs(now - value.at) > retentionMs)
-            .map(([name, { version }]) => ({ key: `tombstone/${name}`, version }))
+            .map(([name, { version }]) => ({ key: tombstoneKey(name), version }))
             .filter(({ key }) => !this.isJobOpen(key));
     }
 
