fix(gateway): do not repeat a submission after a long pause

An entry repeats a write without an answer at least once, however long the first attempt took. If its process was paused for longer than tombstones are kept, the repeat would store a job that was cancelled meanwhile: neither its row nor the tombstone is there. A commit older than 10 s now ends as unclear. The case 'a paused entry does not repeat a submission' of lateSubmission fails before (the store sees a second transaction) and passes now.

--- a/packages/gateway/src/commitWithRetry.ts
+++ b/packages/gateway/src/commitWithRetry.ts
@@ -17,6 +17,11 @@
  */
 const UNCLEAR_COMMIT_RETRY_MS: Millis = 300;
 const UNCLEAR_COMMIT_RETRY_INTERVAL_MS: Millis = 100;
+/**
+ * A commit that has taken longer is not repeated, because its process was paused: the requester may have cancelled the
+ * job meanwhile, and the tombstone is removed some time later.
+ */
+const MAX_COMMIT_AGE_MS: Millis = 10_000;
 
 /** Commits a transaction and repeats it while its result is unclear. */
 export const commitWithRetry = async (
@@ -24,7 +29,7 @@
     clock: Clock,
     transaction: RowTransaction,
 ): Promise<Result<CommitOutcome, GatewayError>> => {
-    const retryDeadline = clock.now() + UNCLEAR_COMMIT_RETRY_MS;
+    const startedAt = clock.now();
     for (let isPossiblyCommitted = false, attempt = 1;; attempt += 1) {
         const commitResult = await store.commit(transaction);
         if (commitResult.isOk) {
@@ -48,7 +53,8 @@
                 return unhandledError;
             }
         }
-        if (clock.now() >= retryDeadline && attempt > 1) {
+        const ageMs = clock.now() - startedAt;
+        if (ageMs >= MAX_COMMIT_AGE_MS || (ageMs >= UNCLEAR_COMMIT_RETRY_MS && attempt > 1)) {
             return err("unclear");
         }
         await clock.sleep(UNCLEAR_COMMIT_RETRY_INTERVAL_MS);
--- a/packages/gateway/tests/lateSubmission.test.ts
+++ b/packages/gateway/tests/lateSubmission.test.ts
@@ -127,6 +127,18 @@
     t.notOk(keys().includes(JOB_KEY));
 });
 
+// Guards against storing a cancelled job after its tombstone was removed, by an entry that was paused meanwhile.
+void t.test("a paused entry does not repeat a submission", async t => {
+    const { clock, store, first } = createEntries();
+    store.setFaults({ slow: 60_000, loseAnswers: 1 });
+    const submission = first.submit();
+    await clock.advance(60_000);
+    store.setFaults({ slow: 0 });
+    await clock.advance(SETTLED_MS);
+    t.equal(await submission, "unclear");
+    t.equal(store.counts.commits + store.counts.conflicts, 1);
+});
+
 // Guards against an answer that reports a job as stored although it was cancelled before.
 void t.test("a submission that is repeated after its cancellation is answered as cancelled on each entry", async t => {
     const { first, second, keys } = createEntries();
