--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,62 +1,69 @@
-// Tasks that last fail now and then, each by itself. They have to be started again, and there is room for all of them
-// twice over at any time.
+// Large jobs come and wait for room that tasks that last hold. A job whose data is on the rack of these tasks is accepted
+// and never starts on the other racks, which are empty.
 import { fileURLToPath } from "node:url";
 import { CannotRun, configOf, isTrouble, jobOf, machines, runCase } from "../shared-2/case.mjs";
 import { sleep, waitFor } from "../shared-2/deployment.mjs";
 
-const EXECUTORS = 4;
-const JOBS = ["00000bb87a21d941", "00000bb87a21d942", "00000bb87a21d943"];
-const TASKS_PER_JOB = 4;
-const FAILS_BETWEEN_MS = [15_000, 40_000];
-const WATCHED_MS = 85_000;
-/** From 6 s after its last run, a task that lasts may have nothing running for less than 3 s. */
-const LONGEST_GAP_MS = 6_000 + 3_000;
+const EXECUTORS = 8;
+/** Executors of the first rack, which the tasks that last fill. */
+const BUSY_EXECUTORS = 3;
+const LARGE_JOBS = 14;
+const LARGE_JOB_INTERVAL_MS = 1_000;
+const LASTING = "00000bb87a21d94b";
+const JOB = "5c0e7a21d94b36f8";
+const FINISH_MS = 14_000;
+/** How long a job may have nothing running while there is room for it. */
+const IDLE_MS = 3_000;
+const WHOLE_EXECUTOR = { cpu: 52_000, task_memory_mb: 1_000, gpus: 8 };
 
-const body = async ({ submit, startOn, record }) => {
-    /** When the last run of each task that does not run now has ended. */
-    const endedAt = new Map();
-    const gaps = [];
-    let startCount = 0;
-    let failureCount = 0;
+const config = {
+    ...configOf(["signs"]),
+    routes: [
+        ...configOf(["signs"], { priority: 0 }).routes,
+        ...configOf(["renders"], { priority: 0, target_latency_ms: 300 }).routes,
+        ...configOf(["previews"], { priority: 2, target_latency_ms: 3_000 }).routes,
+    ],
+};
+
+const body = async ({ submit, stateOf, startOn, record }) => {
+    const starts = [];
     const onEvent = (what, data) => {
         record.note(what, data);
         if (what === "start") {
-            startCount += 1;
-            if (endedAt.has(data.task)) {
-                gaps.push({ task: data.task, ms: record.now() - endedAt.get(data.task) });
-                endedAt.delete(data.task);
-            }
-        }
-        else if (what === "end") {
-            failureCount += 1;
-            endedAt.set(data.task, record.now());
+            starts.push(data.task);
         }
     };
     for (let index = 0; index < EXECUTORS; index += 1) {
         await startOn(index, { onEvent });
     }
-    const spec = { lasts: true, ...(isTrouble ? { failsBetweenMs: FAILS_BETWEEN_MS } : {}) };
-    const step = { count: TASKS_PER_JOB, cpu: 15_000, task_memory_mb: 1_000, gpus: 2, long_running: true };
-    for (const id of JOBS) {
-        await submit(`/signs/${id}`, jobOf(spec, step));
+    await sleep(2_000);
+    const lasting = { ...WHOLE_EXECUTOR, count: BUSY_EXECUTORS, required_label: "r1", long_running: true };
+    await submit(`/signs/${LASTING}`, jobOf({ lasts: true }, lasting));
+    if (!await waitFor(() => starts.length === BUSY_EXECUTORS, 5_000)) {
+        throw new CannotRun("The tasks that last did not start.");
     }
-    if (!await waitFor(() => startCount === JOBS.length * TASKS_PER_JOB, 10_000)) {
-        throw new CannotRun("The tasks did not start.");
-    }
-    await sleep(WATCHED_MS);
-    for (const [task, at] of endedAt) {
-        gaps.push({ task, ms: record.now() - at, isOpen: true });
+    await sleep(1_000);
+    for (let number = 0; number < LARGE_JOBS; number += 1) {
+        if (isTrouble) {
+            const large = { ...WHOLE_EXECUTOR, count: EXECUTORS, gang_scheduled: true };
+            await submit(`/renders/0000c81e7a21d9${10 + number}`, jobOf({ workMs: 3_600 }, large));
+        }
+        await sleep(LARGE_JOB_INTERVAL_MS);
     }
-    const tooLong = gaps.filter(({ ms }) => ms > LONGEST_GAP_MS);
-    const longestMs = Math.max(0, ...gaps.map(({ ms }) => ms));
-    record.note("times without a run", { failures: failureCount, longestMs, tooLong });
-    return tooLong.length === 0;
+    const step = { count: 9, cpu: 11_000, task_memory_mb: 1_000, gpus: 1, data_rack: "r1" };
+    await submit(`/previews/${JOB}`, jobOf({ workMs: 13_600 }, step));
+    const isStarted = () => starts.some(task => task.startsWith(`${JOB}.`));
+    await waitFor(isStarted, FINISH_MS);
+    await stateOf(`/previews/${JOB}`);
+    await waitFor(isStarted, IDLE_MS);
+    record.note("the accepted job", { isStarted: isStarted(), state: await stateOf(`/previews/${JOB}`) });
+    return isStarted();
 };
 
 await runCase({
     folder: fileURLToPath(new URL(".", import.meta.url)),
     entries: machines("frontend", 2),
     agents: machines("side", EXECUTORS),
-    config: configOf(["signs"]),
+    config,
     body,
 });
