--- a/review/shared-2/case.mjs
+++ b/review/shared-2/case.mjs
@@ -99,12 +99,18 @@
     });
     /** All executors that were started, to be ended at last. */
     const executors = [];
-    /** Starts an executor on the machine of that index; an executor of a given id may be started again. */
+    /**
+     * Starts an executor on the machine of that index and waits until its agent has acknowledged a ping; an executor of a
+     * given id may be started again.
+     */
     const startOn = async (index, { id = `i-${index + 1}`, onEvent }) => {
         const rack = `r${1 + Math.floor(index / MACHINES_PER_RACK)}`;
         const options = { id, agent: platform.agents[index].control, service: SERVICE, zone: ZONE, rack, onEvent };
         const executor = await startExecutor(options);
         executors.push(executor);
+        if (!await waitFor(async () => await executor.deliver(executor.nextPing()) === 200, START_MS)) {
+            throw new CannotRun("An agent did not acknowledge a ping.");
+        }
         return executor;
     };
     let platform;
--- a/review/shared-2/http.mjs
+++ b/review/shared-2/http.mjs
@@ -45,15 +45,28 @@
     };
 };
 
-/** Ports that were free a moment ago. */
-export const freePorts = async count => {
-    const servers = await Promise.all(Array.from({ length: count }, () => serve(() => undefined)));
-    servers.forEach(({ close }) => {
-        close();
-    });
-    return servers.map(({ port }) => port);
+/** Ports below those that systems give to outgoing connections. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 30_000;
+const givenPorts = new Set();
+
+const freePort = async () => {
+    for (;;) {
+        const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+        if (!givenPorts.has(port)) {
+            givenPorts.add(port);
+            const server = await serve(() => undefined, port).catch(() => undefined);
+            if (server !== undefined) {
+                server.close();
+                return port;
+            }
+        }
+    }
 };
 
+/** Ports that were free a moment ago, each given once. */
+export const freePorts = count => Promise.all(Array.from({ length: count }, freePort));
+
 /** Sends one call on a connection of its own. The status is 0 if there was no complete answer in time. */
 export const call = (address, method, path, { headers = {}, body, timeoutMs = 3_000 } = {}) =>
     new Promise(resolve => {
