--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -8,7 +8,8 @@
 /** Executors of the first rack, which the tasks that last fill. */
 const BUSY_EXECUTORS = 3;
 const LARGE_JOBS = 14;
-const LARGE_JOB_INTERVAL_MS = 1_000;
+/** The usual rate of counter-render on the site, 0.326 a second. */
+const LARGE_JOB_INTERVAL_MS = 3_067;
 const LASTING = "00000bb87a21d94b";
 const JOB = "5c0e7a21d94b36f8";
 const FINISH_MS = 14_000;
@@ -45,8 +46,8 @@
     await sleep(1_000);
     for (let number = 0; number < LARGE_JOBS; number += 1) {
         if (isTrouble) {
-            const large = { ...WHOLE_EXECUTOR, count: EXECUTORS, gang_scheduled: true };
-            await submit(`/renders/0000c81e7a21d9${10 + number}`, jobOf({ workMs: 3_600 }, large));
+            const large = { count: EXECUTORS, cpu: 15_000, task_memory_mb: 79_000, gpus: 8, gang_scheduled: true };
+            await submit(`/renders/0000c81e7a21d9${10 + number}`, jobOf({ workMs: 3_571 }, large));
         }
         await sleep(LARGE_JOB_INTERVAL_MS);
     }
--- a/review/shared-2/http.mjs
+++ b/review/shared-2/http.mjs
@@ -45,27 +45,49 @@
     };
 };
 
-/** Ports below those that systems give to outgoing connections. */
+/** Ports below those that systems give to outgoing connections, in blocks, one for each script that runs. */
 const FIRST_PORT = 10_000;
-const LAST_PORT = 30_000;
-const givenPorts = new Set();
+const BLOCK_COUNT = 200;
+const BLOCK_SIZE = 100;
 
-const freePort = async () => {
+const tryServe = port => serve(() => undefined, port).catch(() => undefined);
+
+/** Takes a block by listening on its first port until the script ends. */
+const takeBlock = async () => {
     for (;;) {
-        const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
-        if (!givenPorts.has(port)) {
-            givenPorts.add(port);
-            const server = await serve(() => undefined, port).catch(() => undefined);
-            if (server !== undefined) {
-                server.close();
-                return port;
-            }
+        const first = FIRST_PORT + BLOCK_SIZE * Math.floor(Math.random() * BLOCK_COUNT);
+        if (await tryServe(first) !== undefined) {
+            return first;
         }
     }
 };
 
-/** Ports that were free a moment ago, each given once. */
-export const freePorts = count => Promise.all(Array.from({ length: count }, freePort));
+let block;
+let givenCount = 0;
+
+const freePort = async () => {
+    block ??= takeBlock();
+    const first = await block;
+    while (givenCount < BLOCK_SIZE - 1) {
+        givenCount += 1;
+        const port = first + givenCount;
+        const server = await tryServe(port);
+        if (server !== undefined) {
+            server.close();
+            return port;
+        }
+    }
+    throw new Error("The block has no free port left.");
+};
+
+/** Ports that were free a moment ago, each given once, and to no other script. */
+export const freePorts = async count => {
+    const ports = [];
+    while (ports.length < count) {
+        ports.push(await freePort());
+    }
+    return ports;
+};
 
 /** Sends one call on a connection of its own. The status is 0 if there was no complete answer in time. */
 export const call = (address, method, path, { headers = {}, body, timeoutMs = 3_000 } = {}) =>
