fix(control,dispatch,gateway): run accepted jobs of a removed queue to their end

Cause: the view of a pass left out the jobs whose queue the newest configuration does not have. A pass then met runs of a job that it did not know and took their whole executors as full. Waiting tasks and later steps of the removed queue's own jobs were never started either.

An entry now stores the queue with each job that it accepts. It applies while the configuration does not have the queue. A run of an unknown job, which jobs of the release before still have, takes what its order asked for.

The three cases of removedQueue.test.ts fail before: the other job has no outcome, stored either way, and a chain of steps of the removed queue is still open after 25 s.

--- a/packages/capacity/src/dispatchLoad.ts
+++ b/packages/capacity/src/dispatchLoad.ts
@@ -112,10 +112,16 @@
 };
 
 /** A run that is between 5% and 95% done, at a rate near the one that was declared. */
-const runOf = (jobId: string, key: string, declaredMs: number, percent: number, random: Random): RunView => {
+const runOf = (
+    jobId: string,
+    key: string,
+    { declaredMs, demand }: Pick<Step, "declaredMs" | "demand">,
+    percent: number,
+    random: Random,
+): RunView => {
     const elapsedMs = declaredMs * percent / 100 * (0.8 + 0.4 * random.uniform());
     return {
-        ...{ jobId, key, run: 1, percent, isStopping: false, firstPercent: 0 },
+        ...{ jobId, key, run: 1, demand, percent, isStopping: false, firstPercent: 0 },
         orderedAt: NOW - elapsedMs - 50,
         progressAt: NOW - Math.floor(random.uniform() * 400),
         firstListedAt: NOW - elapsedMs,
@@ -157,18 +163,18 @@
         const wanted = Math.min(random.pick(GANGS), limit - tasks);
         const accelerators = random.chance(ONE_ACCELERATOR_SHARE) ? 1 : 2;
         const places = takePlaces(free, next, wanted, accelerators);
+        const demand = demandOfRunning(accelerators);
         const placed: Record<string, TaskProgress> = {};
         places.forEach((executor, task) => {
             const key = taskKey({ occurrence: 0, step: 0, index: task });
             const placement = { vm: `vm-${executor}`, executorId: `executor-${executor}`, born: 1 };
             placed[key] = { ...NO_TASK_PROGRESS, run: 1, placement };
             if (isKept) {
-                runs[executor]?.push(runOf(jobId, key, declaredMs, percent, random));
+                runs[executor]?.push(runOf(jobId, key, { declaredMs, demand }, percent, random));
             }
         });
         next = (places.at(-1) ?? next) + 1;
         tasks += places.length;
-        const demand = demandOfRunning(accelerators);
         const step = { count: places.length, declaredMs, demand, isGang: places.length > 1 };
         const team = teamName(Math.floor(random.uniform() * teamCount(executors)));
         if (isKept && places.length > 0) {
--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -37,7 +37,7 @@
 const jobViews = (config: ClusterConfig, jobs: ActiveJobs): readonly JobView[] => {
     const queues = new Map(config.queues.map(queue => [queue.name, queue]));
     return [...jobs.byId.values()].flatMap(openJob => {
-        const queue = queues.get(openJob.job.queue);
+        const queue = queues.get(openJob.job.queue) ?? openJob.job.acceptedQueue;
         // Ended jobs stay in the view while they still have runs, because their demand still counts.
         return queue === undefined ? [] : [{ job: openJob.job, progress: openJob.progress, queue }];
     });
@@ -76,6 +76,7 @@
     jobId: run.jobId,
     key: run.key,
     run: run.run,
+    demand: run.demand,
     orderedAt: run.orderedAt + storeClockOffsetMs,
     isStopping: run.isStopping || run.isTaskDone,
     percent: run.percent,
--- a/packages/control/src/jobLog.ts
+++ b/packages/control/src/jobLog.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { ConfigHolder } from "./configHolder.js";
 import type { OpenJob } from "./openJob.js";
+import { queueOfJob } from "./queueOfJob.js";
 
 export interface JobLogOptions {
     readonly logger: Logger;
@@ -77,7 +78,7 @@
      * if they are not known.
      */
     private objectiveOf({ job, runStats }: OpenJob): Millis | undefined {
-        const queue = this.options.config.current?.queues.find(({ name }) => name === job.queue);
+        const queue = queueOfJob(this.options.config.current, job);
         const longestPathMs = criticalPathMs(job, index => runStats.longestTaskMs(index));
         return queue === undefined || job.repetition !== undefined || longestPathMs === 0
             ? undefined
--- a/packages/control/src/rowChangeHandler.ts
+++ b/packages/control/src/rowChangeHandler.ts
@@ -2,6 +2,7 @@
 import type { ConfigHolder } from "./configHolder.js";
 import type { PassUrgency } from "./passSchedule.js";
 import type { ProgressWriter } from "./progressWriter.js";
+import { queueOfJob } from "./queueOfJob.js";
 import type { Replica } from "./replica.js";
 import { rowKeys, tombstoneKey } from "./rows.js";
 
@@ -53,8 +54,8 @@
     private isUrgentJob(key: string): boolean {
         const { jobs, config } = this.options;
         const [kind, jobId = ""] = key.split("/");
-        const queue = kind === "job" ? jobs.byId.get(jobId)?.job.queue : undefined;
-        return config.current?.queues.some(({ name, priority }) => name === queue && priority === 0) ?? false;
+        const job = kind === "job" ? jobs.byId.get(jobId)?.job : undefined;
+        return job !== undefined && queueOfJob(config.current, job)?.priority === 0;
     }
 
     private cancelIfRequested(jobId: string): void {
--- /dev/null
+++ b/packages/control/tests/removedQueue.test.ts
@@ -0,0 +1,56 @@
+import t from "tap";
+import { Deployment } from "./deploymentFixture.js";
+
+const SECOND = 1_000;
+const EXECUTORS = ["x1", "x2"];
+const QUEUES = ["q", "signs"];
+
+const BESIDE_OTHERS = { demand: { accelerators: 1, milliCores: 1_000, memoryMb: 100 }, maxPerExecutor: 1 };
+const LASTING = { ...BESIDE_OTHERS, count: EXECUTORS.length, isLongRunning: true };
+const SINGLE = { count: 1, demand: { accelerators: 1, milliCores: 1_000, memoryMb: 100 } };
+
+const startDeployment = async (): Promise<Deployment> => {
+    const deployment = new Deployment(["e1", "e2"], EXECUTORS, { queues: QUEUES });
+    await deployment.advance(5 * SECOND);
+    return deployment;
+};
+
+const removeSigns = async (deployment: Deployment): Promise<void> => {
+    await deployment.putConfig(2, ["q"]);
+    await deployment.advance(3 * SECOND);
+};
+
+// Guards against executors that count as full because of a run whose queue the operator has removed: accepted jobs of
+// other queues never started beside it.
+void t.test("a job starts beside the runs of a removed queue", async t => {
+    for (const isOld of [false, true]) {
+        const deployment = await startDeployment();
+        await deployment.putJobOf("signs", "lasting", [LASTING], { runMs: 600_000 }, isOld);
+        await deployment.advance(3 * SECOND);
+        t.equal(deployment.runs.length, EXECUTORS.length, "the tasks that last run");
+        await removeSigns(deployment);
+        await deployment.putJobOf("q", "other", [SINGLE], { runMs: 500 });
+        await deployment.advance(5 * SECOND);
+        t.equal(deployment.outcome("other"), "completed", isOld ? "stored by the release before" : "stored as now");
+        t.equal(
+            deployment.runs.filter(({ endedAt }) => endedAt === undefined).length,
+            EXECUTORS.length,
+            "still running",
+        );
+    }
+});
+
+// Guards against accepted jobs that never finish because the operator removed their queue: their waiting tasks and
+// later steps were never started, neither by the controller at the time nor by the next one.
+void t.test("an accepted job of a removed queue runs to its end", async t => {
+    const deployment = await startDeployment();
+    await deployment.putJobOf("signs", "chain", [SINGLE, { ...SINGLE, after: [0] }, { ...SINGLE, after: [1] }], {
+        runMs: 6_000,
+    });
+    await deployment.advance(2 * SECOND);
+    await removeSigns(deployment);
+    await deployment.advance(4 * SECOND);
+    deployment.killNode(deployment.controller);
+    await deployment.advance(25 * SECOND);
+    t.equal(deployment.outcome("chain"), "completed");
+});
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -11,6 +11,8 @@
     /** Key of the task within its job. */
     readonly key: string;
     readonly run: number;
+    /** Resources that it holds. */
+    readonly demand: Demand;
     /** Time of the order to start it, on the clock of `now`. */
     readonly orderedAt: Millis;
     readonly isStopping: boolean;
--- a/packages/dispatch/src/executorResources.ts
+++ b/packages/dispatch/src/executorResources.ts
@@ -49,14 +49,9 @@
 const subtractRuns = (executor: ExecutorResources, runSteps: RunSteps): void => {
     for (const [index, run] of executor.view.runs.entries()) {
         const runStep = runSteps[executor.index]?.[index];
-        if (runStep === undefined) {
-            // The demand of a run of an unknown job is unknown, so nothing may start until that run has ended.
-            Object.assign(executor.free, noDemand());
-            return;
-        }
-        const demand = countedDemand(runStep.step);
+        const demand = runStep === undefined ? run.demand : countedDemand(runStep.step);
         addTo(executor.free, demand, -1);
-        if (runStep.step.maxPerExecutor !== undefined) {
+        if (runStep?.step.maxPerExecutor !== undefined) {
             countTasks(executor, stepId(runStep.view, runStep.occurrence, runStep.stepIndex), 1);
         }
         if (run.isStopping) {
--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -194,7 +194,17 @@
             const executorIndex = this.options.executors.findIndex(one => one.vm === vm);
             this.update(jobId, key, { run, placement: { vm, executorId, born: 0 } });
             const times = { orderedAt: now, firstListedAt: now, progressAt: now };
-            return { jobId, key, run, executorIndex, isStopping: false, firstPercent: percent, percent, ...times };
+            return {
+                jobId,
+                key,
+                run,
+                demand: countedDemand(step),
+                executorIndex,
+                isStopping: false,
+                firstPercent: percent,
+                percent,
+                ...times,
+            };
         });
         this.groups.push({
             ...{ view, stepIndex, step, members, trueMs, savedMs, doneMs: savedMs, stopsAt: Infinity },
--- a/packages/dispatch/tests/dispatchFixture.ts
+++ b/packages/dispatch/tests/dispatchFixture.ts
@@ -79,6 +79,7 @@
     jobId,
     key,
     run: 1,
+    demand: { accelerators: 1, milliCores: 0, memoryMb: 0 },
     orderedAt: START - elapsedMs,
     isStopping: false,
     percent,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -124,6 +124,7 @@
             ...submission,
             jobId,
             queue: queue.name,
+            acceptedQueue: queue,
             ...(team === undefined ? {} : { team }),
             acceptedAt: this.storeTime(),
         };
--- a/packages/workload/src/stepJob.ts
+++ b/packages/workload/src/stepJob.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { queueSchema } from "./clusterConfig.js";
 import { MAX_TASKS_PER_STEP, stepSchema } from "./step.js";
 
 const MAX_STEPS = 200;
@@ -36,6 +37,11 @@
 export const stepJobSchema = submissionShape.extend({
     jobId: z.string().min(1),
     queue: z.string(),
+    /**
+     * The queue as it was configured when the job was accepted, which applies while the configuration does not have it.
+     * Jobs that an earlier release accepted have none.
+     */
+    acceptedQueue: queueSchema.optional(),
     team: z.string().optional(),
     /** Time at which the job was accepted, by the clock of the store. */
     acceptedAt: z.number(),
