fix(dispatch,control): rotate a part of the searches of a pass

Cause: a unit that does not fit on its preferred executors starts elsewhere only after a search. A pass has 12 searches, and it gave them to the blocked units of the best rank, the same ones in every pass.

A third of the searches now goes to the units that passes had no search left for, in turn. A pass still has 12, so it does not get longer, and n waiting units all get one within n / 4 passes.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -1,8 +1,10 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
+import { DEFAULT_DISPATCH_OPTIONS } from "@persimmonpitch/dispatch/dispatchOptions.js";
 import { runPass } from "@persimmonpitch/dispatch/dispatchPass.js";
 import { isUrgent } from "@persimmonpitch/dispatch/readyUnits.js";
+import { SearchTurns } from "@persimmonpitch/dispatch/searchTurns.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
 import { ActiveJobs } from "./activeJobs.js";
 import { AdviceCache } from "./adviceCache.js";
@@ -57,6 +59,7 @@
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks: KeyedTasks;
     private readonly passSchedule: PassSchedule;
+    private readonly searchTurns = new SearchTurns();
     private lastReachedAt: Millis;
     /** Whether urgent work found no place in the last pass, so that what frees resources is urgent, too. */
     private isUrgentWorkWaiting = false;
@@ -360,9 +363,13 @@
         if (config === undefined) {
             return;
         }
-        const view = buildDispatchView(this.context, config, this.jobs, this.cluster, this.advice.usableExecutors());
+        const view = {
+            ...buildDispatchView(this.context, config, this.jobs, this.cluster, this.advice.usableExecutors()),
+            searchTurns: this.searchTurns.next(DEFAULT_DISPATCH_OPTIONS.maxSearchTurns),
+        };
         const startedAt = this.context.clock.now();
-        const { decisions, waiting } = runPass(view);
+        const { decisions, waiting, skippedSearches } = runPass(view);
+        this.searchTurns.record(skippedSearches);
         this.jobLog.logWaiting(waiting);
         this.isUrgentWorkWaiting = waiting.some(({ ranked }) => isUrgent(ranked.unit));
         for (const decision of decisions) {
--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -25,6 +25,11 @@
     readonly maxReservations: number;
     /** Maximum number of units for which a pass searches a future fit and victims; bounds the duration of a pass. */
     readonly maxSearches: number;
+    /**
+     * Number of these searches that rotate among the units that would get none by their rank. Without them, work that
+     * fits on slower executors never starts behind as many blocked units as a pass has searches.
+     */
+    readonly maxSearchTurns: number;
     /**
      * Number of executor sets, such as racks, that such a search covers, those with the most free accelerators first.
      */
@@ -59,6 +64,7 @@
     onTimeTolerance: 0.6,
     maxReservations: 4,
     maxSearches: 12,
+    maxSearchTurns: 4,
     maxSearchedSets: 8,
     maxSearchedExecutors: 32,
     probeAfterMs: 5_000,
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -69,8 +69,8 @@
     }
 };
 
-/** Decisions of a pass, the executors after it, and the units that wait. */
-export type PassResult = Pick<PassState, "decisions" | "executors" | "waiting">;
+/** Decisions of a pass, the executors after it, the units that wait, and how it used its searches. */
+export type PassResult = Pick<PassState, "decisions" | "executors" | "waiting" | "searchCount" | "skippedSearches">;
 
 /** Runs a pass over one view of the jobs and executors. */
 export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassResult => {
@@ -84,7 +84,7 @@
     const units = occurrences.flatMap(openOccurrence => readyUnits(openOccurrence, view.advised));
     if (units.length === 0 && evictions.length === 0) {
         // Most passes end here: the controller runs one every 250 ms even when nothing has changed.
-        return { decisions: [], executors: [], waiting: [] };
+        return { decisions: [], executors: [], waiting: [], searchCount: 0, skippedSearches: [] };
     }
     const unhealthy = unhealthyExecutors(evictions);
     const healthContext = { jobs, faultyJobs: findFaultyJobs(view.executors), now: view.now, options };
@@ -110,6 +110,7 @@
         failedFits: new Map(),
         reservationCount: 0,
         searchCount: 0,
+        skippedSearches: [],
         decisions: [],
         waiting: [],
     };
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -87,6 +87,8 @@
     readonly samples: readonly RunSample[];
     /** A step whose queue requires advice does not start unless it has an entry. */
     readonly advised?: AdvisedExecutors;
+    /** Ids of the steps that earlier passes had no search left for and that this pass searches for. */
+    readonly searchTurns?: ReadonlySet<string>;
 }
 
 /** Tasks of one step that start together with one run number: a whole gang, or one task. */
--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -7,8 +7,8 @@
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 import { addTo, coreEquivalent, countedDemand } from "./demand.js";
-import type { DispatchOptions } from "./dispatchOptions.js";
-import { dispatchPass } from "./dispatchPass.js";
+import { DEFAULT_DISPATCH_OPTIONS, type DispatchOptions } from "./dispatchOptions.js";
+import { runPass } from "./dispatchPass.js";
 import type {
     DispatchDecision,
     DispatchView,
@@ -20,6 +20,7 @@
     StopDecision,
 } from "./dispatchView.js";
 import { type FakeGroup, type FakeRun, groupRate, type Rate, reportProgress } from "./fakeRun.js";
+import { SearchTurns } from "./searchTurns.js";
 
 const TICK_MS: Millis = 50;
 const REPORT_MS: Millis = 500;
@@ -80,6 +81,7 @@
     private readonly ends: EndView[][];
     private readonly unavailableUntil: Millis[];
     private readonly samples: RunSample[] = [];
+    private readonly searchTurns = new SearchTurns();
     private groups: FakeGroup[] = [];
     private nextPassAt: Millis = 0;
 
@@ -119,7 +121,9 @@
             this.advance();
             if (this.now >= this.nextPassAt) {
                 this.nextPassAt = this.now + (this.options.idlePassMs ?? TICK_MS);
-                dispatchPass(this.view(), this.options.dispatch).forEach(decision => {
+                const { decisions, skippedSearches } = runPass(this.view(), this.options.dispatch);
+                this.searchTurns.record(skippedSearches);
+                decisions.forEach(decision => {
                     this.apply(decision);
                 });
             }
@@ -139,6 +143,7 @@
             timings,
             teams,
             samples: this.samples,
+            searchTurns: this.searchTurns.next(DEFAULT_DISPATCH_OPTIONS.maxSearchTurns),
             jobs: [...this.jobs.values()],
             executors: executors.map((executor, index) => ({
                 ...executor,
--- a/packages/dispatch/src/passState.ts
+++ b/packages/dispatch/src/passState.ts
@@ -47,6 +47,8 @@
     readonly failedFits: Map<string, FailedFit>;
     reservationCount: number;
     searchCount: number;
+    /** Ids of the steps that the pass had no search left for, in order of rank. */
+    readonly skippedSearches: string[];
     readonly decisions: DispatchDecision[];
     /** In order of rank. */
     readonly waiting: WaitingUnit[];
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -339,23 +339,31 @@
 };
 
 /** Whether to search for a future fit or for victims. */
-const needsSearch = (
-    { options, reservationCount, searchCount }: PassState,
-    { ranked, sets }: PlacementRequest,
-): boolean => {
+const needsSearch = ({ options, reservationCount }: PassState, { ranked, sets }: PlacementRequest): boolean => {
     const mayReserve = needsReservation(ranked) && reservationCount < options.maxReservations;
-    return (isUrgent(ranked.unit) || mayReserve || sets.fallback !== undefined) && searchCount < options.maxSearches;
+    return isUrgent(ranked.unit) || mayReserve || sets.fallback !== undefined;
+};
+
+/** Uses one search of the pass for the unit; false if none is left for it. */
+const takeSearch = (state: PassState, { unit: { stepId } }: RankedUnit): boolean => {
+    const { view: { searchTurns }, options: { maxSearches } } = state;
+    const limit = searchTurns === undefined || searchTurns.has(stepId) ? maxSearches : maxSearches - searchTurns.size;
+    if (state.searchCount >= limit) {
+        state.skippedSearches.push(stepId);
+        return false;
+    }
+    state.searchCount += 1;
+    return true;
 };
 
 /**
  * Handles tasks that do not fit now: starts them on slower executors, preempts other work, or reserves a future fit.
  */
 const placeBlocked = (state: PassState, request: PlacementRequest, keys: readonly string[]): WaitKind | undefined => {
-    if (!needsSearch(state, request)) {
+    const { ranked } = request;
+    if (!needsSearch(state, request) || !takeSearch(state, ranked)) {
         return "unplaced";
     }
-    state.searchCount += 1;
-    const { ranked } = request;
     const fit = findEarliestFit(state, request, keys.length);
     const waitMs = fit?.inMs ?? Infinity;
     const isLateOnFallback = ranked.forecast.slackMs < fallbackDelayMs(state, request);
