fix(control): limit attempts while the queue of a job is removed

Cause: the number of attempts was looked up in the newest configuration alone and was unlimited for a queue that it does not have. It now comes from the queue that is stored with the job, like its priority and service.

Jobs that the release before accepted have no stored queue and keep the fault while their queue is removed.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -25,6 +25,7 @@
 import type { PassUrgency } from "./passSchedule.js";
 import { PassSchedule } from "./passSchedule.js";
 import { ProgressWriter } from "./progressWriter.js";
+import { queueOfJob } from "./queueOfJob.js";
 import { Reconciler } from "./reconciler.js";
 import { RowChangeHandler } from "./rowChangeHandler.js";
 import { TermRenewer } from "./termRenewer.js";
@@ -257,8 +258,7 @@
     }
 
     private maxAttempts(openJob: OpenJob): number {
-        const queues = this.context.config.current?.queues ?? [];
-        return queues.find(({ name }) => name === openJob.job.queue)?.maxAttempts ?? Number.POSITIVE_INFINITY;
+        return queueOfJob(this.context.config.current, openJob.job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
     }
 
     private requestPass(urgency: PassUrgency = this.isUrgentWorkWaiting ? "urgent" : "normal"): void {
--- a/packages/control/tests/removedQueue.test.ts
+++ b/packages/control/tests/removedQueue.test.ts
@@ -54,3 +54,17 @@
     await deployment.advance(25 * SECOND);
     t.equal(deployment.outcome("chain"), "completed");
 });
+
+// Guards against a task that starts again after its last attempt because its queue was removed when that attempt
+// failed: the number of attempts was then taken as unlimited.
+void t.test("attempts are limited while the queue is removed", async t => {
+    const deployment = await startDeployment();
+    await deployment.putJobOf("signs", "failing", [SINGLE], { runMs: 4_000, fails: true });
+    await deployment.advance(2 * SECOND);
+    await removeSigns(deployment);
+    await deployment.advance(10 * SECOND);
+    await deployment.putConfig(3, QUEUES);
+    await deployment.advance(10 * SECOND);
+    t.equal(deployment.outcome("failing"), "failed");
+    t.equal(deployment.runs.length, 2, "the attempts that the queue allows");
+});
