fix(executor,platform): drop outdated heartbeats before they have an effect

Cause: the agent's program set the address of the executor for each heartbeat, and only then was the heartbeat found to be of an earlier incarnation. The agent called the old port and reported the executor as gone.

The agent now decides first and sets the address of a heartbeat that counts. A deregistration that tells its incarnation no longer marks a later one as leaving.

--- a/packages/executor/src/executorAgent.ts
+++ b/packages/executor/src/executorAgent.ts
@@ -16,6 +16,8 @@
     readonly logger: Logger;
     readonly port: ExecutorPort;
     readonly random?: () => number;
+    /** Directs the calls to an executor to the address in its last heartbeat. */
+    readonly setAddress?: (executorId: string, address: string) => void;
 }
 
 /** The agent for the executors of one VM, where an old executor may drain while its successor starts. */
@@ -27,7 +29,12 @@
     private readonly context: AgentContext;
     private readonly orderForwarder: OrderForwarder;
 
-    constructor({ clock, logger, port, random = Math.random }: ExecutorAgentOptions) {
+    private readonly setAddress: (executorId: string, address: string) => void;
+
+    constructor(
+        { clock, logger, port, random = Math.random, setAddress = () => undefined }: ExecutorAgentOptions,
+    ) {
+        this.setAddress = setAddress;
         this.context = {
             clock,
             logger,
@@ -44,9 +51,23 @@
         this.orderForwarder = new OrderForwarder(this.context, executorId => this.executors.get(executorId));
     }
 
-    /** Applies a heartbeat of an executor; `sequence` increases within an incarnation. */
+    /**
+     * Applies a heartbeat of an executor; `sequence` increases within an incarnation. An outdated heartbeat, for example
+     * one that was delayed until the executor had restarted at another address, has no effect at all.
+     */
     onHeartbeat(info: ExecutorInfo, sequence: number): void {
         const knownExecutor = this.executors.get(info.executorId);
+        if (knownExecutor?.isOutdated(info, sequence) === true) {
+            this.context.logger.log("info", "heartbeat.outdated", {
+                executor: info.executorId,
+                born: info.born,
+                sequence,
+            });
+            return;
+        }
+        if (info.address !== undefined) {
+            this.setAddress(info.executorId, info.address);
+        }
         if (knownExecutor !== undefined) {
             knownExecutor.onHeartbeat(info, sequence);
             return;
@@ -58,9 +79,12 @@
         this.context.onReportChange();
     }
 
-    /** Called when an executor announces that it is leaving. */
-    onLeave(executorId: string): void {
-        this.executors.get(executorId)?.markLeaving();
+    /** Called when an executor announces that it is leaving; `born` tells its incarnation if it says so. */
+    onLeave(executorId: string, born?: number): void {
+        const executor = this.executors.get(executorId);
+        if (born === undefined || executor?.isEarlierIncarnation(born) !== true) {
+            executor?.markLeaving();
+        }
     }
 
     /** Serves a controller until its connection closes. */
--- a/packages/executor/src/observedExecutor.ts
+++ b/packages/executor/src/observedExecutor.ts
@@ -98,13 +98,18 @@
         this.executorId = info.executorId;
     }
 
-    /** Applies a heartbeat of the executor; heartbeats that arrive out of order are ignored. */
+    /** Whether a heartbeat is of an earlier incarnation, or older than the last one applied. */
+    isOutdated({ born }: ExecutorInfo, sequence: number): boolean {
+        return this.isEarlierIncarnation(born) || (born === this.info.born && sequence <= this.heartbeatSequence);
+    }
+
+    /** Whether a message is of an incarnation before the one that the last heartbeat was of. */
+    isEarlierIncarnation(born: number): boolean {
+        return born < this.info.born;
+    }
+
+    /** Applies a heartbeat of the executor that is not outdated. */
     onHeartbeat(info: ExecutorInfo, sequence: number): void {
-        const isOlder = info.born < this.info.born
-            || (info.born === this.info.born && sequence <= this.heartbeatSequence);
-        if (isOlder) {
-            return;
-        }
         if (info.born > this.info.born) {
             this.resetIncarnation(info.born);
             this.expediteList();
--- a/packages/executor/tests/agentFixture.ts
+++ b/packages/executor/tests/agentFixture.ts
@@ -118,6 +118,8 @@
     readonly clock = new FakeClock();
     readonly traceLines: string[] = [];
     readonly listRequests: ListRequest[] = [];
+    /** Addresses that the agent directed its calls to, in order. */
+    readonly addresses: string[] = [];
     readonly executors: readonly MemoryStepExecutor[];
     agent: ExecutorAgent;
     /** Called before each list request. */
@@ -137,6 +139,7 @@
             logger: silentLogger,
             port: this.createTracingPort(),
             random: () => 0.5,
+            setAddress: (_executorId, address) => this.addresses.push(address),
         });
         return this.agent;
     }
