fix(control): detach executors that answer nothing beside a sound agent

Cause: an agent repeats the last list of an executor that does not answer, and each repetition counted as a sign of life, so the lease was extended and never taken for lapsed.

A report that repeats a list older than 4 s, two list calls with their timeouts, detaches the executor until it answers again. What applies while an agent is away then applies to it.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -266,6 +266,10 @@
     }
 
     private applyList(state: ExecutorState, list: NonNullable<ExecutorReport["list"]>): void {
+        if (state.isOutdatedList(list, this.context.clock.now())) {
+            this.detachSilent(state);
+            return;
+        }
         const isFirstList = !state.isAttached || state.born !== list.born;
         this.cluster.applyRunList(state, list);
         if (isFirstList) {
@@ -280,6 +284,18 @@
         }
     }
 
+    /**
+     * Treats an executor that does not answer its agent like one whose agent is away: it gets no work, its lease is not
+     * extended, and its runs are lost once the lease has lapsed. The next list that it answers attaches it again.
+     */
+    private detachSilent(state: ExecutorState): void {
+        if (state.isAttached) {
+            state.isAttached = false;
+            this.context.logger.log("info", "executor.silent", { executor: state.executorId, runs: state.runs.size });
+            this.requestPass();
+        }
+    }
+
     /** Extends the leases and sends the starts that were waiting for a term renewal. */
     private resumeDeferred(): void {
         for (const state of this.cluster.executors.values()) {
--- a/packages/control/src/executorState.ts
+++ b/packages/control/src/executorState.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { EndView } from "@persimmonpitch/dispatch/dispatchView.js";
 import type { ExecutorInfo } from "@persimmonpitch/workload/executorReport.js";
+import type { RunList } from "@persimmonpitch/workload/executorReport.js";
 import type { Demand } from "@persimmonpitch/workload/step.js";
 
 /** A run from its claim to its end, as tracked by the controller. */
@@ -65,6 +66,12 @@
 /** Number of run ends kept to assess the health of an executor. */
 const MAX_RECENT_ENDS = 20;
 
+/**
+ * An agent repeats its last list while the executor does not answer. After this time, which two list calls with their
+ * timeouts take, nothing more is concluded from such a list.
+ */
+const MAX_LIST_AGE_MS: Millis = 4_000;
+
 /** The controller's view of one executor. */
 export class ExecutorState {
     info: ExecutorInfo | undefined;
@@ -97,6 +104,12 @@
 
     constructor(readonly vm: string, readonly executorId: string) {}
 
+    /** Whether a list with this clock reading repeats the last one, which has become too old. */
+    isOutdatedList({ born, clockMs }: Pick<RunList, "born" | "clockMs">, now: Millis): boolean {
+        const { clock } = this;
+        return born === this.born && clockMs === clock?.readingMs && now - clock.at > MAX_LIST_AGE_MS;
+    }
+
     recordEnd(end: EndView): void {
         this.recentEnds.push(end);
         if (this.recentEnds.length > MAX_RECENT_ENDS) {
