feat(dispatch,executor): rank cold executors behind others

After an evacuation executors work slowly for some time and say so in their heartbeats. The agent counts this time down between heartbeats, so that an executor whose heartbeats do not arrive does not stay cold, and reports at once when an executor becomes cold or is no longer. A pass treats a cold executor like a suspect one: it gets only what fits on no healthy executor.

A test of the agent shows that a stop ends the retries of a start.

--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -44,10 +44,12 @@
     readonly rack: string | undefined;
     readonly labels: readonly string[];
     readonly capacity: Demand;
-    /** Whether new work may be placed on it: it is attached, answers, and is not draining. */
+    /** Whether new work may be placed on it: it is attached, answers, and neither drains nor is evacuated. */
     readonly takesWork: boolean;
     /** Time until a draining executor leaves; undefined if it is not draining. */
     readonly leavesInMs: Millis | undefined;
+    /** How much longer the executor works slowly after its start; undefined or 0 if it is not cold. */
+    readonly coldRemainingMs?: Millis;
     readonly runs: readonly RunView[];
     /** When the executor last listed its runs; undefined before its first list. */
     readonly listedAt: Millis | undefined;
--- a/packages/dispatch/src/executorHealth.ts
+++ b/packages/dispatch/src/executorHealth.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
+import { isCold } from "@persimmonpitch/workload/executorReport.js";
 import type { DispatchOptions } from "./dispatchOptions.js";
 import type { EndView, ExecutorView, JobView } from "./dispatchView.js";
 import { progressOf } from "./openOccurrences.js";
@@ -79,7 +80,7 @@
     readonly options: DispatchOptions;
 }
 
-/** Derives the health of an executor from its recent ends and from whether a run on it is stalled or slow. */
+/** Derives the health of an executor from its recent ends, from whether a run on it is stalled or slow and if it is cold. */
 export const executorHealth = (
     executor: ExecutorView,
     hasUnhealthyRun: boolean,
@@ -89,5 +90,7 @@
         const lastFailureAt = executor.recentEnds.at(-1)?.at ?? now;
         return healthAfterFailures(now - lastFailureAt, options);
     }
-    return hasUnhealthyRun || hasRecentInterruption(executor, jobs, now, options.suspectMs) ? "suspect" : "healthy";
+    const isSuspect = hasUnhealthyRun || isCold(executor)
+        || hasRecentInterruption(executor, jobs, now, options.suspectMs);
+    return isSuspect ? "suspect" : "healthy";
 };
--- a/packages/dispatch/tests/suspectedExecutors.test.ts
+++ b/packages/dispatch/tests/suspectedExecutors.test.ts
@@ -3,7 +3,7 @@
 import t from "tap";
 import { dispatchPass } from "../src/dispatchPass.js";
 import type { DispatchView, EndView } from "../src/dispatchView.js";
-import { executorsOf, jobOf, START, viewOf } from "./dispatchFixture.js";
+import { executorsOf, jobOf, linesOf, START, viewOf } from "./dispatchFixture.js";
 
 const SEED = 34_004;
 const RUNS = 500;
@@ -122,3 +122,19 @@
     t.equal(startsAfter(input({ job: 3, isFailure: true }), 100), false, "no executor has succeeded");
     t.end();
 });
+
+// Guards against work on executors that are slow after their start while others are free, and against work that waits
+// although only such executors are left.
+void t.test("a cold executor ranks behind the others", t => {
+    const startsWith = (coldRemainingMs: number) =>
+        linesOf(dispatchPass(viewOf(
+            [jobOf({ id: "a", steps: [{ count: 2, demand: { accelerators: ACCELERATORS } }] })],
+            executorsOf(3, index => index === 0 ? { coldRemainingMs } : {}),
+        )));
+    t.same(startsWith(2_000), ["start a run 1: 0.0.0 on vm1", "start a run 1: 0.0.1 on vm2"]);
+    t.same(startsWith(0), ["start a run 1: 0.0.0 on vm0", "start a run 1: 0.0.1 on vm1"]);
+    const gang = jobOf({ id: "g", steps: [{ count: 3, isGang: true, demand: { accelerators: ACCELERATORS } }] });
+    const onColdToo = dispatchPass(viewOf([gang], executorsOf(3, index => index === 0 ? { coldRemainingMs: 1 } : {})));
+    t.same(onColdToo.map(({ kind }) => kind), ["start"]);
+    t.end();
+});
--- a/packages/executor/src/controllerConnection.ts
+++ b/packages/executor/src/controllerConnection.ts
@@ -8,6 +8,7 @@
 } from "@persimmonpitch/protocol/executorMessages.js";
 import { agentToControllerMethods, controllerToAgentMethods } from "@persimmonpitch/protocol/executorMessages.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
+import { isCold } from "@persimmonpitch/workload/executorReport.js";
 import type { ControllerHandlerContext } from "./controllerHandlers.js";
 import { createControllerHandlers } from "./controllerHandlers.js";
 
@@ -50,6 +51,7 @@
         executor.born,
         executor.capacity,
         executor.isDraining,
+        isCold(executor),
         isGone,
         list?.running.map(({ task, run }) => [task, run]),
     ]);
--- a/packages/executor/src/observedExecutor.ts
+++ b/packages/executor/src/observedExecutor.ts
@@ -89,6 +89,7 @@
     private listAbort = new AbortController();
     private consecutiveFailures = 0;
     private goneSinceMs: Millis = 0;
+    private heartbeatAtMs: Millis;
 
     constructor(
         private readonly context: AgentContext,
@@ -96,6 +97,7 @@
         private heartbeatSequence: number,
     ) {
         this.executorId = info.executorId;
+        this.heartbeatAtMs = context.clock.now();
     }
 
     /** Applies a heartbeat of the executor; heartbeats that arrive out of order are ignored. */
@@ -113,6 +115,7 @@
             this.wakeSignal.wake();
         }
         this.info = info;
+        this.heartbeatAtMs = this.context.clock.now();
         this.heartbeatSequence = sequence;
         this.context.onReportChange();
     }
@@ -187,7 +190,7 @@
     report(): ExecutorReport {
         const list = this.currentList();
         const { isGone, durableEnd } = this.state;
-        const executor = { ...this.info, isDraining: this.isDraining() };
+        const executor = { ...this.info, ...this.coldRemaining(), isDraining: this.isDraining() };
         return list === undefined
             ? { executor, isGone }
             : { executor, isGone, list: { ...list, ends: list.ends.filter(({ number }) => number > durableEnd) } };
@@ -338,6 +341,13 @@
         return this.state.isListCurrent ? this.state.list : undefined;
     }
 
+    /** Counts down from the last heartbeat, so that an executor without heartbeats does not stay cold. */
+    private coldRemaining(): Pick<ExecutorInfo, "coldRemainingMs"> {
+        const { coldRemainingMs } = this.info;
+        const elapsedMs = this.context.clock.now() - this.heartbeatAtMs;
+        return coldRemainingMs === undefined ? {} : { coldRemainingMs: Math.max(0, coldRemainingMs - elapsedMs) };
+    }
+
     private isDraining(): boolean {
         return this.info.isDraining || this.state.isLeaving;
     }
--- a/packages/executor/tests/executorAgent.test.ts
+++ b/packages/executor/tests/executorAgent.test.ts
@@ -49,6 +49,19 @@
         },
         expectedStarts: ["a"],
     },
+    {
+        name: "stop while the executor does not answer a start",
+        guardsAgainst: "a withdrawn start that the agent sends again, as on an executor of an evacuated data centre",
+        run: async ({ executor, controller, advanceClock }) => {
+            executor.setFaults({ silent: true });
+            void controller.start(executor, "a", LONG_RUNNING);
+            await advanceClock(500);
+            void controller.stop(executor, "a");
+            await advanceClock(100);
+            executor.setFaults({ silent: false });
+            await advanceClock(2_000);
+        },
+    },
     {
         name: "deadline passes before an answer",
         guardsAgainst: "a start order that takes effect after it was reported as refused",
--- a/packages/standins/src/memoryStepExecutor.ts
+++ b/packages/standins/src/memoryStepExecutor.ts
@@ -74,6 +74,7 @@
     private isUp = true;
     private isDraining = false;
     private remainingMs: Millis | undefined;
+    private coldUntil: Millis = 0;
     private sequence = 0;
     /** When leases ended that were extended later. */
     private readonly lapses: Millis[] = [];
@@ -112,6 +113,9 @@
             dataCentre,
             isDraining: this.isDraining,
             ...(this.remainingMs === undefined ? {} : { remainingMs: this.remainingMs }),
+            ...(this.coldUntil === 0
+                ? {}
+                : { coldRemainingMs: Math.max(0, this.coldUntil - this.options.clock.now()) }),
             capacity,
             labels: [...labels],
         };
@@ -136,6 +140,11 @@
         this.remainingMs = remainingMs;
     }
 
+    /** Announces in the next heartbeats that the executor works slowly for some time. */
+    setCold(remainingMs: Millis): void {
+        this.coldUntil = this.options.clock.now() + remainingMs;
+    }
+
     /** Ends the process: its runs and all that it knew are lost, and nothing listens. */
     crash(): void {
         this.isUp = false;
@@ -163,6 +172,7 @@
         this.sequence = 0;
         this.isDraining = false;
         this.remainingMs = undefined;
+        this.coldUntil = 0;
         this.isUp = true;
     }
 
--- a/packages/workload/src/executorReport.ts
+++ b/packages/workload/src/executorReport.ts
@@ -13,12 +13,17 @@
     isDraining: z.boolean(),
     /** Lower bound of the time until a draining executor shuts down. */
     remainingMs: z.number().nonnegative().optional(),
+    /** How much longer the executor works slowly after its start. */
+    coldRemainingMs: z.number().nonnegative().optional(),
     capacity: demandSchema,
     labels: z.array(z.string()),
     rack: z.string().optional(),
 });
 export type ExecutorInfo = z.infer<typeof executorInfoSchema>;
 
+/** Whether the executor works slowly for some time after its start, as after an evacuation of its data centre. */
+export const isCold = ({ coldRemainingMs = 0 }: Pick<ExecutorInfo, "coldRemainingMs">): boolean => coldRemainingMs > 0;
+
 /** A run of a task that an executor reports as in progress. */
 export const runInProgressSchema = z.object({
     task: z.string(),
--- a/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
+++ b/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
@@ -346,3 +346,17 @@
  2000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
  2000 c1 < report e1 born=1000 running=[] ends=[]
 `
+
+exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > stop while the executor does not answer a start (guards against a withdrawn start that the agent sends again, as on an executor of an evacuated data centre) > stop while the executor does not answer a start 1`] = `
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
+    0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
+    0 c1 > agent.start e1 a#1
+  500 c1 > agent.stop e1 a#1
+  500 c1 < agent.start e1 a#1: {"kind":"abandoned"}
+  900     stop e1 a#1 fence=1: ok
+  900 c1 < agent.stop e1 a#1: {"kind":"stopped","clockMs":900}
+ 1000 c1 < report e1 born=1000 running=[] ends=[]
+ 1000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
+ 2000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
+ 2000 c1 < report e1 born=1000 running=[] ends=[]
+`
