feat(control): evacuate a data centre

The row evacuate/DATA_CENTRE in the operator table now keeps every entry from starting anything there. Entries that the store does not answer take the evacuated data centres from peers, as they do with the configuration, and an entry that does not know the rows yet decides nothing. Starts that no answer and no list has shown to run are withdrawn together with their gangs; runs in progress continue.

A stop that was not answered is now repeated by the next pass. Before, only a new connection to the agent repeated it, so a start under way could still take effect after a stop that fell into a lapse of the controller lease.

Heartbeats carry cold_remaining_ms, which is passed on to the decisions.

--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -22,13 +22,14 @@
 ): DispatchView => {
     const storeClockOffsetMs = context.storeClockOffsetMs();
     const now = context.clock.now();
+    const times = { now, storeClockOffsetMs };
     return {
         now: now + storeClockOffsetMs,
         wallTime: context.clock.wallTime(),
         timings: context.timings,
         teams: config.teams,
         jobs: jobViews(config, jobs),
-        executors: [...cluster.executors.values()].flatMap(state => executorView(state, now, storeClockOffsetMs)),
+        executors: [...cluster.executors.values()].flatMap(state => executorView(context, state, times)),
         samples: cluster.samples.samples,
         advised,
     };
@@ -43,7 +44,11 @@
     });
 };
 
-const executorView = (state: ExecutorState, now: number, storeClockOffsetMs: number): readonly ExecutorView[] => {
+const executorView = (
+    { evacuation }: ControllerContext,
+    state: ExecutorState,
+    { now, storeClockOffsetMs }: { readonly now: number; readonly storeClockOffsetMs: number; },
+): readonly ExecutorView[] => {
     const { info } = state;
     if (info === undefined) {
         return [];
@@ -55,8 +60,10 @@
         rack: info.rack,
         labels: info.labels,
         capacity: [...state.unclaimedRuns.values()].reduce((rest, { demand }) => subtract(rest, demand), info.capacity),
-        takesWork: state.isAttached && !info.isDraining && now >= state.backoffUntil,
+        takesWork: state.isAttached && !info.isDraining && now >= state.backoffUntil
+            && !evacuation.isEvacuated(info.dataCentre),
         leavesInMs: info.isDraining ? info.remainingMs ?? 0 : undefined,
+        ...(info.coldRemainingMs === undefined ? {} : { coldRemainingMs: info.coldRemainingMs }),
         listedAt: toStoreTime(state.clock?.at, storeClockOffsetMs),
         runs: [...state.runs.values()].map(run => runView(run, storeClockOffsetMs)),
         recentEnds: state.recentEnds.map(end => ({ ...end, at: end.at + storeClockOffsetMs })),
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -11,6 +11,7 @@
 import { ControllerSuitability } from "./controllerSuitability.js";
 import { DirectPathHealth } from "./directPathHealth.js";
 import { Election } from "./election.js";
+import type { EvacuationHolder } from "./evacuationHolder.js";
 import { ForwardingStore } from "./forwardingStore.js";
 import { PeerLinks } from "./peerLinks.js";
 import type { DirectStores } from "./peerServer.js";
@@ -29,6 +30,7 @@
     /** Receives the rows of the operator table. */
     readonly operatorRows: RowSink;
     readonly config: ConfigHolder;
+    readonly evacuation: EvacuationHolder;
     readonly timings: Timings;
     readonly clock: Clock;
     readonly logger: Logger;
@@ -65,7 +67,7 @@
     private readonly released = new AbortController();
 
     constructor(private readonly options: ControlNodeOptions) {
-        const { self, stores, operatorRows, config, timings, clock, logger, connect, random } = options;
+        const { self, stores, operatorRows, config, evacuation, timings, clock, logger, connect, random } = options;
         this.timings = { ...timings };
         const { vm, instanceId } = self;
         this.replica = new Replica(logger);
@@ -75,6 +77,7 @@
             vm,
             replica: this.replica,
             config,
+            evacuation,
             clock,
             logger,
             connect,
@@ -145,12 +148,13 @@
 
     /** Serves a link opened by another entry. */
     async servePeer(link: Link): Promise<void> {
-        const { clock, stores, config } = this.options;
+        const { clock, stores, config, evacuation } = this.options;
         await servePeer(link, {
             clock,
             stores,
             pathHealth: this.pathHealth,
             config,
+            evacuation,
             onRowsChanged: rows => {
                 this.replica.apply(rows);
             },
@@ -207,11 +211,12 @@
                 return;
             }
             this.suitability.resetHandOver();
-            const { clock, logger, connect, random, config, advice } = this.options;
+            const { clock, logger, connect, random, config, evacuation, advice } = this.options;
             this.controller = new Controller({
                 store: this.store,
                 replica: this.replica,
                 config,
+                evacuation,
                 clock,
                 logger,
                 timings: this.timings,
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -6,6 +6,8 @@
 import { isUrgent } from "@persimmonpitch/dispatch/readyUnits.js";
 import { SearchTurns } from "@persimmonpitch/dispatch/searchTurns.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
+import type { ExecutorInfo } from "@persimmonpitch/workload/executorReport.js";
+import { isCold } from "@persimmonpitch/workload/executorReport.js";
 import { ActiveJobs } from "./activeJobs.js";
 import { AdviceCache } from "./adviceCache.js";
 import type { AgentConnection, AgentEvents } from "./agentTask.js";
@@ -28,6 +30,7 @@
 import { queueOfJob } from "./queueOfJob.js";
 import { Reconciler } from "./reconciler.js";
 import { RowChangeHandler } from "./rowChangeHandler.js";
+import { startsToWithdraw } from "./startWithdrawal.js";
 import { TermRenewer } from "./termRenewer.js";
 import { TombstoneSweeper } from "./tombstoneSweeper.js";
 
@@ -37,6 +40,10 @@
 /** Interval between log lines on the load of the controller. */
 const LOAD_INTERVAL_MS: Millis = 10_000;
 
+/** Changes with what decisions depend on at once; the time that an executor stays cold falls with each report. */
+const descriptionKey = (info: ExecutorInfo | undefined): string =>
+    JSON.stringify(info === undefined ? [] : [{ ...info, coldRemainingMs: undefined }, isCold(info)]);
+
 /** Why a controller stopped: it lost or released the role, could reach only the store, or left the role to a peer. */
 export type ControllerExit = "ended" | "unreached" | "handedOver";
 
@@ -176,6 +183,10 @@
             this.context.config.listen(() => {
                 this.requestPass();
             }),
+            this.context.evacuation.listen(() => {
+                this.withdrawStarts();
+                this.requestPass();
+            }),
         ];
         this.rowChanges.applyStoredCancellations();
         await withAnySignal([signal, this.roleLost.signal], async roleSignal => {
@@ -205,7 +216,7 @@
     onReport(vm: string, report: ExecutorReport): void {
         const state = this.cluster.getOrAddExecutor(vm, report.executor.executorId);
         const runCount = state.runs.size;
-        const isDescriptionChanged = JSON.stringify(state.info) !== JSON.stringify(report.executor);
+        const isDescriptionChanged = descriptionKey(state.info) !== descriptionKey(report.executor);
         state.info = report.executor;
         state.address = report.executor.address;
         this.cluster.startIncarnation(state, report.executor.born);
@@ -297,6 +308,7 @@
         while (!signal.aborted) {
             this.passSchedule.begin();
             this.startAgentTasks();
+            this.withdrawStarts();
             this.reconciler.markLapsedRunsLost();
             this.reconciler.reconcile();
             this.decide();
@@ -328,6 +340,7 @@
                 longestPassMs: Math.round(longestMs),
                 longestDelayMs: Math.round(longestDelayMs),
             });
+            this.logEvacuations();
         }
     }
 
@@ -352,6 +365,37 @@
         }
     }
 
+    /** Takes back the starts that an evacuation forbids. */
+    private withdrawStarts(): void {
+        const { evacuation, logger } = this.context;
+        const view = {
+            executors: this.cluster.executors,
+            jobs: this.jobs,
+            isEvacuated: (dataCentre: string) => evacuation.isEvacuated(dataCentre),
+        };
+        for (const tracked of startsToWithdraw(view)) {
+            const { jobId, task, run } = tracked;
+            logger.log("info", "run.stopping", { task, run, reason: "evacuated" });
+            this.jobs.byId.get(jobId)?.runStats.recordStop("evacuated");
+            this.orders.withdraw(tracked);
+        }
+    }
+
+    /** Logs what each evacuation concerns. One that concerns no executor may name a data centre that does not exist. */
+    private logEvacuations(): void {
+        const { evacuation, logger } = this.context;
+        for (const dataCentre of evacuation.current?.dataCentres ?? []) {
+            const states = [...this.cluster.executors.values()].filter(({ info }) => info?.dataCentre === dataCentre);
+            if (states.length === 0) {
+                logger.log("warn", "evacuation.unknownDataCentre", { dataCentre });
+            }
+            else {
+                const runs = states.reduce((sum, state) => sum + state.runs.size, 0);
+                logger.log("info", "evacuation.state", { dataCentre, executors: states.length, runs });
+            }
+        }
+    }
+
     private startAgentTasks(): void {
         for (const vm of this.context.replica.agents.keys()) {
             this.agentTasks.start(vm, signal => runAgentTask(this.context, vm, this.role.epoch, this, signal));
@@ -360,7 +404,8 @@
 
     private decide(): void {
         const config = this.context.config.current;
-        if (config === undefined) {
+        // Without the operator's rows a start could violate an evacuation.
+        if (config === undefined || this.context.evacuation.current === undefined) {
             return;
         }
         const view = {
--- a/packages/control/src/controllerContext.ts
+++ b/packages/control/src/controllerContext.ts
@@ -7,6 +7,7 @@
 import type { Result } from "true-myth";
 import type { AdvicePort } from "./advicePort.js";
 import type { ConfigHolder } from "./configHolder.js";
+import type { EvacuationHolder } from "./evacuationHolder.js";
 import type { Replica } from "./replica.js";
 import type { RoleRow } from "./rows.js";
 import type { RowStore } from "./rowStore.js";
@@ -22,6 +23,7 @@
     readonly store: RowStore;
     readonly replica: Replica;
     readonly config: ConfigHolder;
+    readonly evacuation: EvacuationHolder;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly timings: Timings;
--- a/packages/control/src/jobRunStats.ts
+++ b/packages/control/src/jobRunStats.ts
@@ -3,12 +3,15 @@
 import type { LogFields } from "@persimmonpitch/logging/logger.js";
 import type { EndKind } from "@persimmonpitch/workload/executorReport.js";
 
+/** Why the controller stopped a run or withdrew its start. */
+export type RunStopReason = StopReason | "evacuated";
+
 /** Statistics on the runs of one job while this process has been the controller. */
 export class JobRunStats {
     private firstOrderedAt: Millis | undefined;
     private orders = 0;
     private losses = 0;
-    private readonly stops: Partial<Record<StopReason, number>> = {};
+    private readonly stops: Partial<Record<RunStopReason, number>> = {};
     private readonly ends: Partial<Record<EndKind, number>> = {};
     private readonly longestDurationMs = new Map<number, Millis>();
 
@@ -17,7 +20,7 @@
         this.orders += 1;
     }
 
-    recordStop(reason: StopReason): void {
+    recordStop(reason: RunStopReason): void {
         this.stops[reason] = (this.stops[reason] ?? 0) + 1;
     }
 
--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -58,7 +58,7 @@
         const isEnded = this.options.jobs.byId.get(tracked.jobId)?.isOpen !== true;
         const isStale = isEnded || tracked.isStopping || tracked.isTaskDone || !state.isAttached
             || state.born !== tracked.born
-            || state.info?.isDraining === true;
+            || state.info?.isDraining === true || this.isEvacuated(state);
         if (isStale) {
             // Nothing was sent, so nothing can be running.
             this.options.cluster.markRunLost(tracked, "notSent");
@@ -96,6 +96,18 @@
         }
     }
 
+    /** Takes back a start that may not have taken effect. */
+    withdraw(tracked: TrackedRun): void {
+        const wasSent = tracked.isInherited || tracked.startSentAt !== undefined;
+        if (tracked.isClaimDurable && !wasSent) {
+            this.options.cluster.markRunLost(tracked, "notSent");
+            this.options.onChanged();
+        }
+        else {
+            this.stop(tracked);
+        }
+    }
+
     /** Stops a run. It counts against the executor's capacity until the executor lists its end. */
     stop(tracked: TrackedRun): void {
         tracked.isStopping = true;
@@ -130,7 +142,15 @@
         return state?.runs.get(tracked.task) === tracked ? state : undefined;
     }
 
+    private isEvacuated({ info }: ExecutorState): boolean {
+        return info !== undefined && this.options.context.evacuation.isEvacuated(info.dataCentre);
+    }
+
     private async sendStart(state: ExecutorState, tracked: TrackedRun): Promise<void> {
+        if (this.isEvacuated(state)) {
+            this.withdraw(tracked);
+            return;
+        }
         const { context, epoch, jobs, controllerLease, advice, onRenewalNeeded, onChanged } = this.options;
         const connection = this.options.connectionOf(state.vm);
         const openJob = jobs.byId.get(tracked.jobId);
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -7,17 +7,19 @@
 import { storeMethods } from "@persimmonpitch/protocol/storeMessages.js";
 import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import type { ConfigHolder } from "./configHolder.js";
-import { ConfigTakeover } from "./configTakeover.js";
 import type { ConnectLink } from "./controllerContext.js";
+import type { EvacuationHolder } from "./evacuationHolder.js";
 import type { PeerRoute } from "./forwardingStore.js";
 import { KeyedTasks } from "./keyedTasks.js";
 import { PeerStore } from "./peerStore.js";
+import { PeerTakeover, sharedConfig, sharedEvacuation } from "./peerTakeover.js";
 import type { Replica } from "./replica.js";
 
 export interface PeerLinksOptions {
     readonly vm: string;
     readonly replica: Replica;
     readonly config: ConfigHolder;
+    readonly evacuation: EvacuationHolder;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly connect: ConnectLink;
@@ -46,16 +48,18 @@
 const MAX_SERVED_STORE_AGE_MS: Millis = 3_000;
 
 /**
- * Connections to the other entries. They carry forwarded store calls and newer configurations, and show immediately when
- * an entry dies.
+ * Connections to the other entries. They carry forwarded store calls and newer state from operator rows, and show
+ * immediately when an entry dies.
  */
 export class PeerLinks {
     private readonly peers = new Map<string, ConnectedPeer>();
     private readonly tasks: KeyedTasks;
-    private readonly configTakeover: ConfigTakeover;
+    private readonly configTakeover: PeerTakeover;
+    private readonly evacuationTakeover: PeerTakeover;
 
     constructor(private readonly options: PeerLinksOptions) {
-        this.configTakeover = new ConfigTakeover(options.config);
+        this.configTakeover = new PeerTakeover(sharedConfig(options.config));
+        this.evacuationTakeover = new PeerTakeover(sharedEvacuation(options.evacuation));
         this.tasks = new KeyedTasks({ name: "peer", clock: options.clock, logger: options.logger });
     }
 
@@ -106,7 +110,7 @@
         return [...this.peers.values()].filter(({ connection }) => connection.isOpen);
     }
 
-    /** Pings the peer, takes over a newer configuration, and closes the connection once the peer stops responding. */
+    /** Pings the peer, takes over newer state, and closes the connection once the peer stops responding. */
     private async keepAlive(peer: ConnectedPeer, signal: AbortSignal): Promise<void> {
         const { clock } = this.options;
         const { connection } = peer;
@@ -116,6 +120,7 @@
                 break;
             }
             peer.storeAgeMs = answer.value.storeAgeMs ?? Infinity;
+            await this.evacuationTakeover.takeIfNewer(peer.vm, connection, answer.value.evacuationVersion);
             await this.configTakeover.takeIfNewer(peer.vm, connection, answer.value.configVersion);
             await clock.sleep(PING_INTERVAL_MS, signal);
         }
--- a/packages/control/src/peerServer.ts
+++ b/packages/control/src/peerServer.ts
@@ -8,6 +8,7 @@
 import type { Result } from "true-myth";
 import type { ConfigHolder } from "./configHolder.js";
 import type { DirectPathHealth } from "./directPathHealth.js";
+import type { EvacuationHolder } from "./evacuationHolder.js";
 import type { RowStore } from "./rowStore.js";
 
 /** Stores that this process calls directly, by table. */
@@ -27,14 +28,21 @@
     readonly stores: DirectStores;
     readonly pathHealth: DirectPathHealth;
     readonly config: ConfigHolder;
+    readonly evacuation: EvacuationHolder;
     readonly onRowsChanged: OnRowsChanged;
 }
 
 const handlersFor = (
-    { stores, pathHealth, config, onRowsChanged }: PeerServerOptions,
+    { stores, pathHealth, config, evacuation, onRowsChanged }: PeerServerOptions,
 ): HandlerTable<StoreMethods> => ({
-    "store.ping": () => Promise.resolve({ storeAgeMs: pathHealth.answerAgeMs, configVersion: config.current?.version }),
+    "store.ping": () =>
+        Promise.resolve({
+            storeAgeMs: pathHealth.answerAgeMs,
+            configVersion: config.current?.version,
+            evacuationVersion: evacuation.current?.version,
+        }),
     "config.read": () => Promise.resolve({ config: config.current }),
+    "evacuation.read": () => Promise.resolve({ state: evacuation.current }),
     "store.changed": ({ rows }) => {
         onRowsChanged(rows);
         return Promise.resolve({});
--- a/packages/control/src/reconciler.ts
+++ b/packages/control/src/reconciler.ts
@@ -52,8 +52,10 @@
                 const openJob = jobs.byId.get(tracked.jobId);
                 // An order for an earlier incarnation may still start the run on this one, unless it is stopped there.
                 const isUnlistedAfterRestart = state.isAttached && tracked.born !== state.born;
+                // A stop that was not answered is repeated, because a start under way could still take effect.
                 if (
-                    openJob === undefined || !openJob.isOpen || tracked.isTaskDone || isUnlistedAfterRestart
+                    tracked.isStopping || openJob === undefined || !openJob.isOpen || tracked.isTaskDone
+                    || isUnlistedAfterRestart
                     || isGangIncomplete(openJob, tracked)
                 ) {
                     orders.stop(tracked);
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -2,6 +2,9 @@
 import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
 import { ExecutorAgent } from "@persimmonpitch/executor/executorAgent.js";
 import type { ExecutorPort, ListRequest } from "@persimmonpitch/executor/executorPort.js";
+import { limitOrders } from "@persimmonpitch/executor/limitOrders.js";
+import type { OrderLimits } from "@persimmonpitch/executor/limitOrders.js";
+import type { LogFields, Logger } from "@persimmonpitch/logging/logger.js";
 import { silentLogger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import { createMemoryLink } from "@persimmonpitch/protocol/memoryLink.js";
@@ -22,9 +25,11 @@
 import { parseTaskName, taskKey, taskName } from "@persimmonpitch/workload/taskName.js";
 import { timingsSchema } from "@persimmonpitch/workload/timings.js";
 import { Result } from "true-myth";
+import { combinedSink } from "../src/combinedSink.js";
 import { ConfigHolder } from "../src/configHolder.js";
 import type { ConnectLink } from "../src/controllerContext.js";
 import { ControlNode } from "../src/controlNode.js";
+import { EvacuationHolder } from "../src/evacuationHolder.js";
 import { parseRow } from "../src/parseRow.js";
 import type { RoleRow } from "../src/rows.js";
 import { roleRowSchema, rowKeys } from "../src/rows.js";
@@ -62,6 +67,16 @@
     readonly cores?: Readonly<Record<string, number>>;
     /** Names of the queues; by default, there is one. */
     readonly queues?: readonly string[];
+    /** Data centres of the executors, by name; by default, "dc1". */
+    readonly dataCentres?: Readonly<Record<string, string>>;
+    /** Limits of the agents on orders that are under way; by default, none. */
+    readonly orderLimits?: OrderLimits;
+}
+
+/** A line that an entry logged. */
+export interface LogLine extends LogFields {
+    readonly entry: string;
+    readonly event: string;
 }
 
 const queueOf = (name: string): ClusterConfig["queues"][number] =>
@@ -81,6 +96,26 @@
     return { reset: apply, apply };
 };
 
+const EVACUATION_PREFIX = "evacuate/";
+
+/** Maps the evacuation rows as the platform does. */
+const evacuationRows = (evacuation: EvacuationHolder): RowSink => {
+    const changesOf = (rows: readonly ChangedRow[]) =>
+        rows.filter(({ key }) => key.startsWith(EVACUATION_PREFIX)).map(({ key, value, version }) => ({
+            dataCentre: key.slice(EVACUATION_PREFIX.length),
+            isEvacuated: value !== undefined,
+            version,
+        }));
+    return {
+        reset: (rows, version) => {
+            evacuation.replaceIfNewer({ version, dataCentres: changesOf(rows).map(({ dataCentre }) => dataCentre) });
+        },
+        apply: rows => {
+            evacuation.apply(changesOf(rows));
+        },
+    };
+};
+
 /** Control nodes, agents and executors on one fake clock and one in-memory store. */
 export class Deployment {
     readonly clock = new FakeClock();
@@ -88,6 +123,9 @@
     readonly executors = new Map<string, MemoryStepExecutor>();
     readonly nodes = new Map<string, ControlNode>();
     readonly configs = new Map<string, ConfigHolder>();
+    readonly evacuations = new Map<string, EvacuationHolder>();
+    /** What the entries logged at level "info" and above. */
+    readonly logLines: LogLine[] = [];
     readonly runs: ObservedRun[] = [];
     /** When the outcome of each job was first seen in the store. */
     readonly endedJobs = new Map<string, Millis>();
@@ -119,6 +157,7 @@
                     executorId: name,
                     born: 1_000,
                     gangs,
+                    dataCentre: this.options.dataCentres?.[name] ?? "dc1",
                     ...this.ticketCheck(),
                 }),
             );
@@ -133,6 +172,9 @@
         this.instances += 1;
         const config = new ConfigHolder(silentLogger);
         this.configs.set(name, config);
+        const logger = this.recordingLogger(name);
+        const evacuation = new EvacuationHolder(logger);
+        this.evacuations.set(name, evacuation);
         const { policy: advice, queues = [QUEUE.name] } = this.options;
         config.applyIfNewer({
             ...CONFIG,
@@ -152,11 +194,12 @@
                 ...(cores === undefined ? {} : { cores }),
             },
             stores: { state: store, operator: store },
-            operatorRows: operatorSink(config),
+            operatorRows: combinedSink([operatorSink(config), evacuationRows(evacuation)]),
             config,
+            evacuation,
             timings: timingsSchema.parse({}),
             clock: process,
-            logger: silentLogger,
+            logger,
             connect: process.connect(this.connectFrom(name)),
             random: () => 0.5,
             advice: this.advice,
@@ -254,6 +297,16 @@
         await this.store.client("test").commit({ puts: [{ key, value }] });
     }
 
+    /** Writes the row that evacuates a data centre. */
+    async evacuate(dataCentre: string): Promise<void> {
+        await this.putRow(`${EVACUATION_PREFIX}${dataCentre}`, "");
+    }
+
+    /** Removes the row that evacuates a data centre. */
+    async endEvacuation(dataCentre: string): Promise<void> {
+        await this.store.client("test").commit({ deletes: [`${EVACUATION_PREFIX}${dataCentre}`] });
+    }
+
     /** Writes a configuration that differs from the first one in its version and in the names of its queues. */
     async putConfig(version: number, queues: readonly string[] = [QUEUE.name]): Promise<void> {
         await this.putRow(CONFIG_KEY, JSON.stringify({ ...CONFIG, queues: queues.map(queueOf), version }));
@@ -310,6 +363,17 @@
         ).join("\n");
     }
 
+    private recordingLogger(entry: string): Logger {
+        return {
+            log: (level, event, fields) => {
+                if (level !== "debug") {
+                    this.logLines.push({ ...fields, entry, event });
+                }
+            },
+            with: () => silentLogger,
+        };
+    }
+
     private recordOutcomes(): void {
         for (const { key } of this.store.snapshot()) {
             const jobId = key.slice(rowKeys.run("").length);
@@ -371,10 +435,12 @@
     }
 
     private recordedPort(name: string): ExecutorPort {
-        const port = routeToExecutors([this.executor(name)]);
+        const { orderLimits } = this.options;
+        const direct = routeToExecutors([this.executor(name)]);
+        const port = orderLimits === undefined ? direct : limitOrders(direct, orderLimits);
         return {
-            start: order => port.start(order),
-            stop: order => port.stop(order),
+            start: (order, signal) => port.start(order, signal),
+            stop: (order, signal) => port.stop(order, signal),
             pace: order => port.pace(order),
             list: async (request, signal) => {
                 const listed = await port.list(request, signal);
--- a/packages/protocol/src/storeMessages.ts
+++ b/packages/protocol/src/storeMessages.ts
@@ -1,4 +1,5 @@
 import { clusterConfigSchema } from "@persimmonpitch/workload/clusterConfig.js";
+import { evacuationStateSchema } from "@persimmonpitch/workload/evacuationState.js";
 import {
     changedRowSchema,
     commitErrorSchema,
@@ -23,23 +24,27 @@
 
 /**
  * Methods that entries serve to one another: store calls forwarded for a peer whose direct calls to the store fail,
- * notices of written rows, and the configuration.
+ * notices of written rows, the configuration and the evacuated data centres.
  */
 export const storeMethods = {
     /**
      * Checks that the peer responds, because a connection to a lost VM would otherwise stay open. The result contains
      * the time since the store last answered the peer, because calls are forwarded through the peer that it answered
-     * last, and the version of its configuration, so that an entry with an older one can read it.
+     * last, and the versions of its configuration and of its evacuation state, so that an entry with an older one can
+     * read it. A peer of an earlier release has no evacuation state.
      */
     "store.ping": {
         params: z.object({}),
         result: z.object({
             storeAgeMs: z.number().nonnegative().optional(),
             configVersion: z.number().int().nonnegative().optional(),
+            evacuationVersion: z.number().int().nonnegative().optional(),
         }),
     },
     /** Reads the configuration that the peer has in force. */
     "config.read": { params: z.object({}), result: z.object({ config: clusterConfigSchema.optional() }) },
+    /** Reads the evacuated data centres that the peer knows. */
+    "evacuation.read": { params: z.object({}), result: z.object({ state: evacuationStateSchema.optional() }) },
     /** Sends rows that the caller has written, so that the receiver does not have to wait for them from the store. */
     "store.changed": { params: z.object({ rows: z.array(changedRowSchema) }), result: z.object({}) },
     /** Forwards a transaction to the store. */
--- a/packages/verification/tests/controllerFixture.ts
+++ b/packages/verification/tests/controllerFixture.ts
@@ -2,6 +2,7 @@
 import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
 import { ConfigHolder } from "@persimmonpitch/control/configHolder.js";
 import { Controller } from "@persimmonpitch/control/controller.js";
+import { EvacuationHolder } from "@persimmonpitch/control/evacuationHolder.js";
 import { Replica } from "@persimmonpitch/control/replica.js";
 import { rowKeys } from "@persimmonpitch/control/rows.js";
 import type { RowStore } from "@persimmonpitch/control/rowStore.js";
@@ -105,7 +106,10 @@
         this.replica.apply([...this.store.snapshot()]);
         const config = new ConfigHolder(silentLogger);
         config.applyIfNewer(CONFIG);
+        const evacuation = new EvacuationHolder(silentLogger);
+        evacuation.replaceIfNewer({ version: 1, dataCentres: [] });
         const controller = new Controller({
+            evacuation,
             store: this.slowStore(client),
             replica: this.replica,
             config,
--- a/tap-snapshots/platform/dist/tests/translations.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/tests/translations.test.js.test.cjs
@@ -468,6 +468,31 @@
 { body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
 `
 
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > cold 1`] = `
+{
+  body: '{}',
+  seen: [
+    {
+      address: '127.0.0.1:9',
+      info: {
+        address: '127.0.0.1:9',
+        born: 5,
+        capacity: { accelerators: 8, memoryMb: 100, milliCores: 8000 },
+        coldRemainingMs: 1500,
+        dataCentre: 'z',
+        executorId: 'x1',
+        isDraining: false,
+        labels: [ 'kind', 'r1' ],
+        rack: 'r1',
+        service: 's'
+      },
+      sequence: 1
+    }
+  ],
+  status: 200
+}
+`
+
 exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > deregistration with a body 1`] = `
 { body: '{}', seen: [ { left: 'x1' } ], status: 200 }
 `
@@ -505,6 +530,10 @@
 { body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
 `
 
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > negative cold time 1`] = `
+{ body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
+`
+
 exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > negative remaining time 1`] = `
 { body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
 `
@@ -517,6 +546,31 @@
 { body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
 `
 
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > not cold any more 1`] = `
+{
+  body: '{}',
+  seen: [
+    {
+      address: '127.0.0.1:9',
+      info: {
+        address: '127.0.0.1:9',
+        born: 5,
+        capacity: { accelerators: 8, memoryMb: 100, milliCores: 8000 },
+        coldRemainingMs: 0,
+        dataCentre: 'z',
+        executorId: 'x1',
+        isDraining: false,
+        labels: [ 'kind', 'r1' ],
+        rack: 'r1',
+        service: 's'
+      },
+      sequence: 1
+    }
+  ],
+  status: 200
+}
+`
+
 exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > well-formed 1`] = `
 {
   body: '{}',
@@ -541,6 +595,30 @@
 }
 `
 
+exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > without a cold time 1`] = `
+{
+  body: '{}',
+  seen: [
+    {
+      address: '127.0.0.1:9',
+      info: {
+        address: '127.0.0.1:9',
+        born: 5,
+        capacity: { accelerators: 8, memoryMb: 100, milliCores: 8000 },
+        dataCentre: 'z',
+        executorId: 'x1',
+        isDraining: false,
+        labels: [ 'kind', 'r1' ],
+        rack: 'r1',
+        service: 's'
+      },
+      sequence: 1
+    }
+  ],
+  status: 200
+}
+`
+
 exports[`platform/dist/tests/translations.test.js > TAP > heartbeats > without a state 1`] = `
 { body: '{"error":"The heartbeat is malformed."}', seen: [], status: 400 }
 `
@@ -644,3 +722,42 @@
   { detail: 'queues.0.priority: Too small: expected number to be >=0', version: 4 }
 ]
 `
+
+exports[`platform/dist/tests/translations.test.js > TAP > the operator's evacuation rows > lines 1`] = `
+[
+  {
+    dataCentre: 'west',
+    event: 'evacuation.started',
+    level: 'info',
+    peer: undefined,
+    silenceMs: undefined,
+    version: 3
+  },
+  { dataCentre: 'north', event: 'evacuation.unexpectedValue', level: 'warn', version: 5 },
+  { event: 'evacuation.malformedKey', level: 'warn', version: 6 },
+  {
+    dataCentre: 'east',
+    event: 'evacuation.started',
+    level: 'info',
+    peer: undefined,
+    silenceMs: undefined,
+    version: 9
+  },
+  {
+    dataCentre: 'north',
+    event: 'evacuation.started',
+    level: 'info',
+    peer: undefined,
+    silenceMs: undefined,
+    version: 9
+  },
+  {
+    dataCentre: 'west',
+    event: 'evacuation.ended',
+    level: 'info',
+    peer: undefined,
+    silenceMs: undefined,
+    version: 9
+  }
+]
+`
