--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -136,6 +136,8 @@
     readonly partitioned = new Set<string>();
     /** Entries to which the store does not answer calls for the operator table. */
     readonly withoutOperatorTable = new Set<string>();
+    /** Entries to which the store tells no changes of the operator table. */
+    readonly withoutOperatorChanges = new Set<string>();
     private readonly agents = new Map<string, ExecutorAgent>();
     private readonly processes = new Map<string, PausableProcess>();
     private readonly links = new Map<string, Set<Link>>();
@@ -372,8 +374,13 @@
         return {
             commit: transaction => store.commit(transaction),
             scan: async range => isRefused() ? Result.err(unavailable) : store.scan(range),
-            follow: async (after, waitMs, signal) =>
-                isRefused() ? Result.err(unavailable) : store.follow(after, waitMs, signal),
+            follow: async (after, waitMs, signal) => {
+                if (this.withoutOperatorChanges.has(name)) {
+                    await this.clock.sleep(waitMs, signal);
+                    return Result.ok({ rows: [], version: after, nowMs: this.clock.now() });
+                }
+                return isRefused() ? Result.err(unavailable) : store.follow(after, waitMs, signal);
+            },
         };
     }
 
--- a/packages/control/tests/lateConfiguration.test.ts
+++ b/packages/control/tests/lateConfiguration.test.ts
@@ -15,6 +15,8 @@
     readonly guardsAgainst: string;
     readonly faults: Partial<RowStoreFaults>;
     readonly partitioned: readonly string[];
+    /** Entries to which the store tells no changes of the operator table. */
+    readonly uninformed?: readonly string[];
 }
 
 const CASES: readonly LateCase[] = [
@@ -28,6 +30,12 @@
         faults: { silent: ["n1"], silenceMs: SILENCE_MS },
         partitioned: ["n1-n2", "n2-n1", "n1-n3", "n3-n1"],
     },
+    {
+        guardsAgainst: "entries that take each answer of the store for the latest state",
+        faults: {},
+        partitioned: [],
+        uninformed: ["n1", "n2", "n3"],
+    },
     { guardsAgainst: "entries that the store refuses", faults: { refused: ["n1", "n2", "n3"] }, partitioned: [] },
 ];
 
@@ -69,13 +77,14 @@
     return Infinity;
 };
 
-for (const { guardsAgainst, faults, partitioned } of CASES) {
+for (const { guardsAgainst, faults, partitioned, uninformed = [] } of CASES) {
     for (const change of CHANGES) {
         void t.test(`${change.name}, confirmed, guards against ${guardsAgainst}`, async t => {
             const deployment = new Deployment(NODES, ["e1"]);
             await deployment.advance(5_000);
             deployment.store.setFaults(faults);
             partitioned.forEach(pair => deployment.partitioned.add(pair));
+            uninformed.forEach(name => deployment.withoutOperatorChanges.add(name));
             const delays: Millis[] = [];
             for (const number of [2, 3, 4, 5]) {
                 await change.write(deployment, number);
