feat(dispatch): learn the speeds of executors and place work by them

Callers saw more than half of the jobs of priority 0 late where a fifth of the executors takes 2.4 times as long as the others.

Cause: every executor counted as equally fast. A job with an allowed time of 1.5 times its run time is late from the start if one member of its gang is on a slow executor, and the long runs on slow executors made all run times look longer.

The slowness of each executor is now learned from ended runs and the progress of current ones, against the other runs of their steps or queues. Estimates count at normal speed. A unit that would lose value on slow executors has them as its fallback, so it waits for normal ones only as long as the slowdown costs; work with slack takes slow executors first, and gangs do not mix speeds while they fit on one.

On equal executors all jobs start and end as before.

--- a/packages/dispatch/src/bestFit.ts
+++ b/packages/dispatch/src/bestFit.ts
@@ -23,21 +23,34 @@
 
 /** The executors on which the tasks of a unit can run. */
 export interface ExecutorSets {
-    /** Sets of executors in each of which the unit runs at full speed. */
+    /** Sets of executors in each of which the unit runs at full speed, or as slowly as its slack allows. */
     readonly preferred: readonly (readonly ExecutorResources[])[];
     /**
      * All executors that accept the unit, where it runs slower unless all tasks are on a preferred set. Undefined if
      * the preferred set is all of them.
      */
     readonly fallback: readonly ExecutorResources[] | undefined;
+    /** Slowness of the slowest fallback executor; 1 if none is slower than the unit tolerates. */
+    readonly fallbackSlowness: number;
+    /** Whether tasks on the fallback executors are slowed down by their racks. */
+    readonly isFallbackAway: boolean;
 }
 
+/** Preferred and fallback executors by their racks alone. */
+type RackSets = Pick<ExecutorSets, "preferred" | "fallback">;
+
 /** Lower bound of a weight, so that best fit still compares remainders while nothing is in use. */
 const MIN_SCARCITY = 0.01;
 
 /** Added to the cost of an executor that is not healthy; exceeds any remainder. */
 const SUSPECT_PENALTY = 10;
 
+/**
+ * Added to the cost of an executor of normal speed if others are slow, so that work with slack leaves it to urgent work;
+ * exceeds any remainder.
+ */
+const NORMAL_SPEED_PENALTY = 4;
+
 const share = (part: number, whole: number): number => whole > 0 ? part / whole : 0;
 
 /** The share of each resource of all executors that is in use. */
@@ -86,7 +99,7 @@
     found: Candidate[],
     executors: Executors,
     { unit, count, available }: PackingRequest,
-    { scarcity }: PackingContext,
+    { scarcity, index }: PackingContext,
 ): void => {
     const [executor] = executors;
     if (executor === undefined) {
@@ -96,7 +109,8 @@
     const slots = slotsFor(executor, unit, usable);
     if (slots > 0) {
         const remainder = remainderOf(executor, usable, unit, Math.min(slots, count), scarcity);
-        const penalty = executor.health === "healthy" ? 0 : SUSPECT_PENALTY;
+        const penalty = (executor.health === "healthy" ? 0 : SUSPECT_PENALTY)
+            + (index.speeds.length > 1 && executor.slowness === 1 ? NORMAL_SPEED_PENALTY : 0);
         found.push({ executors, slots, free: usable.accelerators, cost: remainder + penalty });
     }
 };
@@ -268,7 +282,7 @@
     return fitting.length === shapes.length ? rackList : fitting.flat().sort(byFirstIndex);
 };
 
-type ExecutorSetsHandler = (pool: RackedPool, unit: ReadyUnit, index: ExecutorIndex) => ExecutorSets;
+type ExecutorSetsHandler = (pool: RackedPool, unit: ReadyUnit, index: ExecutorIndex) => RackSets;
 
 /** Computes the executor sets of a unit by its locality. */
 const EXECUTOR_SETS: { readonly [K in Locality]: ExecutorSetsHandler; } = {
@@ -296,22 +310,60 @@
     plain: ({ executors }) => ({ preferred: [executors], fallback: undefined }),
 };
 
-/** The executor sets of a unit. Avoided executors are left out if the other ones can hold the unit when empty. */
-export const executorSetsFor = (
-    unit: ReadyUnit,
-    avoided: ReadonlySet<number>,
-    index: ExecutorIndex,
-): ExecutorSets => {
-    const handler = EXECUTOR_SETS[localityOf(unit)];
+const neededSlots = ({ step: { isGang, count } }: ReadyUnit): number => isGang ? count : 1;
+
+/** The executors that accept the unit. Avoided ones are left out if the other ones can hold the unit when empty. */
+const poolWithout = (unit: ReadyUnit, avoided: ReadonlySet<number>, index: ExecutorIndex): ExecutorPool => {
     const pool = index.poolFor(unit, executor => accepts(executor, unit));
     const others = avoided.size === 0
         ? pool.executors
         : pool.executors.filter(executor => !avoided.has(executor.index));
-    if (others.length === pool.executors.length) {
-        return handler(pool, unit, index);
+    return others.length === pool.executors.length || totalSlots(others, unit) < neededSlots(unit)
+        ? pool
+        : { ...index.racksOf(others), executors: others, members: new Set(others) };
+};
+
+/**
+ * The sets of a gang among the executors that it tolerates: the slow ones and the normal ones apart, as a gang on both
+ * would hold normal executors at the speed of the slow ones.
+ */
+const setsOfGangBySpeed = (usable: ExecutorPool, unit: ReadyUnit, index: ExecutorIndex): readonly Executors[] =>
+    [
+        index.inSpeedRange(usable, { above: 1, upTo: Infinity }).executors,
+        index.inSpeedRange(usable, { above: 0, upTo: 1 }).executors,
+    ].filter(executors => totalSlots(executors, unit) >= neededSlots(unit));
+
+/**
+ * The executor sets of a unit that loses no value up to a slowness. Slower executors are its fallback, so that it waits
+ * for others no longer than the slowdown costs.
+ */
+const setsBySpeed = (pool: ExecutorPool, unit: ReadyUnit, index: ExecutorIndex, maxSlowness: number): ExecutorSets => {
+    const locality = localityOf(unit);
+    const tolerated = index.inSpeedRange(pool, { above: 0, upTo: maxSlowness });
+    const usable = totalSlots(tolerated.executors, unit) < neededSlots(unit) ? pool : tolerated;
+    const sets = EXECUTOR_SETS[locality](usable, unit, index);
+    const isAway = sets.fallback !== undefined;
+    const apart = unit.step.isGang && locality === "plain" ? setsOfGangBySpeed(usable, unit, index) : [];
+    if (apart.length < 2 && usable.executors.length === pool.executors.length) {
+        return { ...sets, fallbackSlowness: 1, isFallbackAway: true };
     }
-    const needed = unit.step.isGang ? unit.step.count : 1;
-    return totalSlots(others, unit) < needed
-        ? handler(pool, unit, index)
-        : handler({ ...index.racksOf(others), executors: others }, unit, index);
+    return {
+        preferred: apart.length < 2 ? sets.preferred : apart,
+        fallback: pool.executors,
+        fallbackSlowness: pool.executors.reduce((slowest, { slowness }) => Math.max(slowest, slowness), 1),
+        isFallbackAway: isAway,
+    };
+};
+
+/** The executor sets of a unit that loses no value on executors up to the given slowness. */
+export const executorSetsFor = (
+    unit: ReadyUnit,
+    avoided: ReadonlySet<number>,
+    index: ExecutorIndex,
+    maxSlowness: number,
+): ExecutorSets => {
+    const pool = poolWithout(unit, avoided, index);
+    return index.speeds.length > 1
+        ? setsBySpeed(pool, unit, index, maxSlowness)
+        : { ...EXECUTOR_SETS[localityOf(unit)](pool, unit, index), fallbackSlowness: 1, isFallbackAway: true };
 };
--- a/packages/dispatch/src/dispatchPass.ts
+++ b/packages/dispatch/src/dispatchPass.ts
@@ -11,9 +11,10 @@
 import { type PassState, stopGroup } from "./passState.js";
 import { fitKeyOf, type ReadyUnit, readyUnits } from "./readyUnits.js";
 import { expectedReleases } from "./reservations.js";
-import { findRunSteps, groupsByExecutor, runGroups } from "./runGroups.js";
+import { findRunSteps, groupsByExecutor, runGroups, type SlownessOf } from "./runGroups.js";
 import { estimateRunTimes } from "./runTimes.js";
 import { stepWaves } from "./stepWaves.js";
+import { toleratedSlowness } from "./toleratedSlowness.js";
 import { orderUnits, type RankedUnit } from "./unitOrder.js";
 import { placeUnit } from "./unitPlacement.js";
 
@@ -50,15 +51,25 @@
             .flatMap(({ group }) => group.members.map(({ executorIndex }) => executorIndex)),
     );
 
+/** The slowness of the slowest executors on which a unit loses no value; 1 if it does on all slow ones. */
+const usableSlowness = ({ runTimes, packing: { index: { speeds } } }: PassState, ranked: RankedUnit): number => {
+    const { openOccurrence, stepIndex } = ranked.unit;
+    const tolerated = speeds.length === 1
+        ? 1
+        : toleratedSlowness(ranked, runTimes.stepMs(openOccurrence.view, stepIndex));
+    return speeds.findLast(slowness => slowness <= tolerated) ?? 1;
+};
+
 const placeAll = (state: PassState, ordered: readonly RankedUnit[]): void => {
     const avoided = avoidedExecutors(state.view, state.options);
     const setsByKey = new Map<string, ExecutorSets>();
     for (const ranked of ordered) {
         const { unit } = ranked;
         const avoidedIndices = avoidedForUnit(unit, avoided);
-        const fitKey = avoidedIndices.size === 0 ? fitKeyOf(unit) : undefined;
+        const maxSlowness = usableSlowness(state, ranked);
+        const fitKey = avoidedIndices.size === 0 ? `${fitKeyOf(unit)};${maxSlowness}` : undefined;
         const known = fitKey === undefined ? undefined : setsByKey.get(fitKey);
-        const sets = known ?? executorSetsFor(unit, avoidedIndices, state.packing.index);
+        const sets = known ?? executorSetsFor(unit, avoidedIndices, state.packing.index, maxSlowness);
         if (fitKey !== undefined) {
             setsByKey.set(fitKey, sets);
         }
@@ -72,14 +83,19 @@
 /** Decisions of a pass, the executors after it, the units that wait, and how it used its searches. */
 export type PassResult = Pick<PassState, "decisions" | "executors" | "waiting" | "searchCount" | "skippedSearches">;
 
+const slownessByIndex = ({ executors, slowness }: DispatchView): SlownessOf =>
+    slowness === undefined || slowness.size === 0
+        ? () => 1
+        : index => slowness.get(executors[index]?.vm ?? "") ?? 1;
+
 /** Runs a pass over one view of the jobs and executors. */
 export const runPass = (view: DispatchView, overrides: Partial<DispatchOptions> = {}): PassResult => {
     const options = { ...DEFAULT_DISPATCH_OPTIONS, ...overrides };
     const jobs: ReadonlyMap<string, JobView> = new Map(view.jobs.map(job => [job.job.jobId, job]));
     const occurrences = openOccurrences(view.jobs, view.now, view.wallTime);
     const runSteps = findRunSteps(view.executors, jobs);
-    const groups = runGroups(view.executors, runSteps);
-    const runTimes = estimateRunTimes(view.jobs, groups, view.samples, view.now);
+    const groups = runGroups(view.executors, runSteps, slownessByIndex(view));
+    const runTimes = estimateRunTimes(view.jobs, groups, view.samples, view.now, view.slowness);
     const evictions = findEvictions(view, groups, runTimes, options);
     const units = occurrences.flatMap(openOccurrence => readyUnits(openOccurrence, view.advised));
     if (units.length === 0 && evictions.length === 0) {
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Queue, Team } from "@persimmonpitch/workload/clusterConfig.js";
 import type { JobProgress } from "@persimmonpitch/workload/progress.js";
-import type { Demand } from "@persimmonpitch/workload/step.js";
+import type { Demand, Step } from "@persimmonpitch/workload/step.js";
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 
@@ -40,6 +40,8 @@
 export interface ExecutorView {
     readonly vm: string;
     readonly executorId: string;
+    /** Incarnation of the executor. */
+    readonly born?: number;
     readonly service: string;
     readonly rack: string | undefined;
     readonly labels: readonly string[];
@@ -62,11 +64,26 @@
     readonly queue: Queue;
 }
 
+/** Where and when a sampled run ended, from which the speeds of executors are learned. */
+export interface SampledRun {
+    readonly vm: string;
+    /** Incarnation of the executor. */
+    readonly born: number;
+    readonly step: Step;
+    /** Id of the step, equal for all its occurrences. */
+    readonly stepId: string;
+    /** Equal for the members of a gang. */
+    readonly groupId: string;
+    /** On the clock of the process that recorded it. */
+    readonly endedAt: Millis;
+}
+
 /** Declared and actual run time of a task that ended. */
 export interface RunSample {
     readonly queue: string;
     readonly declaredMs: Millis;
     readonly actualMs: Millis;
+    readonly run?: SampledRun;
 }
 
 /** Ids of the executors with a valid ticket, by the name of the step, for steps whose queue requires advice. */
@@ -89,6 +106,8 @@
     readonly advised?: AdvisedExecutors;
     /** Ids of the steps that earlier passes had no search left for and that this pass searches for. */
     readonly searchTurns?: ReadonlySet<string>;
+    /** Learned slowness of the executors by VM; those of normal speed have no entry. */
+    readonly slowness?: ReadonlyMap<string, number>;
 }
 
 /** Tasks of one step that start together with one run number: a whole gang, or one task. */
--- a/packages/dispatch/src/evictions.ts
+++ b/packages/dispatch/src/evictions.ts
@@ -70,7 +70,18 @@
 const median = (values: readonly number[]): number =>
     new Float64Array(values).sort()[Math.floor(values.length / 2)] ?? 1;
 
-const measureAll = (groups: readonly RunGroup[], { declaredMs }: RunTimes): readonly RunMeasurement[] => {
+/**
+ * The rate as it would be at normal speed. Work with slack is placed on slow executors on purpose and must not be evicted
+ * from them for their known slowness, unless they are so slow that they count as faulty.
+ */
+const atKnownSpeed = (measured: RateMeasurement, slowness: number, slowFactor: number): RateMeasurement =>
+    slowness === 1 || slowness > slowFactor ? measured : { ...measured, totalMs: measured.totalMs / slowness };
+
+const measureAll = (
+    groups: readonly RunGroup[],
+    { declaredMs }: RunTimes,
+    { slowFactor }: DispatchOptions,
+): readonly RunMeasurement[] => {
     const found: RunMeasurement[] = [];
     for (const group of groups) {
         if (group.step.isLongRunning || group.step.usesIdleCores) {
@@ -79,7 +90,8 @@
         const expectedMs = Math.max(1, declaredMs(group.view, group.stepIndex));
         for (const { executorIndex, measured } of group.members) {
             if (measured !== undefined && measured.durationMs >= MIN_MEASURED_MS) {
-                found.push({ executorIndex, group, measured, slowness: measured.totalMs / expectedMs });
+                const normal = atKnownSpeed(measured, group.slowness, slowFactor);
+                found.push({ executorIndex, group, measured: normal, slowness: normal.totalMs / expectedMs });
             }
         }
     }
@@ -298,7 +310,7 @@
     runTimes: RunTimes,
     options: DispatchOptions,
 ): readonly Eviction[] => {
-    const measurements = measureAll(groups, runTimes);
+    const measurements = measureAll(groups, runTimes, options);
     const measurementsByExecutor = groupBy(measurements, ({ executorIndex }) => executorIndex);
     const context: EvictionContext = {
         view,
--- a/packages/dispatch/src/executorIndex.ts
+++ b/packages/dispatch/src/executorIndex.ts
@@ -29,6 +29,12 @@
     readonly rackKinds: ReadonlyMap<string, readonly Executors[]>;
 }
 
+/** The executors that are slower than one slowness and not slower than another. */
+export interface SpeedRange {
+    readonly above: number;
+    readonly upTo: number;
+}
+
 /** Executors with the same number of accelerators free after the pending stops. */
 interface AcceleratorLevel {
     readonly classes: Set<ExecutorClass>;
@@ -52,10 +58,10 @@
 
 /** Executors with equal keys have equal slots and costs for every unit without a limit per executor. */
 const classKey = (executor: ExecutorResources, shape: number): string => {
-    const { index, health, taskCount, free, releasing, claimed, reservation } = executor;
+    const { index, health, slowness, taskCount, free, releasing, claimed, reservation } = executor;
     const reservationKey = reservation === undefined ? "" : ` at ${index}`;
     const tasks = health === "probing" ? taskCount : 0;
-    return `${shape} ${health} ${tasks} ${demandKey(free)} ${demandKey(releasing)} ${
+    return `${shape} ${health} ${slowness} ${tasks} ${demandKey(free)} ${demandKey(releasing)} ${
         demandKey(claimed)
     }${reservationKey}`;
 };
@@ -90,7 +96,10 @@
     private readonly rackClasses = new Map<string, RackClass>();
     private readonly rackLevels = new Map<number, Set<RackClass>>();
     private readonly classOfRack = new Map<string, RackClass>();
+    /** The slowness of the executors, each value once, in ascending order. */
+    readonly speeds: readonly number[];
     private readonly changed: Set<ExecutorResources>;
+    private readonly poolsBySpeed = new Map<ExecutorPool, Map<string, ExecutorPool>>();
     private readonly pools = new Map<string, ExecutorPool>();
     private readonly poolOfExecutors = new Map<Executors, ExecutorPool>();
     private readonly poolOfRacks = new Map<readonly Executors[], ExecutorPool>();
@@ -102,6 +111,7 @@
             this.shapes.set(key, shape);
             return shape;
         });
+        this.speeds = [...new Set(executors.map(({ slowness }) => slowness))].sort((left, right) => left - right);
         this.changed = new Set(executors);
         for (const executor of executors) {
             executor.onChanged = () => {
@@ -133,6 +143,24 @@
         return pool;
     }
 
+    /** The executors of a pool within a range of speeds. */
+    inSpeedRange(pool: ExecutorPool, { above, upTo }: SpeedRange): ExecutorPool {
+        const bySpeed = this.poolsBySpeed.get(pool) ?? new Map<string, ExecutorPool>();
+        this.poolsBySpeed.set(pool, bySpeed);
+        const key = `${above} ${upTo}`;
+        const known = bySpeed.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const executors = pool.executors.filter(({ slowness }) => slowness > above && slowness <= upTo);
+        const found = { ...this.racksOf(executors), executors, members: new Set(executors) };
+        bySpeed.set(key, found);
+        if (this.poolOfExecutors.has(pool.executors)) {
+            this.poolOfExecutors.set(executors, found);
+        }
+        return found;
+    }
+
     /** Groups executors by rack, and the racks by the shapes and health of their executors. */
     racksOf(executors: Executors): Pick<ExecutorPool, "racks" | "rackList" | "rackKinds"> {
         const racks = groupBy(executors, ({ rack }) => rack);
@@ -153,10 +181,11 @@
 
     /**
      * The classes of executors that may have enough free resources for the demand; undefined if the list is not a
-     * whole pool.
+     * whole pool. Classes of speeds that the pool leaves out are left out.
      */
     classesWith(executors: Executors, demand: Demand): readonly ExecutorClass[] | undefined {
-        if (!this.poolOfExecutors.has(executors)) {
+        const pool = this.poolOfExecutors.get(executors);
+        if (pool === undefined) {
             return undefined;
         }
         this.update();
@@ -166,8 +195,11 @@
                 continue;
             }
             for (const candidate of classes) {
+                const [first] = candidate.executors;
+                const isInPool = this.speeds.length === 1 || first !== undefined && pool.members.has(first);
                 if (
-                    candidate.maxFree.milliCores >= demand.milliCores && candidate.maxFree.memoryMb >= demand.memoryMb
+                    isInPool && candidate.maxFree.milliCores >= demand.milliCores
+                    && candidate.maxFree.memoryMb >= demand.memoryMb
                 ) {
                     found.push(candidate);
                 }
--- a/packages/dispatch/src/executorResources.ts
+++ b/packages/dispatch/src/executorResources.ts
@@ -22,6 +22,8 @@
     readonly view: ExecutorView;
     readonly rack: string;
     health: ExecutorHealth;
+    /** How many times longer than normal a task takes. */
+    readonly slowness: number;
     /** Resources that no run holds now. */
     readonly free: MutableDemand;
     /** Resources held by runs that were ordered to stop. */
@@ -62,7 +64,7 @@
 
 /** The resources of all executors before the first decision of a pass. */
 export const executorResources = (
-    { executors }: DispatchView,
+    { executors, slowness }: DispatchView,
     runSteps: RunSteps,
     healthOf: (index: number) => ExecutorHealth,
 ): readonly ExecutorResources[] =>
@@ -72,6 +74,7 @@
             view,
             rack: rackOf(view),
             health: healthOf(index),
+            slowness: slowness?.get(view.vm) ?? 1,
             free: { ...view.capacity },
             releasing: noDemand(),
             claimed: noDemand(),
@@ -103,11 +106,14 @@
     accelerators: Math.min(left.accelerators, right.accelerators),
 });
 
-/** Resources that work of the given duration may use now without delaying units with claims or reservations. */
+/**
+ * Resources that work of the given duration at normal speed may use now without delaying units with claims or
+ * reservations.
+ */
 export const freeForDuration = (executor: ExecutorResources, durationMs: Millis): MutableDemand => {
     const unclaimed = smaller(executor.free, freeAfterStops(executor));
     const { reservation } = executor;
-    return reservation === undefined || durationMs <= reservation.startsInMs
+    return reservation === undefined || durationMs * executor.slowness <= reservation.startsInMs
         ? unclaimed
         : smaller(unclaimed, reservation.spare);
 };
@@ -154,7 +160,7 @@
     return SLOTS_BY_HEALTH[executor.health](Math.min(slots, limit), executor, unit);
 };
 
-/** Allocates resources to tasks that start now. */
+/** Allocates resources to tasks that start now and have the given duration at normal speed. */
 export const allocate = (executor: ExecutorResources, unit: ReadyUnit, count: number, durationMs: Millis): void => {
     executor.onChanged();
     addTo(executor.free, unit.demand, -count);
@@ -162,7 +168,7 @@
     if (unit.step.maxPerExecutor !== undefined) {
         countTasks(executor, unit.stepId, count);
     }
-    if (executor.reservation !== undefined && durationMs > executor.reservation.startsInMs) {
+    if (executor.reservation !== undefined && durationMs * executor.slowness > executor.reservation.startsInMs) {
         addTo(executor.reservation.spare, unit.demand, -count);
     }
 };
--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -19,7 +19,9 @@
     StartDecision,
     StopDecision,
 } from "./dispatchView.js";
+import { ExecutorSpeeds } from "./executorSpeeds.js";
 import { type FakeGroup, type FakeRun, groupRate, type Rate, reportProgress } from "./fakeRun.js";
+import { sampledRunOf } from "./sampledRun.js";
 import { SearchTurns } from "./searchTurns.js";
 
 const TICK_MS: Millis = 50;
@@ -40,6 +42,8 @@
     /** Run time of a task on a healthy executor. A gang has the run time of its first task. */
     readonly trueMs: (jobId: string, step: number, key: string) => Millis;
     readonly rate?: Rate;
+    /** Whether passes know the learned speeds of executors, which is the default. */
+    readonly learnsSpeeds?: boolean;
     /** Share of the work at which a run fails; undefined for a run that does not fail. */
     readonly failsAt?: (jobId: string, key: string, run: number) => number | undefined;
     /** Time from a stop to the end of the run. */
@@ -75,6 +79,8 @@
     readonly records = new Map<string, FakeJobRecord>();
     readonly costs: FakeCosts = { starts: 0, stops: 0, lostCoreSeconds: 0 };
     readonly log: string[] = [];
+    /** Changes of the learned slowness of executors. */
+    readonly speedLog: string[] = [];
     private readonly jobs = new Map<string, JobView>();
     private readonly progress = new Map<string, Record<string, TaskProgress>>();
     private readonly saved = new Map<string, Millis>();
@@ -82,6 +88,7 @@
     private readonly unavailableUntil: Millis[];
     private readonly samples: RunSample[] = [];
     private readonly searchTurns = new SearchTurns();
+    private readonly speeds = new ExecutorSpeeds();
     private groups: FakeGroup[] = [];
     private nextPassAt: Millis = 0;
 
@@ -121,7 +128,7 @@
             this.advance();
             if (this.now >= this.nextPassAt) {
                 this.nextPassAt = this.now + (this.options.idlePassMs ?? TICK_MS);
-                const { decisions, skippedSearches } = runPass(this.view(), this.options.dispatch);
+                const { decisions, skippedSearches } = runPass(this.viewWithSpeeds(), this.options.dispatch);
                 this.searchTurns.record(skippedSearches);
                 decisions.forEach(decision => {
                     this.apply(decision);
@@ -131,6 +138,17 @@
         }
     }
 
+    private viewWithSpeeds(): DispatchView {
+        const view = this.view();
+        if (this.options.learnsSpeeds === false) {
+            return view;
+        }
+        for (const { vm, before, after } of this.speeds.update(view, this.now)) {
+            this.speedLog.push(`${this.now} ${vm} ${before} to ${after}`);
+        }
+        return { ...view, slowness: this.speeds.slowness };
+    }
+
     private view(): DispatchView {
         const { executors, teams, timings } = this.options;
         const runs = executors.map((): FakeRun[] => []);
@@ -324,11 +342,15 @@
     }
 
     private recordSamples({ view, step, members }: FakeGroup): void {
-        for (const { firstPercent = 0, firstListedAt = this.now } of members) {
+        for (const { jobId, key, run, executorIndex, firstPercent = 0, firstListedAt = this.now } of members) {
             const share = 1 - firstPercent / 100;
             if (share >= MIN_SAMPLED_SHARE) {
                 const actualMs = (this.now - firstListedAt) / share;
-                this.samples.push({ queue: view.queue.name, declaredMs: step.declaredMs, actualMs });
+                const vm = this.options.executors[executorIndex]?.vm ?? "";
+                const sampledRun = sampledRunOf({ jobId, key, run, vm, born: 0, step, endedAt: this.now });
+                const sample = { queue: view.queue.name, declaredMs: step.declaredMs, actualMs, run: sampledRun };
+                this.samples.push(sample);
+                this.speeds.add(sample);
             }
         }
         this.samples.splice(0, this.samples.length - MAX_KEPT_SAMPLES);
--- a/packages/dispatch/src/runGroups.ts
+++ b/packages/dispatch/src/runGroups.ts
@@ -15,6 +15,9 @@
     readonly measured: RateMeasurement | undefined;
 }
 
+/** The slowness of an executor by its index in the view. */
+export type SlownessOf = (executorIndex: number) => number;
+
 type PlacedRun = Pick<GroupMember, "executorIndex" | "run">;
 
 /** Runs that end together: a single run, or the listed members of a gang. */
@@ -28,6 +31,8 @@
     readonly isStopping: boolean;
     /** When its work began; undefined until executors have listed all members. */
     readonly workingSince: Millis | undefined;
+    /** Slowness of the slowest of its executors, at whose speed it runs; 1 is normal. */
+    readonly slowness: number;
 }
 
 /** The step of a run, with its job and occurrence. */
@@ -83,7 +88,7 @@
     return listed.reduce((latest, at) => latest === undefined || at === undefined ? undefined : Math.max(latest, at));
 };
 
-const groupOf = (runStep: RunStep, placed: readonly PlacedRun[]): RunGroup => {
+const groupOf = (runStep: RunStep, placed: readonly PlacedRun[], slownessOf: SlownessOf): RunGroup => {
     const { view, occurrence, stepIndex, step } = runStep;
     const since = workingSince(runStep, placed);
     return {
@@ -91,6 +96,7 @@
         members: placed.map(({ executorIndex, run }) => ({ executorIndex, run, measured: measureRate(run, since) })),
         isStopping: placed.some(({ run }) => run.isStopping),
         workingSince: since,
+        slowness: placed.reduce((slowest, { executorIndex }) => Math.max(slowest, slownessOf(executorIndex)), 1),
     };
 };
 
@@ -100,7 +106,11 @@
 }
 
 /** Groups the current runs on all executors. */
-export const runGroups = (executors: readonly ExecutorView[], runSteps: RunSteps): readonly RunGroup[] => {
+export const runGroups = (
+    executors: readonly ExecutorView[],
+    runSteps: RunSteps,
+    slownessOf: SlownessOf = () => 1,
+): readonly RunGroup[] => {
     const collected: CollectedGroup[] = [];
     const byStep = new Map<RunStep, Map<string, CollectedGroup>>();
     executors.forEach(({ runs }, executorIndex) => {
@@ -122,7 +132,7 @@
             }
         });
     });
-    return collected.map(({ runStep, members }) => groupOf(runStep, members));
+    return collected.map(({ runStep, members }) => groupOf(runStep, members, slownessOf));
 };
 
 /** The groups with a member on each executor, by its index. */
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -244,9 +244,9 @@
     return keys.slice(partial.count);
 };
 
-/** How much longer a task takes on the fallback executors. */
-const fallbackDelayMs = ({ view: { timings } }: PassState, { durationMs }: PlacementRequest): Millis =>
-    (timings.spreadSlowdown - 1) * durationMs;
+/** How much longer a task takes on the fallback executors, because of their racks or their speed. */
+const fallbackDelayMs = ({ view: { timings } }: PassState, { durationMs, sets }: PlacementRequest): Millis =>
+    (Math.max(sets.fallbackSlowness, sets.isFallbackAway ? timings.spreadSlowdown : 1) - 1) * durationMs;
 
 /** Starts tasks on the fallback executors if waiting for the preferred ones takes longer than the slowdown. */
 const startOnFallback = (
