feat(control,dispatch): give passes the learned speeds of executors

Only the first end of a gang counts, as the gang is done then, and a sample of that member alone would blame its executor for the slowest member. A sample now names the executors of all members and counts from the time at which the last one was listed.

--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -30,6 +30,7 @@
         jobs: jobViews(config, jobs),
         executors: [...cluster.executors.values()].flatMap(state => executorView(state, now, storeClockOffsetMs)),
         samples: cluster.samples.samples,
+        slowness: cluster.samples.speeds.slowness,
         advised,
     };
 };
@@ -51,6 +52,7 @@
     return [{
         vm: state.vm,
         executorId: state.executorId,
+        born: state.born,
         service: info.service,
         rack: info.rack,
         labels: info.labels,
--- a/packages/control/src/clusterState.ts
+++ b/packages/control/src/clusterState.ts
@@ -4,6 +4,7 @@
 import type { Placement } from "@persimmonpitch/workload/progress.js";
 import { isStorableCheckpoint } from "@persimmonpitch/workload/progressLayout.js";
 import type { Step } from "@persimmonpitch/workload/step.js";
+import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { parseTaskName, taskName } from "@persimmonpitch/workload/taskName.js";
 import type { ActiveJobs } from "./activeJobs.js";
 import { carriedOver, mayStartAfterRestart } from "./carriedRun.js";
@@ -13,6 +14,7 @@
 import { runDemand } from "./runDemand.js";
 import type { EndedRun } from "./runEnds.js";
 import { RunEnds } from "./runEnds.js";
+import type { SampledGang } from "./runSamples.js";
 import { RunSamples } from "./runSamples.js";
 import { updateUnclaimedRuns } from "./unclaimedRuns.js";
 
@@ -250,7 +252,12 @@
         }
         ended.openJob.runStats.recordEnd(end.kind);
         if (end.kind === "done" && isTracked) {
-            this.samples.add(ended.openJob, tracked, state.vm, this.options.clock.now());
+            this.samples.add(
+                ended.openJob,
+                tracked,
+                this.gangOf(ended.openJob, tracked, state),
+                this.options.clock.now(),
+            );
         }
         if (end.kind === "done" || end.kind === "failed") {
             state.recordEnd({
@@ -263,6 +270,24 @@
         this.ends.apply(end.kind, ended);
     }
 
+    /** Returns where the members of the gang of a run are, and when the last of them was listed. */
+    private gangOf(openJob: OpenJob, tracked: TrackedRun, state: ExecutorState): SampledGang {
+        const parsed = parseTaskName(tracked.task);
+        const step = stepOfKey(openJob, tracked.key);
+        const keys = parsed !== undefined && step?.isGang === true
+            ? stepKeys(step, parsed.occurrence, parsed.step)
+            : [];
+        const others = keys.filter(key => key !== tracked.key).flatMap(key => {
+            const { placement, run } = openJob.task(key);
+            return placement === undefined || run !== tracked.run ? [] : [{ key, ...placement }];
+        });
+        const listedAt = others.map(({ executorId, key }) =>
+            this.executors.get(executorId)?.runs.get(taskName(tracked.jobId, key))?.firstListedAt ?? 0
+        );
+        const places = [{ vm: state.vm, born: tracked.born }, ...others.map(({ vm, born }) => ({ vm, born }))];
+        return { places, lastListedAt: Math.max(tracked.firstListedAt ?? 0, ...listedAt) };
+    }
+
     /** Returns the ended run unless its task is done or the run was never claimed. */
     private findEndedRun({ task, run, checkpoint: listedCheckpoint }: RunEnd): EndedRun | undefined {
         const parsed = parseTaskName(task);
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -3,6 +3,7 @@
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import { DEFAULT_DISPATCH_OPTIONS } from "@persimmonpitch/dispatch/dispatchOptions.js";
 import { runPass } from "@persimmonpitch/dispatch/dispatchPass.js";
+import type { DispatchView } from "@persimmonpitch/dispatch/dispatchView.js";
 import { isUrgent } from "@persimmonpitch/dispatch/readyUnits.js";
 import { SearchTurns } from "@persimmonpitch/dispatch/searchTurns.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
@@ -16,6 +17,7 @@
 import { ControllerLease } from "./controllerLease.js";
 import { DecisionApplier } from "./decisionApplier.js";
 import type { ExecutorState } from "./executorState.js";
+import { isOtherMachine } from "./isOtherMachine.js";
 import { JobLog } from "./jobLog.js";
 import { KeyedTasks } from "./keyedTasks.js";
 import { LeaseRenewer } from "./leaseRenewer.js";
@@ -71,7 +73,10 @@
         this.lastReachedAt = clock.now();
         this.passSchedule = new PassSchedule(clock);
         this.jobs = new ActiveJobs(replica, logger);
-        this.jobLog = new JobLog(context);
+        this.jobLog = new JobLog({
+            ...context,
+            slownessOf: vm => this.cluster.samples.speeds.slowness.get(vm) ?? 1,
+        });
         this.agentTasks = new KeyedTasks({ name: "agent", clock, logger });
         this.cluster = new ClusterState({
             jobs: this.jobs,
@@ -206,6 +211,9 @@
         const state = this.cluster.getOrAddExecutor(vm, report.executor.executorId);
         const runCount = state.runs.size;
         const isDescriptionChanged = JSON.stringify(state.info) !== JSON.stringify(report.executor);
+        if (state.info !== undefined && isOtherMachine(state.info, report.executor)) {
+            this.cluster.samples.speeds.forget(vm);
+        }
         state.info = report.executor;
         state.address = report.executor.address;
         this.cluster.startIncarnation(state, report.executor.born);
@@ -368,7 +376,9 @@
             searchTurns: this.searchTurns.next(DEFAULT_DISPATCH_OPTIONS.maxSearchTurns),
         };
         const startedAt = this.context.clock.now();
-        const { decisions, waiting, skippedSearches } = runPass(view);
+        this.learnSpeeds(view);
+        const { slowness } = this.cluster.samples.speeds;
+        const { decisions, waiting, skippedSearches } = runPass({ ...view, slowness });
         this.searchTurns.record(skippedSearches);
         this.jobLog.logWaiting(waiting);
         this.isUrgentWorkWaiting = waiting.some(({ ranked }) => isUrgent(ranked.unit));
@@ -384,4 +394,12 @@
             });
         }
     }
+
+    /** Learns the speeds of the executors and logs those whose class changes. */
+    private learnSpeeds(view: DispatchView): void {
+        const { clock, logger } = this.context;
+        for (const { vm, before, after, evidence } of this.cluster.samples.speeds.update(view, clock.now())) {
+            logger.log("info", "executor.speed", { vm, slowness: after, before, evidence: Math.round(evidence) });
+        }
+    }
 }
--- a/packages/control/src/jobRunStats.ts
+++ b/packages/control/src/jobRunStats.ts
@@ -6,7 +6,8 @@
 /** How long a task took and where. */
 interface TaskDuration {
     readonly actualMs: Millis;
-    readonly vm: string | undefined;
+    /** The VM of the task, or of all members of its gang. */
+    readonly vms: readonly string[];
 }
 
 /** Durations kept for each step, which suffice for a median. */
@@ -40,22 +41,23 @@
     }
 
     /** Records how long a task of the step took. */
-    recordDuration(stepIndex: number, actualMs: Millis, vm?: string): void {
+    recordDuration(stepIndex: number, actualMs: Millis, vms: readonly string[] = []): void {
         const ofStep = this.durations.get(stepIndex) ?? [];
         if (ofStep.length < MAX_DURATIONS) {
-            ofStep.push({ actualMs, vm });
+            ofStep.push({ actualMs, vms });
         }
         this.durations.set(stepIndex, ofStep);
     }
 
     /**
      * Returns the run time of a task of the step at normal speed, or 0 if no task is done: the median of its tasks, as a
-     * few take much longer. The members of a gang run at the speed of the slowest one, and the last one to be listed has
-     * the run time without the wait for the others.
+     * few take much longer. The members of a gang run at the speed of the slowest one, and the shortest duration is the
+     * one without the wait for other members.
      */
     normalTaskMs(stepIndex: number, isGang: boolean, slownessOf: (vm: string) => number): Millis {
         const ofStep = this.durations.get(stepIndex) ?? [];
-        const slownessIn = ({ vm }: TaskDuration): number => vm === undefined ? 1 : slownessOf(vm);
+        const slownessIn = ({ vms }: TaskDuration): number =>
+            vms.reduce((slowest, vm) => Math.max(slowest, slownessOf(vm)), 1);
         if (isGang) {
             const shortestMs = ofStep.reduce((least, { actualMs }) => Math.min(least, actualMs), Infinity);
             return ofStep.length === 0 ? 0 : shortestMs / Math.max(...ofStep.map(slownessIn));
--- a/packages/control/tests/jobLog.test.ts
+++ b/packages/control/tests/jobLog.test.ts
@@ -120,7 +120,7 @@
     const durations = tasks.map(({ ms, slowness }) => isGang ? gangMs : ms * slowness);
     await clock.advance(3_000 * draw() * draw() + Math.max(...durations));
     tasks.forEach(({ vm }, index) => {
-        openJob.runStats.recordDuration(0, durations[index] ?? 0, `${vm}`);
+        openJob.runStats.recordDuration(0, durations[index] ?? 0, [`${vm}`]);
     });
     openJob.finish("completed");
     const elapsedMs = clock.now() - (openJob.job.acceptedAt - STORE_CLOCK_OFFSET_MS);
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -64,16 +64,23 @@
     readonly queue: Queue;
 }
 
-/** Where and when a sampled run ended, from which the speeds of executors are learned. */
-export interface SampledRun {
+/** A VM on which a sampled run or a member of its gang ran, and the incarnation of its executor. */
+export interface SampledPlace {
     readonly vm: string;
-    /** Incarnation of the executor. */
     readonly born: number;
+}
+
+/** What the speeds of executors are learned from: where and how long a sampled run worked. */
+export interface SampledRun {
+    /** For a gang, the places of all members: they run at the speed of the slowest one. */
+    readonly places: readonly SampledPlace[];
     readonly step: Step;
     /** Id of the step, equal for all its occurrences. */
     readonly stepId: string;
     /** Equal for the members of a gang. */
     readonly groupId: string;
+    /** Run time of the whole task; for a gang, since its last member was listed. */
+    readonly workMs: Millis;
     /** On the clock of the process that recorded it. */
     readonly endedAt: Millis;
 }
--- a/packages/dispatch/src/executorSpeeds.ts
+++ b/packages/dispatch/src/executorSpeeds.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
-import type { DispatchView, RunSample, SampledRun } from "./dispatchView.js";
+import type { DispatchView, RunSample } from "./dispatchView.js";
 import { type Known, learnSlowness, type SpeedKnowledge } from "./learnSlowness.js";
 
 /** Slowness factors by VM: how many times longer than normal a task takes. VMs of normal speed have no entry. */
@@ -40,13 +40,15 @@
 
     /** Adds the sample of an ended run. Samples without a run say nothing about executors. */
     add(sample: RunSample): void {
-        if (sample.run === undefined) {
-            return;
+        const { places = [], groupId = "" } = sample.run ?? {};
+        for (const { vm } of places) {
+            const kept = this.ended.get(vm) ?? [];
+            if (kept.at(-1)?.run?.groupId !== groupId) {
+                kept.push(sample);
+                kept.splice(0, kept.length - KEPT_RUNS);
+                this.ended.set(vm, kept);
+            }
         }
-        const kept = this.ended.get(sample.run.vm) ?? [];
-        kept.push(sample);
-        kept.splice(0, kept.length - KEPT_RUNS);
-        this.ended.set(sample.run.vm, kept);
     }
 
     /** Drops what is known of a VM, as after a change of its labels or capacity. */
@@ -108,15 +110,8 @@
     if (slowness === undefined || slowness.size === 0) {
         return samples;
     }
-    const byGroup = new Map<string, number>();
-    const runSlowness = ({ vm }: SampledRun): number => slowness.get(vm) ?? 1;
-    for (const { run } of samples) {
-        if (run !== undefined) {
-            byGroup.set(run.groupId, Math.max(byGroup.get(run.groupId) ?? 1, runSlowness(run)));
-        }
-    }
     return samples.map(sample => {
-        const factor = byGroup.get(sample.run?.groupId ?? "") ?? 1;
+        const factor = slowestOf(slowness, sample.run?.places.map(({ vm }) => vm) ?? []);
         return factor === 1 ? sample : { ...sample, actualMs: sample.actualMs / factor };
     });
 };
--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -342,13 +342,21 @@
     }
 
     private recordSamples({ view, step, members }: FakeGroup): void {
-        for (const { jobId, key, run, executorIndex, firstPercent = 0, firstListedAt = this.now } of members) {
+        const places = members.map(({ executorIndex }) => ({
+            vm: this.options.executors[executorIndex]?.vm ?? "",
+            born: 0,
+        }));
+        for (const { jobId, key, run, firstPercent = 0, firstListedAt = this.now } of members) {
             const share = 1 - firstPercent / 100;
             if (share >= MIN_SAMPLED_SHARE) {
                 const actualMs = (this.now - firstListedAt) / share;
-                const vm = this.options.executors[executorIndex]?.vm ?? "";
-                const sampledRun = sampledRunOf({ jobId, key, run, vm, born: 0, step, endedAt: this.now });
-                const sample = { queue: view.queue.name, declaredMs: step.declaredMs, actualMs, run: sampledRun };
+                const ended = { jobId, key, run, places, step, workMs: actualMs, endedAt: this.now };
+                const sample = {
+                    queue: view.queue.name,
+                    declaredMs: step.declaredMs,
+                    actualMs,
+                    run: sampledRunOf(ended),
+                };
                 this.samples.push(sample);
                 this.speeds.add(sample);
             }
--- a/packages/dispatch/src/learnSlowness.ts
+++ b/packages/dispatch/src/learnSlowness.ts
@@ -148,32 +148,31 @@
         }];
     });
 
-/** Observations of ended runs. The member of a gang that was listed last has the run time of the gang. */
+/** Observations of ended runs whose executors are all in the view. */
 const observeEnded = (
     samples: readonly RunSample[],
     executors: ReadonlyMap<string, ExecutorView>,
     now: Millis,
-): readonly Observation[] =>
-    [...groupBy(samples, ({ run }) => run?.groupId ?? "")].flatMap(([, members]) => {
-        const [first] = members;
-        const views = members.flatMap(({ run }) => executors.get(run?.vm ?? "") ?? []);
-        if (first?.run === undefined || views.length < members.length) {
+): readonly Observation[] => {
+    const byGroup = new Map(samples.map(sample => [sample.run?.groupId ?? "", sample]));
+    return [...byGroup.values()].flatMap(({ queue, declaredMs, run }) => {
+        const views = run?.places.flatMap(({ vm }) => executors.get(vm) ?? []) ?? [];
+        if (run === undefined || views.length < run.places.length) {
             return [];
         }
-        const { step, stepId } = first.run;
+        const { step, stepId, places, workMs, endedAt } = run;
         if (!isComparable(step) || isSlowedByRack(step, views.map(({ rack }) => rack))) {
             return [];
         }
-        const isEarlier = members.some(({ run }, index) => run?.born !== (views[index]?.born ?? run?.born));
-        const actualMs = members.reduce((least, member) => Math.min(least, member.actualMs), Infinity);
-        const ageMs = now - first.run.endedAt + actualMs / 2;
+        const isEarlier = places.some(({ born }, index) => born !== (views[index]?.born ?? born));
         return [{
-            ...{ stepId, queue: first.queue, declaredMs: first.declaredMs },
-            logMs: Math.log(actualMs),
-            vms: [...new Set(views.map(({ vm }) => vm))],
-            weight: weightByAge(ageMs) * (isEarlier ? EARLIER_INCARNATION_WEIGHT : 1),
+            ...{ stepId, queue, declaredMs },
+            logMs: Math.log(workMs),
+            vms: [...new Set(places.map(({ vm }) => vm))],
+            weight: weightByAge(now - endedAt + workMs / 2) * (isEarlier ? EARLIER_INCARNATION_WEIGHT : 1),
         }];
     });
+};
 
 const slowestIn = (estimates: Estimates, vms: readonly string[], except?: string): number =>
     vms.reduce((slowest, vm) => vm === except ? slowest : Math.max(slowest, estimates.get(vm) ?? 0), 0);
--- a/packages/dispatch/src/sampledRun.ts
+++ b/packages/dispatch/src/sampledRun.ts
@@ -1,13 +1,11 @@
-import type { Step } from "@persimmonpitch/workload/step.js";
 import { parseTaskKey } from "@persimmonpitch/workload/taskName.js";
 import type { SampledRun } from "./dispatchView.js";
 
 /** A run that ended as its task was done. */
-export interface EndedRun extends Pick<SampledRun, "vm" | "born" | "step" | "endedAt"> {
+export interface EndedRun extends Pick<SampledRun, "places" | "step" | "workMs" | "endedAt"> {
     readonly jobId: string;
     readonly key: string;
     readonly run: number;
-    readonly step: Step;
 }
 
 /** Describes an ended run for a sample of run times. */
--- a/packages/dispatch/tests/executorSpeeds.test.ts
+++ b/packages/dispatch/tests/executorSpeeds.test.ts
@@ -116,7 +116,8 @@
 const endedOn = (vm: string, actualMs: number, number: number, born: number, endedAt = START): RunSample => {
     const step = stepOf({ count: 9, declaredMs: 10_000 });
     const jobId = `ended${Math.floor(number / COUNT) % 3}`;
-    const run = sampledRunOf({ jobId, key: `0.0.${number}`, run: 1, vm, born, step, endedAt });
+    const places = [{ vm, born }];
+    const run = sampledRunOf({ jobId, key: `0.0.${number}`, run: 1, places, step, workMs: actualMs, endedAt });
     return { queue: "batch", declaredMs: 10_000, actualMs, run };
 };
 
@@ -161,9 +162,11 @@
 // Guards against estimates that are long because of slow executors.
 void t.test("samples count at normal speed, those of a gang at the speed of its slowest member", t => {
     const step = stepOf({ count: 2, isGang: true });
-    const gang = ["vm0", SLOW_VM].map((vm, index): RunSample => ({
+    const places = ["vm0", SLOW_VM].map(vm => ({ vm, born: 1 }));
+    const ended = { jobId: "gang", run: 1, places, step, workMs: 20_000, endedAt: START };
+    const gang = ["0.0.0", "0.0.1"].map((key): RunSample => ({
         ...{ queue: "batch", declaredMs: 0, actualMs: 20_000 },
-        run: sampledRunOf({ jobId: "gang", key: `0.0.${index}`, run: 1, vm, born: 1, step, endedAt: START }),
+        run: sampledRunOf({ ...ended, key }),
     }));
     const samples = [...gang, endedOn("vm1", 10_000, 0, 1), { queue: "batch", declaredMs: 0, actualMs: 7_000 }];
     const slowness = new Map([[SLOW_VM, 2]]);
