--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -31,6 +31,7 @@
         jobs: jobViews(config, jobs),
         executors: [...cluster.executors.values()].flatMap(state => executorView(context, state, times)),
         samples: cluster.samples.samples,
+        slowness: cluster.samples.speeds.slowness,
         advised,
     };
 };
@@ -56,6 +57,7 @@
     return [{
         vm: state.vm,
         executorId: state.executorId,
+        born: state.born,
         service: info.service,
         rack: info.rack,
         labels: info.labels,
--- a/packages/dispatch/src/dispatchView.ts
+++ b/packages/dispatch/src/dispatchView.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import type { Queue, Team } from "@persimmonpitch/workload/clusterConfig.js";
 import type { JobProgress } from "@persimmonpitch/workload/progress.js";
-import type { Demand } from "@persimmonpitch/workload/step.js";
+import type { Demand, Step } from "@persimmonpitch/workload/step.js";
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 
@@ -40,6 +40,8 @@
 export interface ExecutorView {
     readonly vm: string;
     readonly executorId: string;
+    /** Incarnation of the executor. */
+    readonly born?: number;
     readonly service: string;
     readonly rack: string | undefined;
     readonly labels: readonly string[];
@@ -64,11 +66,33 @@
     readonly queue: Queue;
 }
 
+/** A VM on which a sampled run or a member of its gang ran, and the incarnation of its executor. */
+export interface SampledPlace {
+    readonly vm: string;
+    readonly born: number;
+}
+
+/** What the speeds of executors are learned from: where and how long a sampled run worked. */
+export interface SampledRun {
+    /** For a gang, the places of all members: they run at the speed of the slowest one. */
+    readonly places: readonly SampledPlace[];
+    readonly step: Step;
+    /** Id of the step, equal for all its occurrences. */
+    readonly stepId: string;
+    /** Equal for the members of a gang. */
+    readonly groupId: string;
+    /** Run time of the whole task; for a gang, since its last member was listed. */
+    readonly workMs: Millis;
+    /** On the clock of the process that recorded it. */
+    readonly endedAt: Millis;
+}
+
 /** Declared and actual run time of a task that ended. */
 export interface RunSample {
     readonly queue: string;
     readonly declaredMs: Millis;
     readonly actualMs: Millis;
+    readonly run?: SampledRun;
 }
 
 /** Ids of the executors with a valid ticket, by the name of the step, for steps whose queue requires advice. */
@@ -91,6 +115,8 @@
     readonly advised?: AdvisedExecutors;
     /** Ids of the steps that earlier passes had no search left for and that this pass searches for. */
     readonly searchTurns?: ReadonlySet<string>;
+    /** Learned slowness of the executors by VM; those of normal speed have no entry. */
+    readonly slowness?: ReadonlyMap<string, number>;
 }
 
 /** Tasks of one step that start together with one run number: a whole gang, or one task. */
