--- /dev/null
+++ b/packages/gateway/src/bodyBuffer.ts
@@ -0,0 +1,49 @@
+import { CHUNK_COST_BYTES } from "./callerLimits.js";
+
+const MIN_CAPACITY_BYTES = 1_024;
+
+/** Where the cost of a body is counted. */
+export interface BodyAccount {
+    readonly hold: (cost: number, received: number) => void;
+}
+
+/**
+ * Collects the body of one request. Chunks are copied into one buffer, because a small chunk keeps the whole buffer
+ * from which it was read. The account is told the capacity of the buffer and the cost of each chunk.
+ */
+export class BodyBuffer {
+    private buffer = Buffer.alloc(0);
+    private length = 0;
+
+    constructor(private readonly maxBytes: number, private readonly account: BodyAccount) {}
+
+    /** Returns false, and keeps nothing of the chunk, if the body exceeds the limit. */
+    add(chunk: Uint8Array): boolean {
+        const length = this.length + chunk.length;
+        if (length > this.maxBytes) {
+            return false;
+        }
+        const added = this.reserve(length);
+        this.buffer.set(chunk, this.length);
+        this.length = length;
+        this.account.hold(added + CHUNK_COST_BYTES, chunk.length);
+        return true;
+    }
+
+    text(): string {
+        return this.buffer.toString("utf8", 0, this.length);
+    }
+
+    /** Makes room for a body of the given length; returns by how much the capacity grew. */
+    private reserve(length: number): number {
+        const capacity = this.buffer.length;
+        if (length <= capacity) {
+            return 0;
+        }
+        const doubled = Math.max(length, 2 * capacity, MIN_CAPACITY_BYTES);
+        const grown = Buffer.allocUnsafeSlow(Math.min(doubled, Math.max(this.maxBytes, length)));
+        this.buffer.copy(grown, 0, 0, this.length);
+        this.buffer = grown;
+        return grown.length - capacity;
+    }
+}
