fix(protocol,entry): bound accepted links and connections

A peer that sent a frame in chunks of one byte made the decoder keep one buffer for each; silent connections to the inner port were not bounded in number, nor the bytes of all incomplete frames, nor the calls in progress of one link. Chunks are now joined, a listening process keeps at most 2,048 links and 32 MB, and a link with 4,096 calls in progress is closed. The entry's own interface accepts 1,024 connections and ends a request after 120 s.

--- a/packages/entry/src/httpServer.ts
+++ b/packages/entry/src/httpServer.ts
@@ -11,6 +11,12 @@
 
 const MAX_BODY_BYTES = 1024 * 1024;
 
+/** More than an installation's callers and operators open; a connection takes some 20 KB. */
+const MAX_CONNECTIONS = 1_024;
+
+/** A body of the largest size over a slow link arrives in this time. */
+const REQUEST_TIMEOUT_MS = 120_000;
+
 /** Bounds the time for which a caller that sends its headers slowly can occupy a connection. */
 const HEADERS_TIMEOUT_MS = 10_000;
 const MS_PER_SECOND = 1_000;
@@ -49,8 +55,10 @@
     const server = fastify({
         bodyLimit: MAX_BODY_BYTES,
         forceCloseConnections: "idle",
+        requestTimeout: REQUEST_TIMEOUT_MS,
         http: { headersTimeout: HEADERS_TIMEOUT_MS },
     });
+    server.server.maxConnections = MAX_CONNECTIONS;
     server.setErrorHandler((error: FastifyError | ProblemError, req, res) => {
         const { problem } = toProblemError(error);
         if (problem.code === "internal") {
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -31,6 +31,12 @@
     readonly onMalformed?: (detail: string) => void;
 }
 
+/**
+ * The link is closed when more calls of the peer than this are in progress. Reading cannot wait for them, because the
+ * responses to own calls come over the same link. The busiest links have some hundred.
+ */
+const MAX_CALLS_IN_PROGRESS = 4_096;
+
 /** Typed JSON-RPC calls in both directions over one link. */
 export class Connection<Local extends MethodTable, Remote extends MethodTable> {
     private readonly rpc: JSONRPCServerAndClient;
@@ -38,6 +44,7 @@
     private readonly clock: Clock;
     private readonly remote: Remote;
     private readonly onMalformed: (detail: string) => void;
+    private callsInProgress = 0;
 
     constructor(options: ConnectionOptions<Local, Remote>) {
         this.link = options.link;
@@ -122,12 +129,20 @@
             this.onMalformed("A frame is not a JSON object.");
             return;
         }
+        if (this.callsInProgress >= MAX_CALLS_IN_PROGRESS) {
+            this.onMalformed(`More than ${MAX_CALLS_IN_PROGRESS} calls of the peer are in progress.`);
+            this.link.close();
+            return;
+        }
+        this.callsInProgress += 1;
         // Handlers run concurrently, so a slow one does not block the connection.
         this.rpc.receiveAndSend(payload as Parameters<JSONRPCServerAndClient["receiveAndSend"]>[0]).catch(
             (err: unknown) => {
                 this.onMalformed(err instanceof Error ? err.message : String(err));
             },
-        );
+        ).finally(() => {
+            this.callsInProgress -= 1;
+        });
     }
 }
 
--- a/packages/protocol/src/frameCodec.ts
+++ b/packages/protocol/src/frameCodec.ts
@@ -6,6 +6,12 @@
 /** Larger frames are rejected, so that a faulty sender cannot exhaust the receiver's memory. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
+/**
+ * Chunks of an incomplete frame that are kept as they are. Each costs about 100 bytes apart from its content, so that a
+ * frame in chunks of one byte would take a hundred times its size.
+ */
+const MAX_CHUNKS = 64;
+
 /** Why a frame cannot be decoded. */
 export interface FrameError {
     readonly kind: "frameTooLarge";
@@ -24,12 +30,18 @@
 /** Splits a byte stream into frames. */
 export class FrameDecoder {
     private chunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    /** Bytes of the incomplete frame. */
+    bufferedBytes = 0;
+
+    get chunkCount(): number {
+        return this.chunks.length;
+    }
 
     /** Buffers a chunk of the stream and returns the frames that it completes. */
     decode(chunk: Buffer): Result<readonly string[], FrameError> {
         this.chunks.push(chunk);
         this.bufferedBytes += chunk.length;
+        this.joinSmallChunks();
         const frames: string[] = [];
         while (this.bufferedBytes >= FRAME_HEADER_BYTES) {
             const header = this.contiguousBytes(FRAME_HEADER_BYTES);
@@ -47,6 +59,17 @@
         return Result.ok(frames);
     }
 
+    /** Joins chunks of similar size, so that each byte is copied a logarithmic number of times. */
+    private joinSmallChunks(): void {
+        while (this.chunks.length > MAX_CHUNKS) {
+            const [previous, last] = this.chunks.slice(-2);
+            if (previous === undefined || last === undefined || previous.length > last.length) {
+                return;
+            }
+            this.chunks.splice(-2, 2, Buffer.concat([previous, last]));
+        }
+    }
+
     /** Returns a buffer that starts with the next `byteCount` bytes; at least that many must be buffered. */
     private contiguousBytes(byteCount: number): Buffer {
         const [first] = this.chunks;
--- a/packages/protocol/src/plainTransport.ts
+++ b/packages/protocol/src/plainTransport.ts
@@ -1,6 +1,8 @@
 import type { Server, Socket } from "node:net";
 import { connect as connectTcp, createServer } from "node:net";
 import { Result } from "true-myth";
+import type { AcceptedLinkLimits } from "./acceptedLinks.js";
+import { AcceptedLinks } from "./acceptedLinks.js";
 import type { Link } from "./link.js";
 import { SocketLink } from "./socketLink.js";
 import type { Address } from "./tlsTransport.js";
@@ -13,10 +15,15 @@
 }
 
 /** Listens for TCP connections without TLS, for deployments whose settings contain no key. */
-export const listenPlain = async (address: Address, onLink: (link: Link, socket: Socket) => void): Promise<Server> => {
+export const listenPlain = async (
+    address: Address,
+    onLink: (link: Link, socket: Socket) => void,
+    limits?: AcceptedLinkLimits,
+): Promise<Server> => {
+    const links = new AcceptedLinks(limits);
     const server = createServer(socket => {
         socket.setNoDelay(true);
-        onLink(new SocketLink(socket), socket);
+        onLink(links.accept(socket), socket);
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
--- a/packages/protocol/src/socketLink.ts
+++ b/packages/protocol/src/socketLink.ts
@@ -10,14 +10,17 @@
 export class SocketLink implements Link {
     isOpen = true;
     bytesSent = 0;
+    /** Whether a whole frame has been received. */
+    hasReceived = false;
+    private readonly decoder = new FrameDecoder();
     private readonly receivedFrames = new FrameQueue();
     private isFlushScheduled = false;
 
-    constructor(private readonly socket: Duplex) {
-        const decoder = new FrameDecoder();
+    constructor(private readonly socket: Duplex, onBuffered: () => void = () => undefined) {
         socket.on("data", (chunk: Buffer) => {
-            decoder.decode(chunk).match({
+            this.decoder.decode(chunk).match({
                 Ok: frames => {
+                    this.hasReceived ||= frames.length > 0;
                     frames.forEach(frame => {
                         this.receivedFrames.push(frame);
                     });
@@ -26,6 +29,7 @@
                     this.close();
                 },
             });
+            onBuffered();
         });
         socket.on("error", () => {
             this.close();
@@ -38,6 +42,11 @@
         });
     }
 
+    /** Bytes that the link holds: of an incomplete frame, and of what the peer has not read. */
+    get heldBytes(): number {
+        return this.isOpen ? this.decoder.bufferedBytes + this.socket.writableLength : 0;
+    }
+
     send(frame: string): void {
         if (!this.isOpen) {
             return;
--- a/packages/protocol/src/tlsTransport.ts
+++ b/packages/protocol/src/tlsTransport.ts
@@ -2,6 +2,7 @@
 import type { ConnectionOptions as TlsConnectOptions, TLSSocket } from "node:tls";
 import { connect as connectTlsSocket, createServer as createTlsServer } from "node:tls";
 import { Result } from "true-myth";
+import { AcceptedLinks, DEFAULT_LINK_LIMITS } from "./acceptedLinks.js";
 import type { Link } from "./link.js";
 import { deriveProcessKey } from "./processKey.js";
 import { SocketLink } from "./socketLink.js";
@@ -28,6 +29,10 @@
 
 const CONNECT_TIMEOUT_MS = 3_000;
 
+/** A connection counts against the limit of the server before it has authenticated. */
+const HANDSHAKE_TIMEOUT_MS = 10_000;
+const MAX_SERVER_CONNECTIONS = 2 * DEFAULT_LINK_LIMITS.maxLinks;
+
 const peerNames = new WeakMap<Socket, string>();
 
 /** Listens for TLS connections and calls `onLink` for each one that authenticates. */
@@ -36,8 +41,10 @@
     deploymentKey: Buffer,
     onLink: (authenticated: AuthenticatedLink) => void,
 ): Promise<{ readonly server: Server; readonly port: number; }> => {
+    const links = new AcceptedLinks();
     const server = createTlsServer({
         ...TLS_OPTIONS,
+        handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
         pskCallback: (socket, identity) => {
             peerNames.set(socket, identity);
             return deriveProcessKey(deploymentKey, identity);
@@ -49,8 +56,9 @@
             return;
         }
         socket.setNoDelay(true);
-        onLink({ link: new SocketLink(socket), peerName, socket });
+        onLink({ link: links.accept(socket), peerName, socket });
     });
+    server.maxConnections = MAX_SERVER_CONNECTIONS;
     // A failed handshake closes only its own socket.
     server.on("tlsClientError", () => undefined);
     await new Promise<void>((resolve, reject) => {
