--- a/packages/gateway/src/callerAccounts.ts
+++ b/packages/gateway/src/callerAccounts.ts
@@ -109,7 +109,7 @@
         this.unanswered -= 1;
     }
 
-    /** Counts bytes that a connection holds, and closes the costliest one if a limit is exceeded. */
+    /** Counts bytes that a connection holds, and closes the costliest ones while a limit is exceeded. */
     hold(connection: CallerConnection, bytes: number): void {
         const account = this.byAddress.get(connection.address);
         if (account === undefined) {
@@ -120,10 +120,10 @@
         if (connection.heldBytes > this.limits.maxHeldBytesPerConnection) {
             this.shed(connection, "maxHeldBytesPerConnection");
         }
-        if (account.heldBytes > this.limits.maxHeldBytesPerAddress) {
+        while (account.heldBytes > this.limits.maxHeldBytesPerAddress && account.connections.size > 0) {
             this.shedHolder(account.connections, "maxHeldBytesPerAddress");
         }
-        if (this.heldBytes > this.limits.maxHeldBytes) {
+        while (this.heldBytes > this.limits.maxHeldBytes && this.connections.size > 0) {
             this.shedHolder(this.connections, "maxHeldBytes");
         }
     }
