feat(dispatch): preempt only when room does not free itself in time

A guaranteed unit stopped other work at once, also where a run was about to end. It now claims the earliest fit of running work if that comes before its slack ends and while a stop can still meet the reclaim limit, and preempts otherwise.

A job that had just restarted was always the cheapest victim, so one job could be stopped again and again. The choice of victims now adds a share of a whole run for each earlier start, and runs that were started more than three times are stopped only for a guarantee that nothing else can meet. The cost covers all tasks of a gang, and the time since the last checkpoint.

--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -13,6 +13,16 @@
      * loss.
      */
     readonly preemptionMargin: number;
+    /** Whether urgent work waits for running work to complete, if that is in time, before it preempts other work. */
+    readonly waitsBeforePreemption: boolean;
+    /**
+     * Added to the cost by which victims are chosen for each earlier start of the task, and for the mean of the earlier
+     * starts of its step, as a share of the cost of losing a whole run. At 0.2, a run that was restarted once and has
+     * just begun ranks with a first run that is a fifth done.
+     */
+    readonly repeatedStopShare: number;
+    /** A run whose task was started more often than this is stopped for a guarantee only if nothing else suffices. */
+    readonly maxPreemptedRuns: number;
     /**
      * Whether urgent work that would be late on slower executors preempts other work before it tries to start there.
      */
@@ -59,6 +69,9 @@
     lateValueShareByPriority: [0.15, 0.33],
     lostCoreSecondCost: 0.0022,
     preemptionMargin: 2,
+    waitsBeforePreemption: true,
+    repeatedStopShare: 0.2,
+    maxPreemptedRuns: 3,
     preemptsBeforeFallback: true,
     urgencyScaleMs: 4_000,
     onTimeTolerance: 0.6,
--- a/packages/dispatch/src/passState.ts
+++ b/packages/dispatch/src/passState.ts
@@ -9,6 +9,7 @@
 import { type RunGroup, stopDecisions } from "./runGroups.js";
 import type { RunTimes } from "./runTimes.js";
 import type { RankedUnit } from "./unitOrder.js";
+import type { StopCost } from "./victims.js";
 
 /** A request that failed: its number of tasks and their run time. */
 export interface FailedFit {
@@ -42,7 +43,7 @@
     readonly releases: Releases;
     readonly packing: PackingContext;
     readonly stopped: Set<RunGroup>;
-    readonly stopCosts: Map<RunGroup, number>;
+    readonly stopCosts: Map<RunGroup, StopCost>;
     /** Requests that failed. Free resources only shrink until the next stop, so requests at least as large fail too. */
     readonly failedFits: Map<string, FailedFit>;
     reservationCount: number;
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -8,7 +8,7 @@
 import type { PassState } from "./passState.js";
 import type { RunGroup } from "./runGroups.js";
 import type { RankedUnit } from "./unitOrder.js";
-import type { Victim } from "./victims.js";
+import type { StopCost, Victim } from "./victims.js";
 
 /** Fixed cost of stopping one run: the orders that it needs and the restart of the task. */
 const COST_PER_STOP = 0.02;
@@ -16,10 +16,35 @@
 /** Expected time from the stop of a task until it starts again. */
 const RESTART_WAIT_MS = 1_000;
 
-/** Time of work that each member of a group loses if the group is stopped. */
+/** What may be stopped. */
+export interface VictimLimits {
+    /** Work of the unit's own priority that has no guarantee. */
+    readonly mayStopUrgent: boolean;
+    /** Runs whose task was started more than `maxPreemptedRuns` times. */
+    readonly mayStopRepeated: boolean;
+}
+
+/**
+ * Time of work that each member of a group loses if the group is stopped. With checkpoints it is the time since the
+ * last one, so that runs that have just saved their work are stopped first.
+ */
 const unsavedMs = ({ view: { now, timings } }: PassState, { step, workingSince }: RunGroup): Millis => {
     const elapsedMs = Math.max(0, now - (workingSince ?? now));
-    return step.hasCheckpoints ? Math.min(elapsedMs, timings.checkpointIntervalMs) : elapsedMs;
+    return step.hasCheckpoints ? elapsedMs % timings.checkpointIntervalMs : elapsedMs;
+};
+
+/** Number of tasks that a stop of the group ends. All members of a gang end, also those that no executor lists yet. */
+const stoppedTasks = ({ step, members }: RunGroup): number => step.isGang ? step.count : members.length;
+
+/** Number of starts of the group before its current run. */
+const earlierStarts = ({ members }: RunGroup): number =>
+    members.reduce((most, { run: { run } }) => Math.max(most, run - 1), 0);
+
+/** Mean number of earlier starts of the tasks of a step that were started. */
+const meanEarlierStarts = ({ view, occurrence, stepIndex, step }: RunGroup): number => {
+    const sum = stepKeys(step, occurrence, stepIndex)
+        .reduce((total, key) => total + Math.max(0, progressOf(view, key).run - 1), 0);
+    return sum / step.count;
 };
 
 /** Value that an occurrence loses if it is delayed. */
@@ -40,18 +65,27 @@
     return slackMs < 0 && lateSlackMs >= 0 && lateSlackMs < delayMs ? value * lateValueShare : 0;
 };
 
-/** Cost of stopping a group: a fixed cost per member, the lost work, and the value that its occurrence may lose. */
-const stopCost = (state: PassState, group: RunGroup): number => {
-    const { options, forecasts, view } = state;
-    const { step, members } = group;
+/**
+ * Cost of stopping a group: a fixed cost per task, the lost work of all its tasks, and the value that its occurrence may
+ * lose; for the choice of victims also a share of a whole run for each earlier start. Without that, a job that has just
+ * restarted would always be the cheapest victim and never end.
+ */
+const stopCost = (state: PassState, group: RunGroup): StopCost => {
+    const { options, forecasts, view, runTimes } = state;
+    const { step, stepIndex } = group;
+    const tasks = stoppedTasks(group);
     const lostMs = unsavedMs(state, group) + (step.hasCheckpoints ? view.timings.restoreMs : 0);
-    const lostWork = members.length * coreEquivalent(step.demand) * lostMs / 1_000;
-    return COST_PER_STOP * members.length
-        + options.lostCoreSecondCost * lostWork
+    const workCost = (timeMs: Millis): number =>
+        options.lostCoreSecondCost * tasks * coreEquivalent(step.demand) * timeMs / 1_000;
+    const loss = COST_PER_STOP * tasks
+        + workCost(lostMs)
         + delayCost(state, group, forecasts.get(occurrenceId(group)), lostMs + RESTART_WAIT_MS);
+    const repeats = earlierStarts(group) + (step.isGang ? 0 : meanEarlierStarts(group));
+    const repeatedMs = options.repeatedStopShare * repeats * runTimes.stepMs(group.view, stepIndex);
+    return { loss, cost: loss + COST_PER_STOP * tasks * repeats + workCost(repeatedMs) };
 };
 
-const cachedStopCost = (state: PassState, group: RunGroup): number => {
+const cachedStopCost = (state: PassState, group: RunGroup): StopCost => {
     const cost = state.stopCosts.get(group) ?? stopCost(state, group);
     state.stopCosts.set(group, cost);
     return cost;
@@ -89,12 +123,18 @@
     });
 };
 
+const isRepeated = ({ options }: PassState, group: RunGroup): boolean =>
+    earlierStarts(group) >= options.maxPreemptedRuns;
+
+/** Whether some run was restarted too often to be stopped while there are other victims. */
+export const hasRepeatedRuns = (state: PassState): boolean => state.groups.some(group => isRepeated(state, group));
+
 /** The groups on the executors that may be stopped for the unit. Guaranteed work is never stopped. */
 export const victimsFor = (
     state: PassState,
     { unit }: RankedUnit,
     executors: readonly ExecutorResources[],
-    mayStopUrgent: boolean,
+    { mayStopUrgent, mayStopRepeated }: VictimLimits,
 ): readonly Victim[] => {
     const { priority } = unit.openOccurrence.view.queue;
     const isLower = ({ view }: RunGroup): boolean => view.queue.priority > priority || mayStopUrgent;
@@ -104,9 +144,10 @@
             !group.isStopping
             && !state.stopped.has(group)
             && isLower(group)
+            && (mayStopRepeated || !isRepeated(state, group))
             && !state.guaranteed.has(occurrenceId(group))
         )
-        .map(group => ({ group, cost: cachedStopCost(state, group) }));
+        .map(group => ({ group, ...cachedStopCost(state, group) }));
     const areLimited = victims.some(({ group: { step } }) => step.mayMiss !== undefined);
     return areLimited ? withinAbsenceLimit(victims, absentTasks(state)) : victims;
 };
--- a/packages/dispatch/src/reservations.ts
+++ b/packages/dispatch/src/reservations.ts
@@ -50,14 +50,25 @@
     return later;
 };
 
-/** The earliest time at which `count` tasks of the unit fit on the executors, as running work completes. */
+/** Free resources without those that are claimed or reserved for other units. */
+export const unreservedNow = (executor: ExecutorResources): MutableDemand => {
+    const now = unreservedAfterStops(executor);
+    addTo(now, executor.releasing, -1);
+    return now;
+};
+
+/**
+ * The earliest time at which `count` tasks of the unit fit on the executors, as running work completes, given the
+ * resources that are available before.
+ */
 export const earliestFit = (
     executors: readonly ExecutorResources[],
     unit: ReadyUnit,
     count: number,
     releases: Releases,
+    availableNow: (executor: ExecutorResources) => MutableDemand = unreservedAfterStops,
 ): FutureFit | undefined => {
-    const available = new Map(executors.map(executor => [executor, unreservedAfterStops(executor)]));
+    const available = new Map(executors.map(executor => [executor, availableNow(executor)]));
     const slots = new Map(
         executors.map(executor => [executor, slotsFor(executor, unit, available.get(executor) ?? noDemand())]),
     );
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -16,19 +16,14 @@
     freeAfterStops,
     freeForDuration,
 } from "./executorResources.js";
+import { assignmentsOf, fitWithin, longestWaitMs, STOP_MS, WAIT_FACTOR } from "./expectedRoom.js";
 import { type PassState, stopGroup, type WaitKind } from "./passState.js";
-import { victimsFor } from "./preemption.js";
+import { hasRepeatedRuns, type VictimLimits, victimsFor } from "./preemption.js";
 import { isUrgent, nextRun, type ReadyUnit } from "./readyUnits.js";
 import { earliestFit, type FutureFit, reserveFit } from "./reservations.js";
 import type { RankedUnit } from "./unitOrder.js";
 import { chooseVictims, type VictimSet } from "./victims.js";
 
-/** Expected time from the order to stop a run until it has ended. */
-const STOP_MS = 300;
-
-/** Safety factor on the estimated wait for running work to complete, which is too short about as often as too long. */
-const WAIT_FACTOR = 1.2;
-
 /** A unit to place, with the estimated run time of one of its tasks and the executors that it can use. */
 interface PlacementRequest {
     readonly ranked: RankedUnit;
@@ -73,6 +68,8 @@
     });
 };
 
+const FIRST_LIMITS: VictimLimits = { mayStopUrgent: false, mayStopRepeated: false };
+
 /** The `count` items whose executors have the most free accelerators. */
 const selectMostFree = <Item>(
     items: readonly Item[],
@@ -131,11 +128,11 @@
     ranked: RankedUnit,
     sets: readonly (readonly ExecutorResources[])[],
     count: number,
-    mayStopUrgent: boolean,
+    limits: VictimLimits,
 ): VictimSet | undefined => {
     const { maxSearchedSets, maxSearchedExecutors } = state.options;
     const chooseIn = (executors: readonly ExecutorResources[]): VictimSet | undefined =>
-        chooseVictims(executors, ranked.unit, count, victimsFor(state, ranked, executors, mayStopUrgent));
+        chooseVictims(executors, ranked.unit, count, victimsFor(state, ranked, executors, limits));
     const chooseInSet = (executors: readonly ExecutorResources[]): VictimSet | undefined =>
         executors.length <= maxSearchedExecutors
             ? chooseIn(executors)
@@ -195,17 +192,42 @@
     return isSaved && forecast.value * (1 - lateValueShare) > options.preemptionMargin * cost;
 };
 
-/** Preempts lower priorities for an urgent unit if that is worthwhile. */
-const tryPreempt = (state: PassState, { ranked, sets }: PlacementRequest, count: number, waitMs: Millis): boolean => {
-    if (!isUrgent(ranked.unit) || !isPreemptionWorthwhile(state, ranked, waitMs, 0)) {
+/**
+ * Claims the earliest fit of an urgent unit as running work completes, if that is in time. The claim covers
+ * what is free now and what completes later, so that no other work delays the unit or takes its part.
+ */
+const waitForRoom = (state: PassState, { ranked, sets }: PlacementRequest, count: number): boolean => {
+    const fit = fitWithin(state, ranked, sets.preferred, count, longestWaitMs(state, ranked));
+    if (fit === undefined) {
         return false;
     }
-    const victims = cheapestVictims(state, ranked, sets.preferred, count, false);
-    if (victims === undefined || !isPreemptionWorthwhile(state, ranked, waitMs, victims.cost)) {
-        return false;
+    claim(ranked, assignmentsOf(state, ranked.unit, count, fit));
+    return true;
+};
+
+/**
+ * Preempts lower priorities for an urgent unit if that is worthwhile and running work does not complete in time. The
+ * given wait covers fewer executors, so it may be longer than that.
+ */
+const tryPreempt = (
+    state: PassState,
+    request: PlacementRequest,
+    count: number,
+    waitMs: Millis,
+): WaitKind | undefined => {
+    const { ranked, sets } = request;
+    if (!isUrgent(ranked.unit) || !isPreemptionWorthwhile(state, ranked, waitMs, 0)) {
+        return undefined;
+    }
+    if (waitForRoom(state, request, count)) {
+        return "reserved";
+    }
+    const victims = cheapestVictims(state, ranked, sets.preferred, count, FIRST_LIMITS);
+    if (victims === undefined || !isPreemptionWorthwhile(state, ranked, waitMs, victims.loss)) {
+        return undefined;
     }
     preempt(state, ranked, sets.preferred, count, victims);
-    return true;
+    return "stopping";
 };
 
 /**
@@ -299,9 +321,9 @@
     { ranked }: PlacementRequest,
     sets: readonly (readonly ExecutorResources[])[],
     count: number,
-    mayStopUrgent: boolean,
+    limits: VictimLimits,
 ): boolean => {
-    const victims = cheapestVictims(state, ranked, sets, count, mayStopUrgent);
+    const victims = cheapestVictims(state, ranked, sets, count, limits);
     if (victims === undefined) {
         return false;
     }
@@ -311,7 +333,8 @@
 
 /**
  * Makes room for a unit with a guarantee: preempts lower priorities on the preferred executors, then starts or preempts
- * on the fallback executors, and at last preempts urgent work without a guarantee.
+ * on the fallback executors, and at last preempts urgent work without a guarantee. Runs that were restarted too often
+ * are stopped only where the others do not suffice.
  */
 const enforceGuarantee = (
     state: PassState,
@@ -319,7 +342,11 @@
     keys: readonly string[],
 ): WaitKind | undefined => {
     const { preferred } = request.sets;
-    if (preemptCheapest(state, request, preferred, keys.length, false)) {
+    if (
+        preemptCheapest(state, request, preferred, keys.length, FIRST_LIMITS)
+        || hasRepeatedRuns(state)
+            && preemptCheapest(state, request, preferred, keys.length, { mayStopUrgent: false, mayStopRepeated: true })
+    ) {
         return "stopping";
     }
     const remainingKeys = startOnFallback(state, request, keys, Infinity);
@@ -331,7 +358,7 @@
         return "claimed";
     }
     for (const [sets, mayStopUrgent] of [[slowerSets, false], [preferred, true], [slowerSets, true]] as const) {
-        if (preemptCheapest(state, request, sets, remainingKeys.length, mayStopUrgent)) {
+        if (preemptCheapest(state, request, sets, remainingKeys.length, { mayStopUrgent, mayStopRepeated: true })) {
             return "stopping";
         }
     }
@@ -368,15 +395,17 @@
     const waitMs = fit?.inMs ?? Infinity;
     const isLateOnFallback = ranked.forecast.slackMs < fallbackDelayMs(state, request);
     const preemptsFirst = state.options.preemptsBeforeFallback && isLateOnFallback;
-    if (preemptsFirst && tryPreempt(state, request, keys.length, waitMs)) {
-        return "stopping";
+    const firstWait = preemptsFirst ? tryPreempt(state, request, keys.length, waitMs) : undefined;
+    if (firstWait !== undefined) {
+        return firstWait;
     }
     const blocked = startOnFallback(state, request, keys, waitMs);
     if (blocked.length === 0) {
         return undefined;
     }
-    if (tryPreempt(state, request, blocked.length, waitMs)) {
-        return "stopping";
+    const wait = tryPreempt(state, request, blocked.length, waitMs);
+    if (wait !== undefined) {
+        return wait;
     }
     if (fit === undefined || !needsReservation(ranked) || state.reservationCount >= state.options.maxReservations) {
         return "unplaced";
@@ -403,6 +432,9 @@
     if (remainingKeys.length === 0) {
         return undefined;
     }
+    if (isGuaranteed && waitForRoom(state, request, remainingKeys.length)) {
+        return "reserved";
+    }
     if (isUrgent(unit) && claimAfterStops(state, request, sets.preferred, remainingKeys.length)) {
         return "claimed";
     }
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -4,16 +4,22 @@
 import type { ReadyUnit } from "./readyUnits.js";
 import type { RunGroup } from "./runGroups.js";
 
+/** What stopping a run group costs. */
+export interface StopCost {
+    /** Value that is lost by this stop. */
+    readonly loss: number;
+    /** The loss, raised for earlier starts of the same tasks; victims are chosen by it. */
+    readonly cost: number;
+}
+
 /** A run group that may be preempted, with the cost of stopping it. */
-export interface Victim {
+export interface Victim extends StopCost {
     readonly group: RunGroup;
-    readonly cost: number;
 }
 
 /** Victims whose resources suffice for all requested tasks, with their total cost. */
-export interface VictimSet {
+export interface VictimSet extends StopCost {
     readonly groups: readonly RunGroup[];
-    readonly cost: number;
 }
 
 interface VictimSearch {
@@ -178,5 +184,10 @@
             setChosen(search, victim, 1);
         }
     }
-    return { groups: [...search.chosen].map(({ group }) => group), cost: totalCost(search.chosen) };
+    const chosen = [...search.chosen];
+    return {
+        groups: chosen.map(({ group }) => group),
+        loss: chosen.reduce((sum, { loss }) => sum + loss, 0),
+        cost: totalCost(chosen),
+    };
 };
