--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -16,7 +16,7 @@
     readonly jobs: ActiveJobs;
     readonly context: ControllerContext;
     readonly epoch: number;
-    readonly controllerLease: ControllerLease;
+    readonly controllerLease: Pick<ControllerLease, "isValid">;
     /** Called when an order has to wait for a term renewal. */
     readonly onRenewalNeeded: () => void;
     readonly connectionOf: (vm: string) => AgentConnection | undefined;
--- a/packages/control/tests/orderSender.test.ts
+++ b/packages/control/tests/orderSender.test.ts
@@ -4,7 +4,6 @@
 import type { AdviceCache } from "../src/adviceCache.js";
 import type { AgentConnection } from "../src/agentTask.js";
 import type { ControllerContext } from "../src/controllerContext.js";
-import type { ControllerLease } from "../src/controllerLease.js";
 import { EvacuationHolder } from "../src/evacuationHolder.js";
 import type { ExecutorState, TrackedRun } from "../src/executorState.js";
 import { OrderSender } from "../src/orderSender.js";
@@ -47,7 +46,7 @@
             jobs: jobs as never,
             context: { clock, logger: silentLogger, evacuation: this.evacuation } as unknown as ControllerContext,
             epoch: 1,
-            controllerLease: this.lease as ControllerLease,
+            controllerLease: this.lease,
             onRenewalNeeded: () => undefined,
             connectionOf: () => connection as unknown as AgentConnection,
             onChanged: () => undefined,
