--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -17,8 +17,8 @@
     readonly waitsBeforePreemption: boolean;
     /**
      * Added to the cost by which victims are chosen for each earlier start of the task, and for the mean of the earlier
-     * starts of its step, as a share of the cost of losing a whole run. At 0.2, a run that was restarted once and has
-     * just begun ranks with a first run that is a fifth done.
+     * starts of its step, as a share of the cost of losing a whole run. At 0.1, a run that was restarted once and has
+     * just begun ranks with a first run that is a tenth done.
      */
     readonly repeatedStopShare: number;
     /** A run whose task was started more often than this is stopped for a guarantee only if nothing else suffices. */
@@ -70,7 +70,7 @@
     lostCoreSecondCost: 0.0022,
     preemptionMargin: 2,
     waitsBeforePreemption: true,
-    repeatedStopShare: 0.2,
+    repeatedStopShare: 0.1,
     maxPreemptedRuns: 3,
     preemptsBeforeFallback: true,
     urgencyScaleMs: 4_000,
