feat(dispatch): choose the order of ordinary work by an option

Admission has to compare weighted tardiness, value per core-second, earliest deadline and least slack on the same load. The order of work with an open deadline is therefore a table by the option unitOrder, whose default keeps the present order.

--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -1,11 +1,16 @@
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 
+/** Rule by which work within its deadlines is ordered. */
+export type UnitOrder = "weightedTardiness" | "valuePerWork" | "earliestDeadline" | "leastSlack";
+
 /** Parameters of the decisions. */
 export interface DispatchOptions {
     /** Value of a job of mean work, by the priority of its queue; the last entry applies to all further priorities. */
     readonly valueByPriority: readonly number[];
     /** Share of its value that a late job still earns, by priority. */
     readonly lateValueShareByPriority: readonly number[];
+    /** Order of the work that is neither guaranteed nor urgent. */
+    readonly unitOrder: UnitOrder;
     /** Cost of one core-second of lost work. */
     readonly lostCoreSecondCost: number;
     /**
@@ -57,6 +62,7 @@
 export const DEFAULT_DISPATCH_OPTIONS: DispatchOptions = {
     valueByPriority: [4, 3, 1],
     lateValueShareByPriority: [0.15, 0.33],
+    unitOrder: "weightedTardiness",
     lostCoreSecondCost: 0.0022,
     preemptionMargin: 2,
     preemptsBeforeFallback: true,
--- a/packages/dispatch/src/fakeCluster.ts
+++ b/packages/dispatch/src/fakeCluster.ts
@@ -121,7 +121,10 @@
             this.advance();
             if (this.now >= this.nextPassAt) {
                 this.nextPassAt = this.now + (this.options.idlePassMs ?? TICK_MS);
-                const { decisions, skippedSearches } = runPass(this.view(), this.options.dispatch);
+                const { decisions, skippedSearches } = runPass(
+                    { ...this.view(), searchTurns: this.searchTurns.next(DEFAULT_DISPATCH_OPTIONS.maxSearchTurns) },
+                    this.options.dispatch,
+                );
                 this.searchTurns.record(skippedSearches);
                 decisions.forEach(decision => {
                     this.apply(decision);
@@ -131,7 +134,8 @@
         }
     }
 
-    private view(): DispatchView {
+    /** The jobs, runs and executors as a pass sees them. */
+    view(): DispatchView {
         const { executors, teams, timings } = this.options;
         const runs = executors.map((): FakeRun[] => []);
         for (const run of this.groups.flatMap(({ members }) => members)) {
@@ -143,7 +147,6 @@
             timings,
             teams,
             samples: this.samples,
-            searchTurns: this.searchTurns.next(DEFAULT_DISPATCH_OPTIONS.maxSearchTurns),
             jobs: [...this.jobs.values()],
             executors: executors.map((executor, index) => ({
                 ...executor,
--- a/packages/dispatch/src/guarantees.ts
+++ b/packages/dispatch/src/guarantees.ts
@@ -4,7 +4,7 @@
 import type { ReadyUnit } from "./readyUnits.js";
 
 /** Accelerators that an occurrence can still use at one time: those of its largest step that is not done. */
-const neededAccelerators = ({ view, doneSteps }: OpenOccurrence): number =>
+export const neededAccelerators = ({ view, doneSteps }: OpenOccurrence): number =>
     view.job.steps.reduce(
         (most, { count, demand }, index) =>
             doneSteps[index] === true ? most : Math.max(most, count * demand.accelerators),
@@ -19,7 +19,7 @@
 
 /** Ids of the occurrences of priority 0 that, oldest first, fit within the guaranteed accelerators of their teams. */
 export const guaranteedOccurrences = (
-    { teams }: DispatchView,
+    { teams }: Pick<DispatchView, "teams">,
     occurrences: readonly OpenOccurrence[],
 ): ReadonlySet<string> => {
     const unusedByTeam = new Map(teams.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]));
--- a/packages/dispatch/src/occurrenceForecasts.ts
+++ b/packages/dispatch/src/occurrenceForecasts.ts
@@ -20,6 +20,8 @@
     readonly deadlineStatus: DeadlineStatus;
     /** Value that it earns if it completes on time. */
     readonly value: number;
+    /** Time until its deadline; negative once it has passed. */
+    readonly dueInMs: Millis;
     /** How long it can wait and still complete on time; negative if it will be late. */
     readonly slackMs: Millis;
     /** How long it can wait and still earn its value for late completion. */
@@ -29,7 +31,7 @@
 }
 
 /** An occurrence that takes more than this many times its allowed time earns nothing. */
-const LATE_FACTOR = 3;
+export const LATE_FACTOR = 3;
 
 /** Value of a job without work, as a share of the value of a job of mean work in its queue. */
 const BASE_VALUE_SHARE = 0.3;
@@ -73,7 +75,7 @@
 };
 
 /** Number of tasks of a step that are neither placed nor done. */
-const countUnplacedTasks = ({ view, occurrence }: OpenOccurrence, stepIndex: number): number => {
+export const countUnplacedTasks = ({ view, occurrence }: OpenOccurrence, stepIndex: number): number => {
     const step = view.job.steps[stepIndex];
     let unplaced = 0;
     for (const key of step === undefined ? [] : stepKeys(step, occurrence, stepIndex)) {
@@ -120,6 +122,7 @@
         return {
             deadlineStatus: deadlineStatusOf(slackMs, lateSlackMs, onTimeTolerance * chainMs),
             value: byPriority(valueByPriority, queue.priority) * (BASE_VALUE_SHARE + (1 - BASE_VALUE_SHARE) * share),
+            dueInMs: allowedMs - elapsedMs,
             slackMs,
             lateSlackMs,
             remainingWork: workOf(view, runTimes, isUnfinished),
--- a/packages/dispatch/src/unitOrder.ts
+++ b/packages/dispatch/src/unitOrder.ts
@@ -1,4 +1,4 @@
-import { byPriority, type DispatchOptions } from "./dispatchOptions.js";
+import { byPriority, type DispatchOptions, type UnitOrder } from "./dispatchOptions.js";
 import type { JobView } from "./dispatchView.js";
 import { groupBy } from "./groupBy.js";
 import { compareByStart, isGuaranteedStart } from "./guarantees.js";
@@ -41,14 +41,25 @@
     { urgencyScaleMs }: DispatchOptions,
 ): number => value / Math.max(1, remainingWork) * Math.exp(-Math.max(0, slackMs) / urgencyScaleMs);
 
+/** Rank of ordinary work that can be on time, by the rule of the order; lower ranks come first. */
+const ORDINARY_RANKS: {
+    readonly [K in UnitOrder]: (forecast: OccurrenceForecast, factor: number, options: DispatchOptions) => number;
+} = {
+    weightedTardiness: ({ value, remainingWork, slackMs }, factor, options) =>
+        -tardinessIndex(factor * value, remainingWork, slackMs, options),
+    valuePerWork: ({ value, remainingWork }, factor) => -factor * value / Math.max(1, remainingWork),
+    earliestDeadline: ({ dueInMs }) => dueInMs,
+    leastSlack: ({ slackMs }) => slackMs,
+};
+
 type RankHandler = (forecast: OccurrenceForecast, priority: number, factor: number, options: DispatchOptions) => Rank;
 
 /** Computes the rank of a unit by the deadline status of its occurrence. */
 const RANK_BY_STATUS: { readonly [K in DeadlineStatus]: RankHandler; } = {
-    onTime: ({ value, remainingWork, slackMs }, priority, factor, options) =>
+    onTime: (forecast, priority, factor, options) =>
         priority === 0
-            ? { tier: URGENT_TIER, rank: slackMs }
-            : { tier: ORDINARY_TIER, rank: -tardinessIndex(factor * value, remainingWork, slackMs, options) },
+            ? { tier: URGENT_TIER, rank: forecast.slackMs }
+            : { tier: ORDINARY_TIER, rank: ORDINARY_RANKS[options.unitOrder](forecast, factor, options) },
     // Late work competes by the value that it can still earn, without a discount for its remaining slack: a large job
     // that missed its deadline would otherwise wait behind all work that can still be on time.
     late: ({ value, remainingWork }, priority, factor, options) => {
