feat(control): publish the load of the cluster

Entries cannot tell how much work is ahead of a new job. It is written only where the deployment asks for it, because entries of the previous release log each row of an unknown kind.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -34,6 +34,8 @@
     readonly logger: Logger;
     readonly connect: ConnectLink;
     readonly random: () => number;
+    /** Whether this process, as the controller, publishes the load; by default it does not. */
+    readonly publishesLoad?: (() => boolean) | undefined;
     /** `undefined` if no advice service is configured. */
     readonly advice?: AdvicePort | undefined;
 }
@@ -222,6 +224,7 @@
                 announce: rows => {
                     this.announce(rows);
                 },
+                publishesLoad: this.options.publishesLoad,
                 isIsolated: () => this.peers.isIsolated,
                 shouldHandOver: () => this.suitability.shouldHandOver(),
             }, role);
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -1,8 +1,10 @@
+import { summarizeLoad } from "@persimmonpitch/admission/loadSummary.js";
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
 import { DEFAULT_DISPATCH_OPTIONS } from "@persimmonpitch/dispatch/dispatchOptions.js";
 import { runPass } from "@persimmonpitch/dispatch/dispatchPass.js";
+import type { DispatchView } from "@persimmonpitch/dispatch/dispatchView.js";
 import { isUrgent } from "@persimmonpitch/dispatch/readyUnits.js";
 import { SearchTurns } from "@persimmonpitch/dispatch/searchTurns.js";
 import type { ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
@@ -19,6 +21,7 @@
 import { JobLog } from "./jobLog.js";
 import { KeyedTasks } from "./keyedTasks.js";
 import { LeaseRenewer } from "./leaseRenewer.js";
+import { LoadPublisher } from "./loadPublisher.js";
 import type { OpenJob } from "./openJob.js";
 import { OrderSender } from "./orderSender.js";
 import { Pacer } from "./pacer.js";
@@ -57,6 +60,7 @@
     private readonly jobLog: JobLog;
     private readonly rowChanges: RowChangeHandler;
     private readonly tombstoneSweeper: TombstoneSweeper;
+    private readonly loadPublisher: LoadPublisher;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks: KeyedTasks;
     private readonly passSchedule: PassSchedule;
@@ -97,6 +101,15 @@
             },
         });
         this.tombstoneSweeper = new TombstoneSweeper({ ...context, roleVersion: role.rowVersion });
+        this.loadPublisher = new LoadPublisher({
+            ...context,
+            roleVersion: role.rowVersion,
+            isEnabled: context.publishesLoad ?? (() => false),
+            summarize: () => {
+                const view = this.buildView();
+                return view === undefined ? undefined : summarizeLoad(view, role.epoch);
+            },
+        });
         this.advice = new AdviceCache({
             port: context.advice,
             clock,
@@ -185,6 +198,7 @@
                 this.runPasses(roleSignal),
                 this.advice.run(roleSignal),
                 this.tombstoneSweeper.run(roleSignal),
+                this.loadPublisher.run(roleSignal),
                 this.logLoad(roleSignal),
             ]);
             stopListening.forEach(stop => {
@@ -358,13 +372,20 @@
         }
     }
 
-    private decide(): void {
+    private buildView(): DispatchView | undefined {
         const config = this.context.config.current;
-        if (config === undefined) {
+        return config === undefined
+            ? undefined
+            : buildDispatchView(this.context, config, this.jobs, this.cluster, this.advice.usableExecutors());
+    }
+
+    private decide(): void {
+        const current = this.buildView();
+        if (current === undefined) {
             return;
         }
         const view = {
-            ...buildDispatchView(this.context, config, this.jobs, this.cluster, this.advice.usableExecutors()),
+            ...current,
             searchTurns: this.searchTurns.next(DEFAULT_DISPATCH_OPTIONS.maxSearchTurns),
         };
         const startedAt = this.context.clock.now();
--- a/packages/control/src/controllerContext.ts
+++ b/packages/control/src/controllerContext.ts
@@ -35,6 +35,8 @@
     readonly isIsolated: () => boolean;
     /** Whether a peer on a much larger VM has been in reach for a while. */
     readonly shouldHandOver: () => boolean;
+    /** Whether the load is published for the admission of jobs; by default it is not. */
+    readonly publishesLoad?: (() => boolean) | undefined;
     /** `undefined` if no advice service is configured. */
     readonly advice?: AdvicePort | undefined;
 }
--- a/packages/control/src/replica.ts
+++ b/packages/control/src/replica.ts
@@ -1,3 +1,5 @@
+import type { LoadRow } from "@persimmonpitch/admission/loadRow.js";
+import { loadRowSchema } from "@persimmonpitch/admission/loadRow.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { JobProgress, TaskProgress } from "@persimmonpitch/workload/progress.js";
 import { progressRowSchema, taskRowSchema } from "@persimmonpitch/workload/progressRow.js";
@@ -44,6 +46,7 @@
     readonly entry: RowSet<ProcessRow>;
     readonly role: RowSet<RoleRow>;
     readonly term: RowSet<TermRow>;
+    readonly load: RowSet<LoadRow>;
 }
 
 const createRowSets = (): RowSets => ({
@@ -56,6 +59,7 @@
     entry: createRowSet<ProcessRow>(processRowSchema),
     role: createRowSet<RoleRow>(roleRowSchema),
     term: createRowSet<TermRow>(termRowSchema),
+    load: createRowSet<LoadRow>(loadRowSchema),
 });
 
 const isKind = (kind: string, rowSets: RowSets): kind is keyof RowSets => Object.hasOwn(rowSets, kind);
@@ -129,6 +133,11 @@
         return this.rowSets.term.rows.get("");
     }
 
+    /** The load of the cluster as the controller last published it. */
+    get load(): Versioned<LoadRow> | undefined {
+        return this.rowSets.load.rows.get("");
+    }
+
     /** Calls `listener` after each change. Returns a function that unsubscribes it. */
     listen(listener: ReplicaListener): () => void {
         this.listeners.add(listener);
--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -63,6 +63,7 @@
 export const rowKeys = {
     role: "role",
     term: "term",
+    load: "load",
     job: (jobId: string) => `job/${jobId}`,
     cancel: (jobId: string) => `cancel/${jobId}`,
     tombstone: (jobId: string, owner: JobOwner) => tombstoneKey(`${jobId}/${ownerKeyOf(owner)}`),
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -60,6 +60,8 @@
     readonly policy?: AdvicePolicy;
     /** Processors of the VMs of the entries, in cores. */
     readonly cores?: Readonly<Record<string, number>>;
+    /** Whether the controller publishes the load. */
+    readonly publishesLoad?: () => boolean;
     /** Names of the queues; by default, there is one. */
     readonly queues?: readonly string[];
 }
@@ -160,6 +162,7 @@
             connect: process.connect(this.connectFrom(name)),
             random: () => 0.5,
             advice: this.advice,
+            publishesLoad: this.options.publishesLoad,
         });
         this.nodes.set(name, node);
         void node.run();
