feat(gateway): refuse jobs by the forecast of the load

A cluster that cannot serve a job in time stored it all the same. With the setting admission, off by default, an entry decides by the row load and answers 429 with Retry-After from the forecast. The store is asked before a refusal, and ids that this entry tried to store pass, because a refusal must not hide a stored job.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type { RowTransaction, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import { err, ok } from "true-myth/result";
 import type { Result } from "true-myth/result";
+import { AdmissionGate } from "./admissionGate.js";
 import type { CommitOutcome } from "./commitWithRetry.js";
 import { commitWithRetry } from "./commitWithRetry.js";
 import { deriveJobState } from "./jobState.js";
@@ -34,14 +35,20 @@
     readonly storeClockOffsetMs: () => Millis;
     /** Applies rows that were just committed to the local replica and sends them to the other entries. */
     readonly publishRows: (rows: readonly StoredRow[]) => void;
+    /** Whether jobs are refused when the cluster is overloaded; by default they are not. */
+    readonly isAdmissionOn?: (() => boolean) | undefined;
+    readonly random?: (() => number) | undefined;
 }
 
 /** Authorizes requests and submits, reads and cancels jobs, independently of the transport. */
 export class Gateway {
     private readonly requestLog: RequestLog;
+    private readonly admissionGate: AdmissionGate;
 
     constructor(private readonly options: GatewayOptions) {
         this.requestLog = new RequestLog(options);
+        const { isAdmissionOn = () => false, random = Math.random } = options;
+        this.admissionGate = new AdmissionGate({ ...options, isAdmissionOn, random });
     }
 
     /** Determines the queue and the team of a request and checks its API key. */
@@ -75,6 +82,11 @@
         return this.requestLog.runLogged(operation, request, () => Promise.resolve(err(error)));
     }
 
+    /** Whole seconds after which a requester whose job was refused as `overloaded` may try again. */
+    retryAfterSeconds({ queue }: AuthorizedRequest): number {
+        return this.admissionGate.retryAfterSeconds(queue);
+    }
+
     /** Counts the jobs of the queue that have not started, ended or been cancelled. */
     countPending({ queue }: AuthorizedRequest): Result<number, GatewayError> {
         const { replica, isReady } = this.options;
@@ -128,16 +140,36 @@
             ...(team === undefined ? {} : { team }),
             acceptedAt: this.storeTime(),
         };
+        if (!this.admissionGate.accepts(job, queue)) {
+            return this.refuseUnlessStored(request);
+        }
         const key = rowKeys.job(jobId);
         const committed = await this.commit({
             expected: [{ key, version: 0 }, { key: rowKeys.tombstone(jobId, owner), version: 0 }],
             puts: [{ key, value: JSON.stringify(job) }],
         });
+        if (committed.isOk && committed.value.kind === "committed") {
+            this.admissionGate.recordStored(job, queue);
+        }
         return committed.andThen(outcome =>
             outcome.kind === "committed" ? ok(undefined) : explainRefusedSubmission(outcome.rows, request)
         );
     }
 
+    /**
+     * Refuses a job that is not stored. The replica may lag behind the store, and an earlier submission of the same id
+     * may have been stored through another entry, so the store is asked.
+     */
+    private async refuseUnlessStored(request: AuthorizedRequest): Promise<Result<void, GatewayError>> {
+        const key = rowKeys.job(request.jobId);
+        const page = await this.options.store.scan({ from: key, to: `${key}\u0000`, limit: 1 });
+        if (page.isErr) {
+            return err("unavailable");
+        }
+        const job = findJobRow(page.value.rows, request.jobId);
+        return job === undefined ? err("overloaded") : checkRepeatedSubmission(job, request);
+    }
+
     private async lookUpJobState(request: AuthorizedRequest): Promise<Result<JobState, GatewayError>> {
         const { replica } = this.options;
         const found = await this.findJob(request);
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -25,6 +25,7 @@
     cancelled: "info",
     idInUse: "info",
     tooManyCancellations: "warn",
+    overloaded: "info",
     rejected: "info",
 };
 
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -15,6 +15,8 @@
     | "idInUse"
     /** The requester has cancelled too many jobs that are not stored; this one is not cancelled. */
     | "tooManyCancellations"
+    /** The cluster cannot serve the job in time. It is not stored and never runs. */
+    | "overloaded"
     /** The store rejects this job permanently; a retry does not help. */
     | "rejected";
 
