fix(admission): refuse only jobs that end too late to earn anything

A job that competes with urgent work short of accelerators was refused, too. A refusal is logged once the store has confirmed that the job is not stored, as a repeat was logged as refused before.

--- a/packages/admission/src/admissionDecision.ts
+++ b/packages/admission/src/admissionDecision.ts
@@ -54,8 +54,6 @@
     readonly limitMs: Millis;
     readonly acceleratorSeconds: number;
     readonly value: number;
-    /** Accelerators that more valuable work lacks now. */
-    readonly lacking: number;
 }
 
 /** Why a job is accepted. */
@@ -75,8 +73,8 @@
     | "useful"
     | "guaranteed";
 
-/** Why a job is refused: it earns nothing, or it takes accelerators that more valuable work lacks. */
-export type RefuseReason = "tooLate" | "displaces";
+/** Why a job is refused: it would end too late to earn anything. */
+export type RefuseReason = "tooLate";
 
 export type AdmissionDecision =
     | { readonly kind: "accept"; readonly reason: AcceptReason; }
@@ -126,9 +124,6 @@
     const waitMs = waitAheadMs(service, recent, priorityClass);
     // Declared run times are often too short, which would make the deadline too early.
     const pathMs = Math.max(work.pathMs, typicalMs);
-    const pressing = sum(
-        service.priorities.filter(({ priority }) => priority < priorityClass).map(load => load.pressing),
-    );
     return {
         view,
         service,
@@ -144,7 +139,6 @@
             limitMs: LATE_FACTOR * (queue.slackFactor * pathMs + queue.targetLatencyMs),
             acceleratorSeconds: work.acceleratorSeconds,
             value,
-            lacking: Math.max(0, pressing - freeAccelerators),
         },
     };
 };
@@ -172,8 +166,6 @@
 
 const REFUSE_RULES: RefuseRules = {
     tooLate: ({ figures: { endMs, limitMs } }) => endMs > limitMs,
-    // Work of lower priority numbers that must start now is more valuable than the job by its queue.
-    displaces: ({ figures: { lacking } }) => lacking > 0,
 };
 
 const findRule = <Rules extends Readonly<Record<string, (context: Context) => boolean>>>(
@@ -183,8 +175,7 @@
 
 /**
  * Decides whether a job that is not stored yet is accepted. It addresses a saturated cluster, where a job that ends too
- * late to earn anything, or that takes accelerators from more valuable work, costs callers more than its refusal. Every
- * doubt is decided in favour of the job.
+ * late to earn anything takes accelerators from others. Every doubt is decided in favour of the job.
  */
 export const decideAdmission = (view: AdmissionView): AdmissionDecision => {
     const { forecast, now, queue } = view;
--- a/packages/admission/src/loadRow.ts
+++ b/packages/admission/src/loadRow.ts
@@ -15,8 +15,6 @@
     waiting: z.number().nonnegative(),
     /** Work without a run that ends too late to earn anything, or that no known executor can run. */
     hopeless: z.number().nonnegative(),
-    /** Accelerators that ready tasks need now to be on time, or as soon as possible because they are late. */
-    pressing: z.number().nonnegative(),
     /** Accelerators that the guarantees of teams hold. */
     guaranteed: z.number().nonnegative(),
     /** Mean length of the critical path of the jobs. */
--- a/packages/admission/src/loadSummary.ts
+++ b/packages/admission/src/loadSummary.ts
@@ -1,4 +1,3 @@
-import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { criticalPathMs } from "@persimmonpitch/dispatch/criticalPath.js";
 import { DEFAULT_DISPATCH_OPTIONS } from "@persimmonpitch/dispatch/dispatchOptions.js";
 import type { DispatchView, ExecutorView, JobView } from "@persimmonpitch/dispatch/dispatchView.js";
@@ -7,7 +6,6 @@
 import { countUnplacedTasks, forecastOccurrences, occurrenceId } from "@persimmonpitch/dispatch/occurrenceForecasts.js";
 import type { OpenOccurrence } from "@persimmonpitch/dispatch/openOccurrences.js";
 import { openOccurrences } from "@persimmonpitch/dispatch/openOccurrences.js";
-import { isStepReady } from "@persimmonpitch/dispatch/readyUnits.js";
 import { findRunSteps, runGroups } from "@persimmonpitch/dispatch/runGroups.js";
 import type { RunTimes } from "@persimmonpitch/dispatch/runTimes.js";
 import { estimateRunTimes } from "@persimmonpitch/dispatch/runTimes.js";
@@ -15,9 +13,6 @@
 import { priorityClassOf, valuePerWork } from "./jobWork.js";
 import type { LoadRow, PriorityLoad, ServiceLoad } from "./loadRow.js";
 
-/** Work that would be late if it started this much later counts as pressing. */
-const PRESSING_SLACK_MS: Millis = 1_000;
-
 /** Published values per accelerator-second are multiples of one millionth, which keeps the row small. */
 const VALUE_STEPS = 1_000_000;
 
@@ -28,7 +23,6 @@
     running: 0,
     waiting: 0,
     hopeless: 0,
-    pressing: 0,
     guaranteed: 0,
     pathMs: 0,
     leastValue: undefined,
@@ -71,7 +65,7 @@
 const addOccurrence = (
     load: MutableLoad,
     openOccurrence: OpenOccurrence,
-    { deadlineStatus, slackMs }: OccurrenceForecast,
+    { deadlineStatus }: OccurrenceForecast,
     runTimes: RunTimes,
     largestExecutor: number,
 ): void => {
@@ -91,9 +85,6 @@
         }
         const unplaced = countUnplacedTasks(openOccurrence, index);
         load[isUsable ? "waiting" : "hopeless"] += unplaced * secondsPerTask;
-        if (isUsable && slackMs <= PRESSING_SLACK_MS && isStepReady(openOccurrence, step, index)) {
-            load.pressing += unplaced * step.demand.accelerators;
-        }
     });
     load.jobs += 1;
     load.pathMs += criticalPathMs(
--- a/packages/admission/tests/overloadReplay.ts
+++ b/packages/admission/tests/overloadReplay.ts
@@ -115,6 +115,8 @@
     /** Share of the jobs of each priority that ended on time, ended late but earned, earned nothing, were refused. */
     readonly byPriority: readonly (readonly [number, number, number, number])[];
     readonly refusals: number;
+    /** Number of decisions by priority and reason. */
+    readonly reasons: Readonly<Record<string, number>>;
     readonly rows: number;
     readonly lostCoreSeconds: number;
 }
@@ -163,6 +165,7 @@
     let published: LoadRow | undefined;
     let rows = 0;
     let refusals = 0;
+    const reasons = new Map<string, number>();
     const pending = arrivals.map(arrival => ({ at: arrival.at, view: arrival.view, triesLeft: retries }));
     const submit = (one: (typeof pending)[number], now: number): void => {
         const job = { ...one.view.job, acceptedAt: now };
@@ -179,6 +182,8 @@
                 return view.queue.priority === 0 && isWithinGuarantee(teams, openJobs, view, now);
             },
         });
+        const reason = `${view.queue.name} ${decision.reason}`;
+        reasons.set(reason, (reasons.get(reason) ?? 0) + 1);
         const isUnwanted = decision.kind === "refuse" && refusedFor.includes(decision.reason);
         if (quota.record(view.queue.name, isUnwanted, now)) {
             refusals += 1;
@@ -246,6 +251,7 @@
             all.map(count => share(count, all)) as unknown as [number, number, number, number]
         ),
         refusals,
+        reasons: Object.fromEntries([...reasons].sort(([left], [right]) => left < right ? -1 : 1)),
         rows,
         lostCoreSeconds: Math.round(cluster.costs.lostCoreSeconds),
     };
--- a/packages/gateway/src/admissionGate.ts
+++ b/packages/gateway/src/admissionGate.ts
@@ -16,6 +16,9 @@
 /** Acceptances that are remembered. A forecast is replaced within seconds, so no more of them count at one time. */
 const MAX_REMEMBERED = 1_000;
 
+/** A decision to refuse a job. */
+export type Refusal = Extract<AdmissionDecision, { kind: "refuse"; }>;
+
 export interface AdmissionGateOptions {
     readonly replica: Replica;
     readonly config: ConfigHolder;
@@ -38,19 +41,24 @@
 
     constructor(private readonly options: AdmissionGateOptions) {}
 
-    /** Decides whether a job that is not stored is accepted, and logs a refusal with its figures. */
-    accepts(job: StepJob, queue: Queue): boolean {
+    /** Returns why a job is to be refused unless it is stored; `undefined` if it is accepted. */
+    findRefusal(job: StepJob, queue: Queue): Refusal | undefined {
         const { isAdmissionOn, clock } = this.options;
         if (!isAdmissionOn()) {
-            return true;
+            return undefined;
         }
         this.forgetAttempts();
-        if (!this.attempts.has(job.jobId) && this.isRefused(job, queue)) {
-            return false;
+        const refusal = this.attempts.has(job.jobId) ? undefined : this.decideWithinQuota(job, queue);
+        if (refusal === undefined) {
+            this.attempts.delete(job.jobId);
+            this.attempts.set(job.jobId, clock.now());
         }
-        this.attempts.delete(job.jobId);
-        this.attempts.set(job.jobId, clock.now());
-        return true;
+        return refusal;
+    }
+
+    /** Logs a refusal with its figures. */
+    logRefusal(job: StepJob, refusal: Refusal): void {
+        this.logDecision("job.refused", job, refusal);
     }
 
     /** Counts a job that was stored against the capacity of the forecast. */
@@ -78,13 +86,16 @@
         return retryAfterSeconds(forecastWaitMs(replica.load?.value, queue), queue.priority, random());
     }
 
-    private isRefused(job: StepJob, queue: Queue): boolean {
+    private decideWithinQuota(job: StepJob, queue: Queue): Refusal | undefined {
         const decision = this.decide(job, queue);
         const isRefused = this.quota.record(queue.name, decision.kind === "refuse", this.options.clock.now());
-        if (decision.kind === "refuse") {
-            this.logRefusal(job, decision, isRefused);
+        if (decision.kind === "accept") {
+            return undefined;
+        }
+        if (!isRefused) {
+            this.logDecision("job.refusalWithheld", job, decision);
         }
-        return isRefused;
+        return isRefused ? decision : undefined;
     }
 
     private forgetAttempts(): void {
@@ -134,26 +145,19 @@
         });
     }
 
-    private logRefusal(
-        { jobId }: StepJob,
-        { reason, figures }: Extract<AdmissionDecision, { kind: "refuse"; }>,
-        isRefused: boolean,
-    ): void {
-        const round = (ms: Millis): number => Math.round(ms);
+    private logDecision(event: string, { jobId }: StepJob, { reason, figures }: Refusal): void {
         const { replica, logger } = this.options;
-        // The refusal is withheld if the queue has reached its share of refusals; the job is then accepted.
-        logger.log("info", isRefused ? "job.refused" : "job.refusalWithheld", {
+        logger.log("info", event, {
             job: jobId,
             reason,
             loadAgeMs: figures.ageMs,
             loadEpoch: replica.load?.value.epoch,
             total: figures.totalAccelerators,
             free: figures.freeAccelerators,
-            lacking: figures.lacking,
-            waitMs: round(figures.waitMs),
-            endMs: round(figures.endMs),
-            limitMs: round(figures.limitMs),
-            work: round(figures.acceleratorSeconds),
+            waitMs: Math.round(figures.waitMs),
+            endMs: Math.round(figures.endMs),
+            limitMs: Math.round(figures.limitMs),
+            work: Math.round(figures.acceleratorSeconds),
         });
     }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type { RowTransaction, StoredRow } from "@persimmonpitch/workload/storedRow.js";
 import { err, ok } from "true-myth/result";
 import type { Result } from "true-myth/result";
+import type { Refusal } from "./admissionGate.js";
 import { AdmissionGate } from "./admissionGate.js";
 import type { CommitOutcome } from "./commitWithRetry.js";
 import { commitWithRetry } from "./commitWithRetry.js";
@@ -140,8 +141,9 @@
             ...(team === undefined ? {} : { team }),
             acceptedAt: this.storeTime(),
         };
-        if (!this.admissionGate.accepts(job, queue)) {
-            return this.refuseUnlessStored(request);
+        const refusal = this.admissionGate.findRefusal(job, queue);
+        if (refusal !== undefined) {
+            return this.refuseUnlessStored(request, job, refusal);
         }
         const key = rowKeys.job(jobId);
         const committed = await this.commit({
@@ -160,14 +162,22 @@
      * Refuses a job that is not stored. The replica may lag behind the store, and an earlier submission of the same id
      * may have been stored through another entry, so the store is asked.
      */
-    private async refuseUnlessStored(request: AuthorizedRequest): Promise<Result<void, GatewayError>> {
+    private async refuseUnlessStored(
+        request: AuthorizedRequest,
+        job: StepJob,
+        refusal: Refusal,
+    ): Promise<Result<void, GatewayError>> {
         const key = rowKeys.job(request.jobId);
         const page = await this.options.store.scan({ from: key, to: `${key}\u0000`, limit: 1 });
         if (page.isErr) {
             return err("unavailable");
         }
-        const job = findJobRow(page.value.rows, request.jobId);
-        return job === undefined ? err("overloaded") : checkRepeatedSubmission(job, request);
+        const storedJob = findJobRow(page.value.rows, request.jobId);
+        if (storedJob !== undefined) {
+            return checkRepeatedSubmission(storedJob, request);
+        }
+        this.admissionGate.logRefusal(job, refusal);
+        return err("overloaded");
     }
 
     private async lookUpJobState(request: AuthorizedRequest): Promise<Result<JobState, GatewayError>> {
