--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -1,3 +1,4 @@
+import { summarizeLoad } from "@persimmonpitch/admission/loadSummary.js";
 import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
@@ -23,6 +24,7 @@
 import { JobLog } from "./jobLog.js";
 import { KeyedTasks } from "./keyedTasks.js";
 import { LeaseRenewer } from "./leaseRenewer.js";
+import { LoadPublisher } from "./loadPublisher.js";
 import type { OpenJob } from "./openJob.js";
 import { OrderSender } from "./orderSender.js";
 import { Pacer } from "./pacer.js";
@@ -66,6 +68,7 @@
     private readonly jobLog: JobLog;
     private readonly rowChanges: RowChangeHandler;
     private readonly tombstoneSweeper: TombstoneSweeper;
+    private readonly loadPublisher: LoadPublisher;
     private readonly connections = new Map<string, AgentConnection>();
     private readonly agentTasks: KeyedTasks;
     private readonly passSchedule: PassSchedule;
@@ -109,6 +112,15 @@
             },
         });
         this.tombstoneSweeper = new TombstoneSweeper({ ...context, roleVersion: role.rowVersion });
+        this.loadPublisher = new LoadPublisher({
+            ...context,
+            roleVersion: role.rowVersion,
+            isEnabled: context.publishesLoad ?? (() => false),
+            summarize: () => {
+                const view = this.buildView();
+                return view === undefined ? undefined : summarizeLoad(view, role.epoch);
+            },
+        });
         this.advice = new AdviceCache({
             port: context.advice,
             clock,
@@ -201,6 +213,7 @@
                 this.runPasses(roleSignal),
                 this.advice.run(roleSignal),
                 this.tombstoneSweeper.run(roleSignal),
+                this.loadPublisher.run(roleSignal),
                 this.logLoad(roleSignal),
             ]);
             stopListening.forEach(stop => {
@@ -426,14 +439,22 @@
         }
     }
 
-    private decide(): void {
+    private buildView(): DispatchView | undefined {
         const config = this.context.config.current;
         // Without the operator's rows a start could violate an evacuation.
         if (config === undefined || this.context.evacuation.current === undefined) {
+            return undefined;
+        }
+        return buildDispatchView(this.context, config, this.jobs, this.cluster, this.advice.usableExecutors());
+    }
+
+    private decide(): void {
+        const current = this.buildView();
+        if (current === undefined) {
             return;
         }
         const view = {
-            ...buildDispatchView(this.context, config, this.jobs, this.cluster, this.advice.usableExecutors()),
+            ...current,
             searchTurns: this.searchTurns.next(DEFAULT_DISPATCH_OPTIONS.maxSearchTurns),
         };
         const startedAt = this.context.clock.now();
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -66,6 +66,8 @@
     readonly policy?: AdvicePolicy;
     /** Processors of the VMs of the entries, in cores. */
     readonly cores?: Readonly<Record<string, number>>;
+    /** Whether the controller publishes the load. */
+    readonly publishesLoad?: () => boolean;
     /** Names of the queues; by default, there is one. */
     readonly queues?: readonly string[];
     /** Data centres of the executors, by name; by default, "dc1". */
@@ -208,6 +210,7 @@
             connect: process.connect(this.connectFrom(name)),
             random: () => 0.5,
             advice: this.advice,
+            publishesLoad: this.options.publishesLoad,
         });
         this.nodes.set(name, node);
         void node.run();
