test(dispatch): check that guarantees preempt only if no run ends in time

A property over generated views guards against stops although room frees itself in time, and against waits that cannot end in time.

--- a/packages/dispatch/tests/lastResortPreemption.test.ts
+++ b/packages/dispatch/tests/lastResortPreemption.test.ts
@@ -55,6 +55,40 @@
     t.end();
 });
 
+// Guards against stops although room frees itself in time, and against waits that it does not.
+void t.test("a guaranteed unit preempts if and only if no run ends in time", t => {
+    const percentMs = 100;
+    // A stop timeout of 1 s and a margin of 0.6 s before the reclaim limit of 3 s; waits count 1.2 times.
+    const latestStopMs = 1_400;
+    const waitFactor = 1.2;
+    const input = fc.record({
+        percent: fc.integer({ min: 10, max: 99 }),
+        ageMs: fc.integer({ min: 0, max: RECLAIM_MS }),
+        executors: fc.integer({ min: 2, max: 5 }),
+        ending: fc.nat(),
+    });
+    fc.assert(
+        fc.property(input, ({ percent, ageMs, executors: count, ending }) => {
+            const first = ending % count;
+            const jobs = Array.from({ length: count }, (_, index) => onWhole(`low${index}`, index));
+            const executors = executorsOf(count, index => ({
+                runs: [
+                    index === first
+                        ? wholeRun(`low${index}`, percentMs * percent, percent)
+                        : wholeRun(`low${index}`, 1_000, 10),
+                ],
+            }));
+            const stops = stopsOf([...jobs, guaranteed("urgent", START - ageMs, 30_000)], executors);
+            const isInTime = waitFactor * percentMs * (100 - percent) <= latestStopMs - ageMs;
+            if ((stops.length === 0) !== isInTime) {
+                throw new Error(`${stops.length} stops at ${percent}% after ${ageMs} ms`);
+            }
+        }),
+        { seed: 20_264, numRuns: 500 },
+    );
+    t.end();
+});
+
 // Guards against reclaim limits that depend on estimates: runs that never end, and declared times that are far off.
 void t.test("guaranteed starts meet the reclaim limit whatever the estimates are", t => {
     const input = fc.record({
