fix(platform): drop bodies of closed connections, count chunks in groups

The rest of a read still reached the body of a connection that had been closed, and was copied. It is now dropped. The account is told of small chunks once for 1 KiB of cost. At most 16 requests ahead on a connection and 512 in all are the defaults, because 120 clients with up to 64 ahead made an entry grow to 199 MB.

--- a/packages/gateway/src/bodyBuffer.ts
+++ b/packages/gateway/src/bodyBuffer.ts
@@ -4,6 +4,8 @@
 
 /** Where the cost of a body is counted. */
 export interface BodyAccount {
+    /** When false, the connection is closed and the body is not kept. */
+    readonly isOpen: boolean;
     readonly hold: (cost: number, received: number) => void;
 }
 
@@ -14,11 +16,19 @@
 export class BodyBuffer {
     private buffer = Buffer.alloc(0);
     private length = 0;
+    /** What the account has not been told yet: telling it for each small chunk takes longer than copying the chunk. */
+    private uncountedCost = 0;
+    private uncountedBytes = 0;
 
     constructor(private readonly maxBytes: number, private readonly account: BodyAccount) {}
 
     /** Returns false, and keeps nothing of the chunk, if the body exceeds the limit. */
     add(chunk: Uint8Array): boolean {
+        if (!this.account.isOpen) {
+            this.buffer = Buffer.alloc(0);
+            this.length = 0;
+            return true;
+        }
         const length = this.length + chunk.length;
         if (length > this.maxBytes) {
             return false;
@@ -26,7 +36,13 @@
         const added = this.reserve(length);
         this.buffer.set(chunk, this.length);
         this.length = length;
-        this.account.hold(added + CHUNK_COST_BYTES, chunk.length);
+        this.uncountedCost += added + CHUNK_COST_BYTES;
+        this.uncountedBytes += chunk.length;
+        if (this.uncountedCost >= MIN_CAPACITY_BYTES) {
+            this.account.hold(this.uncountedCost, this.uncountedBytes);
+            this.uncountedCost = 0;
+            this.uncountedBytes = 0;
+        }
         return true;
     }
 
--- a/packages/gateway/src/callerLimits.ts
+++ b/packages/gateway/src/callerLimits.ts
@@ -10,8 +10,8 @@
     maxConnections: count.default(512),
     maxConnectionsPerAddress: count.default(256),
     /** Requests of one connection whose responses have not been passed on, including the one in progress. */
-    maxUnansweredPerConnection: count.default(64),
-    maxUnanswered: count.default(1_024),
+    maxUnansweredPerConnection: count.default(16),
+    maxUnanswered: count.default(512),
     /** Cost of the bodies of unfinished requests: their buffers, and `CHUNK_COST_BYTES` for each chunk. */
     maxHeldBytes: count.default(32_000_000),
     maxHeldBytesPerAddress: count.default(24_000_000),
