--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -19,6 +19,7 @@
 import type { ControllerContext, TakenRole } from "./controllerContext.js";
 import { ControllerLease } from "./controllerLease.js";
 import { DecisionApplier } from "./decisionApplier.js";
+import { EvacuationEnforcer } from "./evacuationEnforcer.js";
 import type { ExecutorState } from "./executorState.js";
 import { isOtherMachine } from "./isOtherMachine.js";
 import { JobLog } from "./jobLog.js";
@@ -34,7 +35,6 @@
 import { queueOfJob } from "./queueOfJob.js";
 import { Reconciler } from "./reconciler.js";
 import { RowChangeHandler } from "./rowChangeHandler.js";
-import { startsToWithdraw } from "./startWithdrawal.js";
 import { TermRenewer } from "./termRenewer.js";
 import { TombstoneSweeper } from "./tombstoneSweeper.js";
 
@@ -62,6 +62,7 @@
     private readonly orders: OrderSender;
     private readonly leaseRenewer: LeaseRenewer;
     private readonly reconciler: Reconciler;
+    private readonly evacuationEnforcer: EvacuationEnforcer;
     private readonly decisionApplier: DecisionApplier;
     private readonly advice: AdviceCache;
     private readonly pacer: Pacer;
@@ -188,6 +189,7 @@
                 this.jobLog.logEnd(openJob);
             },
         });
+        this.evacuationEnforcer = new EvacuationEnforcer({ ...context, cluster, jobs, orders });
         this.decisionApplier = new DecisionApplier({ cluster, jobs, orders, writer, logger });
     }
 
@@ -201,7 +203,7 @@
                 this.requestPass();
             }),
             this.context.evacuation.listen(() => {
-                this.withdrawStarts();
+                this.evacuationEnforcer.withdrawStarts();
                 this.requestPass();
             }),
         ];
@@ -345,7 +347,7 @@
         while (!signal.aborted) {
             this.passSchedule.begin();
             this.startAgentTasks();
-            this.withdrawStarts();
+            this.evacuationEnforcer.withdrawStarts();
             this.reconciler.markLapsedRunsLost();
             this.reconciler.reconcile();
             this.decide();
@@ -377,7 +379,7 @@
                 longestPassMs: Math.round(longestMs),
                 longestDelayMs: Math.round(longestDelayMs),
             });
-            this.logEvacuations();
+            this.evacuationEnforcer.logState();
         }
     }
 
@@ -402,37 +404,6 @@
         }
     }
 
-    /** Takes back the starts that an evacuation forbids. */
-    private withdrawStarts(): void {
-        const { evacuation, logger } = this.context;
-        const view = {
-            executors: this.cluster.executors,
-            jobs: this.jobs,
-            isEvacuated: (dataCentre: string) => evacuation.isEvacuated(dataCentre),
-        };
-        for (const tracked of startsToWithdraw(view)) {
-            const { jobId, task, run } = tracked;
-            logger.log("info", "run.stopping", { task, run, reason: "evacuated" });
-            this.jobs.byId.get(jobId)?.runStats.recordStop("evacuated");
-            this.orders.withdraw(tracked);
-        }
-    }
-
-    /** Logs what each evacuation concerns. One that concerns no executor may name a data centre that does not exist. */
-    private logEvacuations(): void {
-        const { evacuation, logger } = this.context;
-        for (const dataCentre of evacuation.current?.dataCentres ?? []) {
-            const states = [...this.cluster.executors.values()].filter(({ info }) => info?.dataCentre === dataCentre);
-            if (states.length === 0) {
-                logger.log("warn", "evacuation.unknownDataCentre", { dataCentre });
-            }
-            else {
-                const runs = states.reduce((sum, state) => sum + state.runs.size, 0);
-                logger.log("info", "evacuation.state", { dataCentre, executors: states.length, runs });
-            }
-        }
-    }
-
     private startAgentTasks(): void {
         for (const vm of this.context.replica.agents.keys()) {
             this.agentTasks.start(vm, signal => runAgentTask(this.context, vm, this.role.epoch, this, signal));
