--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -40,6 +40,14 @@
     semver: "module.exports = {};",
     // Addresses behind a trusted proxy.
     "@fastify/proxy-addr": "module.exports = {};",
+    // The runtime has a parser for query strings, too.
+    "fast-querystring": "module.exports = require(\"node:querystring\");",
+    // Routes given as regular expressions, of which there are none.
+    "safe-regex2": "module.exports = () => true;",
+    // A listing of all routes for people.
+    "./lib/pretty-print": "module.exports = { prettyPrintTree: () => \"\" };",
+    // Log lines with parts left out, which no logger here is asked for.
+    "@pinojs/redact": "module.exports = () => { throw new Error(\"Log lines are not redacted.\"); };",
     // Destinations of log lines; the programs write them themselves.
     "sonic-boom": "module.exports = class {};",
     "thread-stream": "module.exports = class {};",
@@ -50,7 +58,9 @@
     "node:worker_threads": "module.exports = { isMainThread: true };",
 };
 
-const smallModuleFilter = new RegExp(`^(${Object.keys(SMALL_MODULES).join("|")})$`);
+const smallModuleFilter = new RegExp(
+    `^(${Object.keys(SMALL_MODULES).map(name => name.replaceAll(".", "\\.")).join("|")})$`,
+);
 
 const smallModules = {
     name: "small-modules",
