--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { withAnySignal } from "@persimmonpitch/clock/withAnySignal.js";
+import type { DispatchOptions } from "@persimmonpitch/dispatch/dispatchOptions.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { StoredRow } from "@persimmonpitch/workload/storedRow.js";
@@ -38,6 +39,8 @@
     readonly random: () => number;
     /** Whether this process, as the controller, publishes the load; by default it does not. */
     readonly publishesLoad?: (() => boolean) | undefined;
+    /** Parameters of the decisions that differ from the defaults. */
+    readonly dispatchOptions?: (() => Partial<DispatchOptions>) | undefined;
     /** `undefined` if no advice service is configured. */
     readonly advice?: AdvicePort | undefined;
 }
@@ -230,6 +233,7 @@
                     this.announce(rows);
                 },
                 publishesLoad: this.options.publishesLoad,
+                dispatchOptions: this.options.dispatchOptions,
                 isIsolated: () => this.peers.isIsolated,
                 shouldHandOver: () => this.suitability.shouldHandOver(),
             }, role);
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -431,7 +431,10 @@
         const startedAt = this.context.clock.now();
         this.learnSpeeds(view);
         const { slowness } = this.cluster.samples.speeds;
-        const { decisions, waiting, skippedSearches } = runPass({ ...view, slowness });
+        const { decisions, waiting, skippedSearches } = runPass(
+            { ...view, slowness },
+            this.context.dispatchOptions?.(),
+        );
         this.searchTurns.record(skippedSearches);
         this.jobLog.logWaiting(waiting);
         this.isUrgentWorkWaiting = waiting.some(({ ranked }) => isUrgent(ranked.unit));
--- a/packages/control/src/controllerContext.ts
+++ b/packages/control/src/controllerContext.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { DispatchOptions } from "@persimmonpitch/dispatch/dispatchOptions.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { ConnectFailure } from "@persimmonpitch/protocol/plainTransport.js";
@@ -39,6 +40,8 @@
     readonly shouldHandOver: () => boolean;
     /** Whether the load is published for the admission of jobs; by default it is not. */
     readonly publishesLoad?: (() => boolean) | undefined;
+    /** Parameters of the decisions that differ from the defaults. */
+    readonly dispatchOptions?: (() => Partial<DispatchOptions>) | undefined;
     /** `undefined` if no advice service is configured. */
     readonly advice?: AdvicePort | undefined;
 }
--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -96,6 +96,13 @@
     slowFactor: 3,
 };
 
+/** Preempts for a guarantee at once, and chooses victims without regard to earlier stops. */
+export const PREEMPTS_AT_ONCE: Partial<DispatchOptions> = {
+    waitsBeforePreemption: false,
+    repeatedStopShare: 0,
+    maxPreemptedRuns: Infinity,
+};
+
 /** The entry of a table for a priority; the last entry applies to all further priorities. */
 export const byPriority = (table: readonly number[], priority: number): number =>
     table[Math.min(priority, table.length - 1)] ?? 0;
--- a/packages/dispatch/tests/lastResortPreemption.test.ts
+++ b/packages/dispatch/tests/lastResortPreemption.test.ts
@@ -1,6 +1,7 @@
 import { timingsSchema } from "@persimmonpitch/workload/timings.js";
 import fc from "fast-check";
 import t from "tap";
+import { PREEMPTS_AT_ONCE } from "../src/dispatchOptions.js";
 import { dispatchPass, runPass } from "../src/dispatchPass.js";
 import type { JobView } from "../src/dispatchView.js";
 import { FakeCluster } from "../src/fakeCluster.js";
@@ -44,6 +45,17 @@
     t.end();
 });
 
+// Guards against deployments that do not ask for the wait and get it nevertheless.
+void t.test("a guaranteed unit preempts at once if the wait is switched off", t => {
+    const view = viewOf(
+        [onWhole("ending", 0), guaranteed()],
+        executorsOf(1, () => ({ runs: [wholeRun("ending", 9_500, 95)] })),
+    );
+    t.same(dispatchPass(view).map(({ kind }) => kind), [], "by default it waits");
+    t.same(dispatchPass(view, PREEMPTS_AT_ONCE).map(({ kind }) => kind), ["stop"]);
+    t.end();
+});
+
 // Guards against a unit that waits for longer than its slack or its reclaim limit allow, by estimates that are wrong.
 void t.test("a guaranteed unit preempts if the wait is longer than its slack, and before its reclaim limit", t => {
     const jobs = [onWhole("ending", 0), onWhole("long", 1)];
