fix(dispatch): keep the earlier cost of a stop where waits before preemption are off

Where the wait is off, nothing spares runs that were stopped before. With the cost of the time since the last checkpoint alone, a run that has just saved its work would be the cheapest victim each time. A stop costs a whole checkpoint interval there, as before.

--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -18,6 +18,10 @@
      * loss.
      */
     readonly preemptionMargin: number;
+    /**
+     * Whether a stop of a run with checkpoints costs the time since the last one; otherwise it costs a whole interval.
+     */
+    readonly countsTimeSinceCheckpoint: boolean;
     /** Whether urgent work waits for running work to complete, if that is in time, before it preempts other work. */
     readonly waitsBeforePreemption: boolean;
     /**
@@ -75,6 +79,7 @@
     unitOrder: "weightedTardiness",
     lostCoreSecondCost: 0.0022,
     preemptionMargin: 2,
+    countsTimeSinceCheckpoint: true,
     waitsBeforePreemption: true,
     repeatedStopShare: 0.1,
     maxPreemptedRuns: 3,
@@ -96,8 +101,12 @@
     slowFactor: 3,
 };
 
-/** Preempts for a guarantee at once, and chooses victims without regard to earlier stops. */
+/**
+ * Preempts for a guarantee at once, and chooses victims without regard to earlier stops. Runs that have just saved their
+ * work are then not cheaper either, because nothing would keep the same run from being stopped again and again.
+ */
 export const PREEMPTS_AT_ONCE: Partial<DispatchOptions> = {
+    countsTimeSinceCheckpoint: false,
     waitsBeforePreemption: false,
     repeatedStopShare: 0,
     maxPreemptedRuns: Infinity,
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -28,9 +28,17 @@
  * Time of work that each member of a group loses if the group is stopped. With checkpoints it is the time since the
  * last one, so that runs that have just saved their work are stopped first.
  */
-const unsavedMs = ({ view: { now, timings } }: PassState, { step, workingSince }: RunGroup): Millis => {
+const unsavedMs = (
+    { view: { now, timings: { checkpointIntervalMs } }, options }: PassState,
+    { step, workingSince }: RunGroup,
+): Millis => {
     const elapsedMs = Math.max(0, now - (workingSince ?? now));
-    return step.hasCheckpoints ? elapsedMs % timings.checkpointIntervalMs : elapsedMs;
+    if (!step.hasCheckpoints) {
+        return elapsedMs;
+    }
+    return options.countsTimeSinceCheckpoint
+        ? elapsedMs % checkpointIntervalMs
+        : Math.min(elapsedMs, checkpointIntervalMs);
 };
 
 /** Number of tasks that a stop of the group ends. All members of a gang end, also those that no executor lists yet. */
