fix(dispatch,control): rotate a part of the calls for advice

Callers saw: in queues that require advice, an accepted job of a lower priority was never started on idle executors (LOST) while gangs of better priority waited for room that a lasting task holds.

Cause: calls to the advice service were spent by rank alone. The service takes one call at a time and tickets expire after seconds, so more blocked steps of better priority than fit into that time used every call. The cut to the 64 steps of best rank did the same within one priority: 80 jobs for a label that no executor has stopped all calls for the others.

Change: half of the calls go by rank as before; the others go in turn to a step that fits on free executors and to the step that has had no call for longest, so each of n waiting steps is asked about within 4 n calls. A step that cannot start whatever the service allows is not asked about. The cut to 64 steps is gone.

--- a/packages/control/src/adviceCache.ts
+++ b/packages/control/src/adviceCache.ts
@@ -3,9 +3,10 @@
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import { isAborted } from "@persimmonpitch/clock/isAborted.js";
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
+import { stepsInTurn } from "@persimmonpitch/dispatch/adviceTurns.js";
 import type { AdvisedExecutors, DispatchView } from "@persimmonpitch/dispatch/dispatchView.js";
-import type { StepNeedingAdvice } from "@persimmonpitch/dispatch/stepsNeedingAdvice.js";
-import { stepsNeedingAdvice } from "@persimmonpitch/dispatch/stepsNeedingAdvice.js";
+import type { AdviceHistory, StepNeedingAdvice } from "@persimmonpitch/dispatch/stepsNeedingAdvice.js";
+import { NEVER_ASKED, stepsNeedingAdvice } from "@persimmonpitch/dispatch/stepsNeedingAdvice.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { AdvicePolicy } from "@persimmonpitch/workload/clusterConfig.js";
 import { parseTaskName, stepName } from "@persimmonpitch/workload/taskName.js";
@@ -34,16 +35,18 @@
     readonly refreshAt: Millis;
 }
 
-interface StepAdvice {
+interface StepAdvice extends AdviceHistory {
     readonly jobId: string;
     calls: number;
+    lastAskedAt: Millis | undefined;
     readonly executors: Map<string, CachedAdvice>;
 }
 
 interface AdviceRequest {
     readonly step: StepNeedingAdvice;
     readonly executorIds: readonly string[];
-    readonly policy: AdvicePolicy | undefined;
+    /** Time of the view that the request was derived from, on its clock. */
+    readonly viewTime: Millis;
 }
 
 /** Identifies a claimed run. */
@@ -69,6 +72,8 @@
     private readonly steps = new Map<string, StepAdvice>();
     private readonly wake = new WakeSignal();
     private view: DispatchView | undefined;
+    /** Number of calls for all steps. */
+    private calls = 0;
     private hasWarned = false;
 
     constructor(private readonly options: AdviceCacheOptions) {}
@@ -130,10 +135,8 @@
 
     private async sendRequest(port: AdvicePort, request: AdviceRequest, signal: AbortSignal): Promise<boolean> {
         const { clock, logger, incarnationOf, onChanged } = this.options;
-        const { step: { name, jobId }, executorIds } = request;
-        const stepAdvice = this.steps.get(name) ?? { jobId, calls: 0, executors: new Map<string, CachedAdvice>() };
-        this.steps.set(name, stepAdvice);
-        stepAdvice.calls += 1;
+        const { step: { name, policy }, executorIds } = request;
+        const stepAdvice = this.recordCall(request);
         const incarnations = new Map(executorIds.map(id => [id, incarnationOf(id)]));
         const askedAt = clock.now();
         const advice = await port.ask(name, executorIds, signal);
@@ -147,24 +150,34 @@
             allowed: advice.value.allowed.length,
             ms: Math.round(clock.now() - askedAt),
         });
-        const adviceFor = adviceLookup(advice.value, clock.now(), request.policy);
+        const adviceFor = adviceLookup(advice.value, clock.now(), policy);
         executorIds.forEach(id => stepAdvice.executors.set(id, adviceFor(id, incarnations.get(id))));
         onChanged();
         return true;
     }
 
-    /** Returns a request for the most urgent step whose tickets do not cover all its waiting tasks. */
+    private recordCall({ step: { name, jobId }, viewTime }: AdviceRequest): StepAdvice {
+        const executors = new Map<string, CachedAdvice>();
+        const stepAdvice = this.steps.get(name) ?? { jobId, calls: 0, lastAskedAt: undefined, executors };
+        this.steps.set(name, stepAdvice);
+        this.calls += 1;
+        stepAdvice.calls += 1;
+        stepAdvice.lastAskedAt = viewTime;
+        return stepAdvice;
+    }
+
+    /** Returns a request for the step whose turn it is among those whose tickets do not cover all waiting tasks. */
     private nextRequest(): AdviceRequest | undefined {
         const { view } = this;
         if (view === undefined) {
             return undefined;
         }
         this.removeEndedSteps(view);
-        for (const step of stepsNeedingAdvice(view, name => this.steps.get(name)?.calls ?? 0)) {
+        const steps = stepsNeedingAdvice(view, name => this.steps.get(name) ?? NEVER_ASKED);
+        for (const step of stepsInTurn(steps, this.calls)) {
             const executorIds = this.executorsToAsk(step);
             if (executorIds.length > 0) {
-                const policy = view.jobs.find(({ queue }) => queue.name === step.queue)?.queue.advice;
-                return { step, executorIds, policy };
+                return { step, executorIds, viewTime: view.now };
             }
         }
         return undefined;
@@ -218,10 +231,10 @@
  * Validity counts from the arrival of the answer, because the service issues the tickets when it answers. At most half
  * of it is reserved for asking again, so that a short validity does not cause back-to-back calls.
  */
-const adviceLookup = ({ allowed, validityMs }: Advice, now: Millis, policy: AdvicePolicy | undefined) => {
+const adviceLookup = ({ allowed, validityMs }: Advice, now: Millis, policy: AdvicePolicy) => {
     const tickets = new Map(allowed.map(({ executorId, ticket }) => [executorId, ticket]));
     const usableUntil = now + validityMs - Math.min(START_MARGIN_MS, validityMs / 4);
-    const callMs = policy === undefined ? 0 : policy.decisionMs + MAX_EXECUTORS_PER_CALL * policy.perExecutorMs;
+    const callMs = policy.decisionMs + MAX_EXECUTORS_PER_CALL * policy.perExecutorMs;
     const refreshAt = usableUntil - Math.min(callMs, validityMs / 2);
     return (executorId: string, born: number | undefined): CachedAdvice => {
         const ticket = tickets.get(executorId);
--- a/packages/dispatch/src/readyUnits.ts
+++ b/packages/dispatch/src/readyUnits.ts
@@ -22,6 +22,9 @@
 /** Whether the unit has the highest priority, which may preempt lower ones and may hold guarantees. */
 export const isUrgent = ({ openOccurrence }: ReadyUnit): boolean => openOccurrence.view.queue.priority === 0;
 
+/** Number of tasks that have to start together: all of a gang, or one. */
+export const tasksAtOnce = ({ step, keys }: ReadyUnit): number => step.isGang ? keys.length : 1;
+
 /** Run number for the next start of the tasks: one above the highest run number of any of them. */
 export const nextRun = ({ openOccurrence }: ReadyUnit, keys: readonly string[]): number =>
     1 + keys.reduce((highest, key) => Math.max(highest, progressOf(openOccurrence.view, key).run), 0);
--- a/packages/dispatch/src/stepsNeedingAdvice.ts
+++ b/packages/dispatch/src/stepsNeedingAdvice.ts
@@ -1,5 +1,8 @@
+import type { Millis } from "@persimmonpitch/clock/clock.js";
+import type { AdvicePolicy } from "@persimmonpitch/workload/clusterConfig.js";
 import { stepKeys } from "@persimmonpitch/workload/stepKeys.js";
 import { stepName } from "@persimmonpitch/workload/taskName.js";
+import { AttainableRoom } from "./attainableRoom.js";
 import { slotsIn } from "./demand.js";
 import type { DispatchView } from "./dispatchView.js";
 import {
@@ -10,7 +13,7 @@
     slotsWhenEmpty,
 } from "./executorResources.js";
 import { type OpenOccurrence, openOccurrences, progressOf } from "./openOccurrences.js";
-import { isStepReady, type ReadyUnit, startableKeys, toReadyUnit } from "./readyUnits.js";
+import { isStepReady, type ReadyUnit, startableKeys, tasksAtOnce, toReadyUnit } from "./readyUnits.js";
 import { findRunSteps } from "./runGroups.js";
 
 /** An executor that may run a step if the advice service allows it. */
@@ -20,23 +23,31 @@
     readonly slots: number;
 }
 
+/** The calls that were made for a step. */
+export interface AdviceHistory {
+    readonly calls: number;
+    /** When the last call was made, on the clock of the view; undefined before the first one. */
+    readonly lastAskedAt: Millis | undefined;
+}
+
+/** The history of a step before its first call. */
+export const NEVER_ASKED: AdviceHistory = { calls: 0, lastAskedAt: undefined };
+
 /** A step whose queue requires advice before its tasks may start. */
 export interface StepNeedingAdvice {
     readonly jobId: string;
     readonly name: string;
-    readonly queue: string;
+    readonly policy: AdvicePolicy;
     /** Number of tasks that are neither placed nor done. */
     readonly waiting: number;
+    /** When the last call was made for the step; before the first one, since when its deadlines run. */
+    readonly lastAskedAt: Millis;
+    /** Whether the step is ready and free resources hold what starts at once: all of a gang, or one task. */
+    readonly hasRoom: () => boolean;
     /** Finds the executors that can hold a task of the step, those with the most slots first. */
     readonly candidates: () => readonly AdviceCandidate[];
 }
 
-/**
- * The advice service accepts a few calls per second and tickets expire after seconds, so more steps could not keep
- * valid tickets.
- */
-const MAX_STEPS = 64;
-
 /** A step to ask about; `isReady` is false if the steps before it are still running. */
 interface CandidateStep {
     readonly unit: ReadyUnit;
@@ -66,41 +77,54 @@
             : [{ unit: toReadyUnit(openOccurrence, stepIndex, step, keys), name, isReady }];
     });
 
+/** The fields by which steps are ranked, the first difference decides. */
+const rankOf = (
+    { unit: { openOccurrence }, isReady }: CandidateStep,
+    { calls }: AdviceHistory,
+): readonly number[] => [isReady ? 0 : 1, openOccurrence.view.queue.priority, calls, openOccurrence.startAt];
+
+const hasRoomFor = (executors: readonly ExecutorResources[], unit: ReadyUnit): boolean => {
+    let missing = tasksAtOnce(unit);
+    return executors.some(executor => {
+        missing -= isEligible(executor, unit) ? slotsFor(executor, unit, executor.free) : 0;
+        return missing <= 0;
+    });
+};
+
 /**
- * The steps that need advice, the most urgent first: ready steps before the steps that follow running ones, then by
- * priority, then by the number of calls already made for the step. Without the last rule, steps that wait for resources
- * would be asked about again and again, and other steps that fit would never be asked about.
+ * The steps that need advice, by rank: ready steps before the steps that follow running ones, then by priority, then by
+ * the number of calls already made for the step. Steps that cannot start whatever the service allows are left out.
  */
 export const stepsNeedingAdvice = (
     view: DispatchView,
-    callsOf: (step: string) => number,
+    historyOf: (step: string) => AdviceHistory,
 ): readonly StepNeedingAdvice[] => {
-    const advised = view.jobs.filter(({ queue }) => queue.advice !== undefined);
-    if (advised.length === 0) {
+    if (view.jobs.every(({ queue }) => queue.advice === undefined)) {
         return [];
     }
-    const urgency = (
-        { unit: { openOccurrence }, name, isReady }: CandidateStep,
-    ): readonly number[] => [
-        isReady ? 0 : 1,
-        openOccurrence.view.queue.priority,
-        callsOf(name),
-        openOccurrence.startAt,
-    ];
-    const byUrgency = openOccurrences(advised, view.now, view.wallTime)
-        .flatMap(candidateSteps)
-        .map(step => ({ step, urgency: urgency(step) }))
-        .sort((left, right) => compareLexicographically(left.urgency, right.urgency))
-        .slice(0, MAX_STEPS);
+    const occurrences = openOccurrences(view.jobs, view.now, view.wallTime);
     const runSteps = findRunSteps(view.executors, new Map(view.jobs.map(job => [job.job.jobId, job])));
     const executors = executorResources(view, runSteps, () => "healthy");
-    return byUrgency.map(({ step: { unit, name } }) => ({
-        jobId: unit.openOccurrence.view.job.jobId,
-        name,
-        queue: unit.openOccurrence.view.queue.name,
-        waiting: unit.keys.length,
-        candidates: () => candidatesIn(executors, unit),
-    }));
+    const room = new AttainableRoom(view, occurrences, executors, runSteps);
+    return occurrences
+        .filter(({ view: { queue } }) => queue.advice !== undefined)
+        .flatMap(candidateSteps)
+        .filter(({ unit }) => room.holds(unit))
+        .map(step => ({ step, history: historyOf(step.name) }))
+        .map(({ step, history }) => ({ step, history, rank: rankOf(step, history) }))
+        .sort((left, right) => compareLexicographically(left.rank, right.rank))
+        .flatMap(({ step: { unit, name, isReady }, history: { lastAskedAt } }) => {
+            const { openOccurrence: { view: { job, queue }, startAt }, keys } = unit;
+            return queue.advice === undefined ? [] : [{
+                jobId: job.jobId,
+                name,
+                policy: queue.advice,
+                waiting: keys.length,
+                lastAskedAt: lastAskedAt ?? startAt,
+                hasRoom: () => isReady && hasRoomFor(executors, unit),
+                candidates: () => candidatesIn(executors, unit),
+            }];
+        });
 };
 
 const candidatesIn = (executors: readonly ExecutorResources[], unit: ReadyUnit): readonly AdviceCandidate[] =>
--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -19,7 +19,7 @@
 import { assignmentsOf, fitWithin, longestWaitMs, STOP_MS, WAIT_FACTOR } from "./expectedRoom.js";
 import { type PassState, stopGroup, type WaitKind } from "./passState.js";
 import { hasRepeatedRuns, type VictimLimits, victimsFor } from "./preemption.js";
-import { isUrgent, nextRun, type ReadyUnit } from "./readyUnits.js";
+import { isUrgent, nextRun, type ReadyUnit, tasksAtOnce } from "./readyUnits.js";
 import { earliestFit, type FutureFit, reserveFit } from "./reservations.js";
 import type { RankedUnit } from "./unitOrder.js";
 import { chooseVictims, type VictimSet } from "./victims.js";
@@ -242,7 +242,7 @@
  */
 const startNow = (state: PassState, request: PlacementRequest, keys: readonly string[]): readonly string[] => {
     const { ranked: { unit }, ranked, sets, durationMs, fitKey } = request;
-    const minTasks = unit.step.isGang ? keys.length : 1;
+    const minTasks = tasksAtOnce(unit);
     if (hasFailedBefore(state, fitKey, minTasks, durationMs)) {
         return keys;
     }
--- a/packages/dispatch/tests/advice.test.ts
+++ b/packages/dispatch/tests/advice.test.ts
@@ -2,8 +2,8 @@
 import t from "tap";
 import { dispatchPass } from "../src/dispatchPass.js";
 import type { JobView } from "../src/dispatchView.js";
-import { stepsNeedingAdvice } from "../src/stepsNeedingAdvice.js";
-import type { JobInput } from "./dispatchFixture.js";
+import { NEVER_ASKED, stepsNeedingAdvice } from "../src/stepsNeedingAdvice.js";
+import type { JobInput, StepInput } from "./dispatchFixture.js";
 import { executorsOf, jobOf, linesOf, placedOn, QUEUES, runOf, START, viewOf } from "./dispatchFixture.js";
 
 t.formatSnapshot = value => String(value);
@@ -52,7 +52,10 @@
         runs: index === 0 ? [runOf("chain", "0.0.0")] : [],
         takesWork: index !== 2,
     }));
-    const demands = stepsNeedingAdvice(viewOf(jobs, executors), step => step === "tried.0.0" ? 1 : 0);
+    const demands = stepsNeedingAdvice(
+        viewOf(jobs, executors),
+        step => step === "tried.0.0" ? { calls: 1, lastAskedAt: START } : NEVER_ASKED,
+    );
     t.matchSnapshot(
         demands.map(({ name, waiting, candidates }) =>
             `${name} ${waiting}: ${candidates().map(({ executorId, slots }) => `${executorId} ${slots}`).join(", ")}`
@@ -60,3 +63,35 @@
     );
     t.end();
 });
+
+const WHOLE_EXECUTOR = { accelerators: 8 };
+
+// Guards against calls for work that no answer lets start, as a lasting task that it may not preempt holds its room, and
+// against work that may preempt that task, or waits for a task that ends, and is not asked about.
+void t.test("only steps that can get enough room need advice", t => {
+    const gang: StepInput = { count: 3, isGang: true, demand: WHOLE_EXECUTOR };
+    const running = (step: StepInput, priority: number): JobView =>
+        advisedJob({ id: "running", steps: [step], tasks: placedOn(0, "0.0.0") }, priority);
+    const waiting = [
+        advisedJob({ id: "guaranteed", team: "weavers", steps: [gang] }, 0),
+        advisedJob({ id: "urgent", steps: [gang] }, 0),
+        advisedJob({ id: "other", steps: [gang] }, 1),
+        advisedJob({ id: "single", steps: [{ demand: WHOLE_EXECUTOR }] }, 1),
+        advisedJob({ id: "limited", steps: [{ count: 3, isGang: true, maxPerExecutor: 1 }] }, 1),
+        advisedJob({ id: "too large", steps: [{ ...gang, count: 4 }] }, 1),
+    ];
+    const executors = executorsOf(3, index => ({ runs: index === 0 ? [runOf("running", "0.0.0")] : [] }));
+    const namesBeside = (step: StepInput, priority: number): string =>
+        stepsNeedingAdvice(viewOf([running(step, priority), ...waiting], executors), () => NEVER_ASKED)
+            .map(({ jobId }) => jobId)
+            .join(", ");
+    const lasting = { isLongRunning: true };
+    t.matchSnapshot(
+        [
+            `lasting, priority 0: ${namesBeside(lasting, 0)}`,
+            `lasting, priority 1: ${namesBeside(lasting, 1)}`,
+            `ends, priority 0: ${namesBeside({}, 0)}`,
+        ].join("\n"),
+    );
+    t.end();
+});
