refactor(control,gateway): find the queue of a job in one place

The view of a pass and the gate of admission looked it up beside queueOfJob. Decisions do not change; the tests of gateway and of removed queues pass as before.

--- a/packages/control/src/buildDispatchView.ts
+++ b/packages/control/src/buildDispatchView.ts
@@ -11,6 +11,7 @@
 import type { ClusterState } from "./clusterState.js";
 import type { ControllerContext } from "./controllerContext.js";
 import type { ExecutorState, TrackedRun } from "./executorState.js";
+import { queueFinder } from "./queueOfJob.js";
 
 /** Builds the input of a dispatch pass from the controller's state. */
 export const buildDispatchView = (
@@ -37,9 +38,9 @@
 };
 
 const jobViews = (config: ClusterConfig, jobs: ActiveJobs): readonly JobView[] => {
-    const queues = new Map(config.queues.map(queue => [queue.name, queue]));
+    const queueOf = queueFinder(config);
     return [...jobs.byId.values()].flatMap(openJob => {
-        const queue = queues.get(openJob.job.queue) ?? openJob.job.acceptedQueue;
+        const queue = queueOf(openJob.job);
         // Ended jobs stay in the view while they still have runs, because their demand still counts.
         return queue === undefined ? [] : [{ job: openJob.job, progress: openJob.progress, queue }];
     });
--- a/packages/gateway/src/admissionGate.ts
+++ b/packages/gateway/src/admissionGate.ts
@@ -6,6 +6,7 @@
 import { retryAfterSeconds } from "@persimmonpitch/admission/retryAfter.js";
 import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
 import type { ConfigHolder } from "@persimmonpitch/control/configHolder.js";
+import { queueFinder } from "@persimmonpitch/control/queueOfJob.js";
 import type { Replica } from "@persimmonpitch/control/replica.js";
 import type { JobView } from "@persimmonpitch/dispatch/dispatchView.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
@@ -135,9 +136,9 @@
      */
     private openJobsOf(team: string): readonly JobView[] {
         const { replica, config } = this.options;
-        const queues = new Map(config.current?.queues.map(queue => [queue.name, queue]));
+        const queueOf = queueFinder(config.current);
         return [...replica.jobs.values()].flatMap(({ value: job }) => {
-            const queue = queues.get(job.queue) ?? job.acceptedQueue;
+            const queue = queueOf(job);
             const progress = replica.progress.get(job.jobId)?.value ?? NO_PROGRESS;
             const isKnownOpen = progress.outcome === "open" && progress.split === undefined
                 && !replica.cancels.has(job.jobId);
