fix(control): count a listed run of an ended job by what the job asked for

Cause: the demand of a run that an executor lists without a claim was looked up among the active jobs alone. A job that has ended is not among them, so its run took the whole executor until a stop was answered, and no other work was placed there.

Change: the stored row of the job is used, which stays after its end. Only a run of a job that is not stored takes the whole executor.

--- a/packages/control/src/activeJobs.ts
+++ b/packages/control/src/activeJobs.ts
@@ -42,6 +42,11 @@
         return true;
     }
 
+    /** The job with the given ID if it is stored, whether it has ended or its progress cannot be read. */
+    storedJob(jobId: string): StepJob | undefined {
+        return this.byId.get(jobId)?.job ?? this.replica.jobs.get(jobId)?.value;
+    }
+
     /** Removes an ended job that has no runs left. */
     remove(jobId: string): void {
         this.byId.delete(jobId);
--- a/packages/control/src/clusterState.ts
+++ b/packages/control/src/clusterState.ts
@@ -178,7 +178,7 @@
             run,
             executorId: placement.executorId,
             born: placement.born,
-            demand: runDemand(openJob, key),
+            demand: runDemand(openJob.job, key),
             isBackground: stepOfKey(openJob, key)?.usesIdleCores ?? false,
             servingTargetMs: servingTargetOf(stepOfKey(openJob, key)),
             orderedAt: this.options.clock.now(),
--- a/packages/control/src/unclaimedRuns.ts
+++ b/packages/control/src/unclaimedRuns.ts
@@ -15,11 +15,11 @@
     }
 };
 
-/** Resources taken by a run without a claim: all of the executor if its job is unknown. */
+/** Resources taken by a run without a claim: all of the executor if its job is not stored. */
 const unclaimedDemand = (jobs: ActiveJobs, state: ExecutorState, task: string): Demand => {
     const parsed = parseTaskName(task);
-    const openJob = parsed === undefined ? undefined : jobs.byId.get(parsed.jobId);
-    return parsed === undefined || openJob === undefined
+    const job = parsed === undefined ? undefined : jobs.storedJob(parsed.jobId);
+    return parsed === undefined || job === undefined
         ? state.info?.capacity ?? { milliCores: 0, memoryMb: 0, accelerators: 0 }
-        : runDemand(openJob, parsed.key);
+        : runDemand(job, parsed.key);
 };
--- a/packages/control/tests/clusterStateFixture.ts
+++ b/packages/control/tests/clusterStateFixture.ts
@@ -12,6 +12,7 @@
 export interface RestoredCluster {
     readonly cluster: ClusterState;
     readonly openJob: OpenJob;
+    readonly jobs: ActiveJobs;
     readonly clock: FakeClock;
 }
 
@@ -40,5 +41,5 @@
         maxAttempts: () => maxAttempts,
         onChanged: () => undefined,
     });
-    return { cluster, openJob, clock };
+    return { cluster, openJob, jobs, clock };
 };
