test(control): what becomes of accepted jobs when the configuration changes

docs/callers.md has a table of five changes of the configuration and what becomes of an accepted job; only its first row had a test. The new cases rename the queue, remove its service, its team, and queue and team, and change the attempts of the queue. All pass on the code as it is, so no further lookup by name holds up an accepted job.

--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -82,8 +82,9 @@
     readonly event: string;
 }
 
-const queueOf = (name: string): ClusterConfig["queues"][number] =>
-    queueSchema.parse({ ...QUEUE, name, slackFactor: 3, targetLatencyMs: 0, isPublic: true });
+/** A queue of the fixture; it differs from the others in its name and in the given fields. */
+export const queueOf = (name: string, change: object = {}): ClusterConfig["queues"][number] =>
+    queueSchema.parse({ ...QUEUE, name, slackFactor: 3, targetLatencyMs: 0, isPublic: true, ...change });
 
 /** Key of the operator's configuration, which shares the table of the other rows here. */
 const CONFIG_KEY = "config";
@@ -185,7 +186,7 @@
         const { policy: advice, queues = [QUEUE.name] } = this.options;
         config.applyIfNewer({
             ...CONFIG,
-            queues: queues.map(queueOf).map(queue => advice === undefined ? queue : { ...queue, advice }),
+            queues: queues.map(name => queueOf(name, advice === undefined ? {} : { advice })),
         });
         const process = new PausableProcess(this.clock);
         this.processes.set(name, process);
@@ -289,7 +290,10 @@
         steps: readonly object[],
         work: object,
         client = "test",
-        queue: Pick<StepJob, "queue" | "acceptedQueue"> = { queue: QUEUE.name, acceptedQueue: queueOf(QUEUE.name) },
+        queue: Pick<StepJob, "queue" | "acceptedQueue" | "team"> = {
+            queue: QUEUE.name,
+            acceptedQueue: queueOf(QUEUE.name),
+        },
     ): Promise<void> {
         const job: StepJob = {
             ...submissionSchema.parse({ payload: JSON.stringify(work), steps }),
@@ -315,9 +319,19 @@
         await this.store.client("test").commit({ deletes: [`${EVACUATION_PREFIX}${dataCentre}`] });
     }
 
-    /** Writes a configuration that differs from the first one in its version and in the names of its queues. */
-    async putConfig(version: number, queues: readonly string[] = [QUEUE.name]): Promise<void> {
-        await this.putRow(CONFIG_KEY, JSON.stringify({ ...CONFIG, queues: queues.map(queueOf), version }));
+    /**
+     * Writes a configuration that differs from the first one in its version, in the names of its queues, and in the given
+     * fields.
+     */
+    async putConfig(
+        version: number,
+        queues: readonly string[] = [QUEUE.name],
+        change: Partial<ClusterConfig> = {},
+    ): Promise<void> {
+        await this.putRow(
+            CONFIG_KEY,
+            JSON.stringify({ ...CONFIG, queues: queues.map(name => queueOf(name)), ...change, version }),
+        );
     }
 
     /** Writes a job of a queue as an entry does, or as an entry of the release before that stored its queue by name. */
--- a/packages/control/tests/removedQueue.test.ts
+++ b/packages/control/tests/removedQueue.test.ts
@@ -1,5 +1,6 @@
+import type { ClusterConfig } from "@persimmonpitch/workload/clusterConfig.js";
 import t from "tap";
-import { Deployment } from "./deploymentFixture.js";
+import { Deployment, queueOf } from "./deploymentFixture.js";
 
 const SECOND = 1_000;
 const EXECUTORS = ["x1", "x2"];
@@ -68,3 +69,48 @@
     t.equal(deployment.outcome("failing"), "failed");
     t.equal(deployment.runs.length, 2, "the attempts that the queue allows");
 });
+
+const TEAM = { name: "weavers", apiKeys: [], guaranteedAccelerators: 8 };
+
+interface ConfigChange {
+    readonly name: string;
+    readonly queues: readonly string[];
+    readonly change: Partial<ClusterConfig>;
+}
+
+const CONFIG_CHANGES: readonly ConfigChange[] = [
+    { name: "its queue is renamed", queues: ["q", "labels"], change: { teams: [TEAM] } },
+    { name: "its service is removed", queues: QUEUES, change: { teams: [TEAM], services: [] } },
+    { name: "its team is removed", queues: QUEUES, change: {} },
+    { name: "queue and team are removed", queues: ["q"], change: {} },
+];
+
+// Guards against accepted jobs that never finish because the newest configuration no longer names what they belong to.
+for (const { name, queues, change } of CONFIG_CHANGES) {
+    void t.test(`an accepted job runs to its end: ${name}`, async t => {
+        const deployment = await startDeployment();
+        await deployment.putConfig(2, QUEUES, { teams: [TEAM] });
+        const steps = [SINGLE, { ...SINGLE, after: [0] }];
+        const acceptedQueue = queueOf("signs");
+        await deployment.putJob("chain", steps, { runMs: 4_000 }, "test", {
+            queue: "signs",
+            acceptedQueue,
+            team: TEAM.name,
+        });
+        await deployment.advance(2 * SECOND);
+        await deployment.putConfig(3, queues, change);
+        await deployment.advance(10 * SECOND);
+        t.equal(deployment.outcome("chain"), "completed");
+    });
+}
+
+// Guards against an accepted job that keeps the limits of its acceptance although its queue was changed.
+void t.test("a job runs by its queue as it is configured now", async t => {
+    const deployment = await startDeployment();
+    await deployment.putJobOf("signs", "failing", [SINGLE], { runMs: 4_000, fails: true });
+    await deployment.advance(2 * SECOND);
+    await deployment.putConfig(2, [], { queues: [queueOf("signs", { maxAttempts: 1 })] });
+    await deployment.advance(10 * SECOND);
+    t.equal(deployment.outcome("failing"), "failed");
+    t.equal(deployment.runs.length, 1, "the attempts that the queue allows now");
+});
