fix(control,dispatch): ask about all members of a gang in one call

Callers saw (simulated): six gangs of 64 members in a queue that requires advice never start on 70 idle executors.

Cause: a call for advice named at most 30 executors and was a turn by itself, so a gang of 64 needed three turns. The turns of the other gangs came between them, and the first tickets expired before the last came.

Change: a call names as many executors as hold all members of the gang when they are empty, at least 30 as before, at most the 100 that the service accepts.

--- a/packages/control/src/adviceCache.ts
+++ b/packages/control/src/adviceCache.ts
@@ -5,7 +5,7 @@
 import { WakeSignal } from "@persimmonpitch/clock/wakeSignal.js";
 import { stepsInTurn } from "@persimmonpitch/dispatch/adviceTurns.js";
 import type { AdvisedExecutors, DispatchView } from "@persimmonpitch/dispatch/dispatchView.js";
-import type { AdviceHistory, StepNeedingAdvice } from "@persimmonpitch/dispatch/stepsNeedingAdvice.js";
+import type { AdviceCandidate, AdviceHistory, StepNeedingAdvice } from "@persimmonpitch/dispatch/stepsNeedingAdvice.js";
 import { NEVER_ASKED, stepsNeedingAdvice } from "@persimmonpitch/dispatch/stepsNeedingAdvice.js";
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { AdvicePolicy } from "@persimmonpitch/workload/clusterConfig.js";
@@ -57,7 +57,9 @@
 }
 
 /** Job deadlines allow for one call of this size per step. */
-const MAX_EXECUTORS_PER_CALL = 30;
+const USUAL_EXECUTORS_PER_CALL = 30;
+/** The service accepts no larger calls. */
+const MAX_EXECUTORS_PER_CALL = 100;
 const RETRY_BACKOFF: BackoffOptions = { baseMs: 200, maxMs: 2_000 };
 const IDLE_MS: Millis = 250;
 /** Lets several passes share one search for the next request. */
@@ -184,10 +186,11 @@
     }
 
     /** Returns the executors to ask about, or none if those with a valid ticket have room for all waiting tasks. */
-    private executorsToAsk({ name, waiting, candidates }: StepNeedingAdvice): readonly string[] {
+    private executorsToAsk({ name, waiting, atOnce, candidates }: StepNeedingAdvice): readonly string[] {
         const answers = this.steps.get(name)?.executors;
         const now = this.options.clock.now();
-        const states = candidates().map(({ executorId, slots }) => {
+        const found = candidates();
+        const states = found.map(({ executorId, slots }) => {
             const answer = answers?.get(executorId);
             const isValid = answer !== undefined && this.isUsable(executorId, answer) && now < answer.refreshAt;
             return { executorId, slots, isValid, isUnknown: answer === undefined, ticket: answer?.ticket };
@@ -201,7 +204,7 @@
         const unknown = validSlots + countSlots(expired) >= waiting ? [] : states.filter(({ isUnknown }) => isUnknown);
         return [...expired, ...unknown]
             .sort((left, right) => Number(right.slots > 0) - Number(left.slots > 0))
-            .slice(0, MAX_EXECUTORS_PER_CALL)
+            .slice(0, callSize(found, atOnce))
             .map(({ executorId }) => executorId);
     }
 
@@ -222,6 +225,19 @@
     }
 }
 
+/**
+ * Number of executors that a call may name. For a gang it covers all members: tickets of several calls expire one after
+ * the other, so with other steps to ask about between them they would not be valid at one time.
+ */
+const callSize = (candidates: readonly AdviceCandidate[], atOnce: number): number => {
+    let slots = 0;
+    const lastNeeded = candidates.findIndex(({ slotsWhenEmpty }) => {
+        slots += slotsWhenEmpty;
+        return slots >= atOnce;
+    });
+    return Math.min(MAX_EXECUTORS_PER_CALL, Math.max(USUAL_EXECUTORS_PER_CALL, lastNeeded + 1));
+};
+
 const stepOf = (task: string): string => {
     const parsed = parseTaskName(task);
     return parsed === undefined ? "" : stepName(parsed.jobId, parsed.occurrence, parsed.step);
@@ -234,7 +250,7 @@
 const adviceLookup = ({ allowed, validityMs }: Advice, now: Millis, policy: AdvicePolicy) => {
     const tickets = new Map(allowed.map(({ executorId, ticket }) => [executorId, ticket]));
     const usableUntil = now + validityMs - Math.min(START_MARGIN_MS, validityMs / 4);
-    const callMs = policy.decisionMs + MAX_EXECUTORS_PER_CALL * policy.perExecutorMs;
+    const callMs = policy.decisionMs + USUAL_EXECUTORS_PER_CALL * policy.perExecutorMs;
     const refreshAt = usableUntil - Math.min(callMs, validityMs / 2);
     return (executorId: string, born: number | undefined): CachedAdvice => {
         const ticket = tickets.get(executorId);
--- a/packages/control/tests/adviceTurns.test.ts
+++ b/packages/control/tests/adviceTurns.test.ts
@@ -77,14 +77,17 @@
     },
 ];
 
+const deploymentOf = (executors: readonly string[]): Deployment =>
+    new Deployment(["n1", "n2"], executors, {
+        policy: POLICY,
+        advice: clock => new MemoryAdvice({ clock, policy: POLICY, isAllowed: () => true }),
+    });
+
 // Guards against accepted work that fits on idle executors and never gets advice, because blocked work of better rank
 // is asked about again and again.
 for (const { guardsAgainst, running, blocked, blockedCount, blockedPriority, smallPriority } of CASES) {
     void t.test(guardsAgainst, async t => {
-        const deployment = new Deployment(["n1", "n2"], EXECUTORS, {
-            policy: POLICY,
-            advice: clock => new MemoryAdvice({ clock, policy: POLICY, isAllowed: () => true }),
-        });
+        const deployment = deploymentOf(EXECUTORS);
         await deployment.advance(5 * SECOND);
         await putAdvised(deployment, "running", running, { runMs: LONG_RUN_MS, priority: 0 });
         await deployment.advance(3 * SECOND);
@@ -98,3 +101,20 @@
         t.equal(deployment.outcome("small"), "completed");
     });
 }
+
+const MANY_EXECUTORS = Array.from({ length: 70 }, (_, index) => `x${index + 1}`);
+const LARGE_GANG = { ...GANG, count: 64 };
+const LARGE_GANGS = 6;
+
+// Guards against gangs that never start on idle executors because the tickets of their members, which come from several
+// calls, are not valid at one time while other steps get calls between them.
+void t.test("gangs of more members than a usual call names start one after the other", async t => {
+    const deployment = deploymentOf(MANY_EXECUTORS);
+    await deployment.advance(5 * SECOND);
+    const names = Array.from({ length: LARGE_GANGS }, (_, index) => `gang${index}`);
+    for (const name of names) {
+        await putAdvised(deployment, name, LARGE_GANG, { runMs: SECOND, priority: 1 });
+    }
+    await deployment.advance(LARGE_GANGS * (IDLE_MS + SECOND));
+    t.strictSame(names.map(name => deployment.outcome(name)), names.map(() => "completed"));
+});
--- a/packages/dispatch/src/stepsNeedingAdvice.ts
+++ b/packages/dispatch/src/stepsNeedingAdvice.ts
@@ -21,6 +21,8 @@
     readonly executorId: string;
     /** Number of tasks of the step that fit now. */
     readonly slots: number;
+    /** Number of tasks of the step that fit when nothing else runs. */
+    readonly slotsWhenEmpty: number;
 }
 
 /** The calls that were made for a step. */
@@ -40,6 +42,8 @@
     readonly policy: AdvicePolicy;
     /** Number of tasks that are neither placed nor done. */
     readonly waiting: number;
+    /** Number of tasks that have to start together, with tickets that are valid at one time. */
+    readonly atOnce: number;
     /** When the last call was made for the step; before the first one, since when its deadlines run. */
     readonly lastAskedAt: Millis;
     /** Whether the step is ready and free resources hold what starts at once: all of a gang, or one task. */
@@ -120,6 +124,7 @@
                 name,
                 policy: queue.advice,
                 waiting: keys.length,
+                atOnce: tasksAtOnce(unit),
                 lastAskedAt: lastAskedAt ?? startAt,
                 hasRoom: () => isReady && hasRoomFor(executors, unit),
                 candidates: () => candidatesIn(executors, unit),
@@ -134,9 +139,10 @@
             executorId: executor.view.executorId,
             slots: slotsFor(executor, unit, executor.free),
             slotsWithoutLimit: slotsIn(executor.free, unit.demand),
+            slotsWhenEmpty: slotsWhenEmpty(executor, unit),
         }))
         .sort((left, right) => right.slots - left.slots || right.slotsWithoutLimit - left.slotsWithoutLimit)
-        .map(({ executorId, slots }) => ({ executorId, slots }));
+        .map(({ executorId, slots, slotsWhenEmpty }) => ({ executorId, slots, slotsWhenEmpty }));
 
 /** Compares two lists of the same length by their first difference. */
 const compareLexicographically = (left: readonly number[], right: readonly number[]): number => {
--- a/packages/dispatch/tests/adviceTurns.test.ts
+++ b/packages/dispatch/tests/adviceTurns.test.ts
@@ -15,6 +15,7 @@
     name,
     policy: POLICY,
     waiting: 1,
+    atOnce: 1,
     lastAskedAt,
     hasRoom: () => hasRoom,
     candidates: () => [],
