refactor(dispatch): move the reduced searches out of unitPlacement

The searches for a future fit and for victims, and what a request to place is, stand in files of their own now.

--- a/packages/dispatch/src/unitPlacement.ts
+++ b/packages/dispatch/src/unitPlacement.ts
@@ -18,20 +18,13 @@
 } from "./executorResources.js";
 import { assignmentsOf, fitWithin, longestWaitMs, STOP_MS, WAIT_FACTOR } from "./expectedRoom.js";
 import { type PassState, stopGroup, type WaitKind } from "./passState.js";
-import { hasRepeatedRuns, type VictimLimits, victimsFor } from "./preemption.js";
+import { hasFailedBefore, type PlacementRequest } from "./placementRequest.js";
+import { hasRepeatedRuns, type VictimLimits } from "./preemption.js";
 import { isUrgent, nextRun, type ReadyUnit, tasksAtOnce } from "./readyUnits.js";
-import { earliestFit, type FutureFit, reserveFit } from "./reservations.js";
+import { cheapestVictims, findEarliestFit } from "./reducedSearch.js";
+import { reserveFit } from "./reservations.js";
 import type { RankedUnit } from "./unitOrder.js";
-import { chooseVictims, type VictimSet } from "./victims.js";
-
-/** A unit to place, with the estimated run time of one of its tasks and the executors that it can use. */
-interface PlacementRequest {
-    readonly ranked: RankedUnit;
-    /** Key of the failed fits that apply to the unit; undefined if the unit avoids executors. */
-    readonly fitKey: string | undefined;
-    readonly durationMs: Millis;
-    readonly sets: ExecutorSets;
-}
+import type { VictimSet } from "./victims.js";
 
 /** One decision for a whole gang, and one for each task of any other step. */
 const startDecisions = (
@@ -70,44 +63,6 @@
 
 const FIRST_LIMITS: VictimLimits = { mayStopUrgent: false, mayStopRepeated: false };
 
-/** The `count` items whose executors have the most free accelerators. */
-const selectMostFree = <Item>(
-    items: readonly Item[],
-    executorsOf: (item: Item) => readonly ExecutorResources[],
-    count: number,
-): readonly Item[] =>
-    items.length <= count ? items : items
-        .map(item => ({
-            item,
-            freeAccelerators: executorsOf(item).reduce(
-                (sum, executor) => sum + freeAfterStops(executor).accelerators,
-                0,
-            ),
-        }))
-        .sort((left, right) => right.freeAccelerators - left.freeAccelerators)
-        .slice(0, count)
-        .map(({ item }) => item);
-
-/** The `count` executors of a set that have the most free accelerators. */
-const executorsWithMostFree = (
-    { packing: { index } }: PassState,
-    executors: readonly ExecutorResources[],
-    count: number,
-) => executors.length <= count
-    ? executors
-    : index.withMostFree(executors, count) ?? selectMostFree(executors, executor => [executor], count);
-
-/** Whether a request with the same key that needs no more tasks and no more time has failed in this pass. */
-const hasFailedBefore = (
-    { failedFits }: PassState,
-    fitKey: string | undefined,
-    count: number,
-    durationMs: Millis,
-): boolean => {
-    const failedFit = fitKey === undefined ? undefined : failedFits.get(fitKey);
-    return failedFit !== undefined && count >= failedFit.count && durationMs >= failedFit.durationMs;
-};
-
 const packInBestSet = (
     state: PassState,
     { unit }: RankedUnit,
@@ -119,34 +74,6 @@
 const fallbackSets = ({ fallback }: ExecutorSets): readonly (readonly ExecutorResources[])[] =>
     fallback === undefined ? [] : [fallback];
 
-/**
- * The cheapest victims found in any of the sets. Large sets, and many sets, are first reduced to those with the most
- * free accelerators; all are searched only if that finds nothing, many sets only for a guarantee.
- */
-const cheapestVictims = (
-    state: PassState,
-    ranked: RankedUnit,
-    sets: readonly (readonly ExecutorResources[])[],
-    count: number,
-    limits: VictimLimits,
-): VictimSet | undefined => {
-    const { maxSearchedSets, maxSearchedExecutors } = state.options;
-    const chooseIn = (executors: readonly ExecutorResources[]): VictimSet | undefined =>
-        chooseVictims(executors, ranked.unit, count, victimsFor(state, ranked, executors, limits));
-    const chooseInSet = (executors: readonly ExecutorResources[]): VictimSet | undefined =>
-        executors.length <= maxSearchedExecutors
-            ? chooseIn(executors)
-            : chooseIn(executorsWithMostFree(state, executors, maxSearchedExecutors)) ?? chooseIn(executors);
-    const cheapestIn = (searched: readonly (readonly ExecutorResources[])[]): VictimSet | undefined =>
-        searched
-            .map(chooseInSet)
-            .reduce((best, set) => set !== undefined && set.cost < (best?.cost ?? Infinity) ? set : best, undefined);
-    return sets.length <= maxSearchedSets
-        ? cheapestIn(sets)
-        : cheapestIn(selectMostFree(sets, executors => executors, maxSearchedSets))
-            ?? (ranked.isGuaranteed ? cheapestIn(sets) : undefined);
-};
-
 /** Stops the victims and claims their resources for the unit. */
 const preempt = (
     state: PassState,
@@ -161,35 +88,6 @@
     claim(ranked, packInBestSet(state, ranked, sets, count, freeAfterStops)?.assignments ?? []);
 };
 
-/**
- * The earliest fit in a preferred set. Of many sets or executors, those with the most free accelerators are searched
- * first, and all only if they cannot hold the unit. Without that, other work would fill the rest again and again.
- */
-const findEarliestFit = (
-    state: PassState,
-    { ranked: { unit }, sets: { preferred }, fitKey }: PlacementRequest,
-    count: number,
-): FutureFit | undefined => {
-    const { maxSearchedSets, maxSearchedExecutors } = state.options;
-    const futureKey = fitKey === undefined ? undefined : `future ${fitKey}`;
-    if (hasFailedBefore(state, futureKey, count, 0)) {
-        return undefined;
-    }
-    const earliestIn = (sets: readonly (readonly ExecutorResources[])[]): FutureFit | undefined =>
-        sets
-            .map(executors => earliestFit(executors, unit, count, state.releases))
-            .reduce((best, fit) => fit !== undefined && fit.inMs < (best?.inMs ?? Infinity) ? fit : best, undefined);
-    const first = selectMostFree(preferred, executors => executors, maxSearchedSets)
-        .map(executors => executorsWithMostFree(state, executors, maxSearchedExecutors));
-    const isReduced = first.length < preferred.length
-        || preferred.some(({ length }) => length > maxSearchedExecutors);
-    const fit = earliestIn(first) ?? (isReduced ? earliestIn(preferred) : undefined);
-    if (fit === undefined && futureKey !== undefined) {
-        state.failedFits.set(futureKey, { count, durationMs: 0 });
-    }
-    return fit;
-};
-
 /**
  * Whether the unit would be late after the wait but not after a preemption, and the value saved exceeds the cost by the
  * preemption margin.
