--- a/platform/src/httpCall.ts
+++ b/packages/http/src/httpCall.ts
@@ -3,6 +3,9 @@
 import { withTimeoutSignal } from "@persimmonpitch/clock/withTimeoutSignal.js";
 import { Pool } from "undici";
 
+/** Connections to one address. */
+export type HttpPool = Pool;
+
 /** Outcome of an HTTP call. */
 export type HttpOutcome =
     | { readonly kind: "answered"; readonly status: number; readonly body: unknown; }
@@ -25,7 +28,7 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 
 /** Opens a connection pool for an address of the form HOST:PORT; throws if the address is not valid in a URL. */
-export const openPool = (address: string, connections: number): Pool =>
+export const openPool = (address: string, connections: number): HttpPool =>
     new Pool(`http://${address}`, {
         connections,
         connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -49,7 +52,7 @@
 };
 
 const sendRequest = async (
-    pool: Pool,
+    pool: HttpPool,
     { method, path, headers, body }: HttpCall,
     signal: AbortSignal,
 ): Promise<HttpOutcome> => {
@@ -74,7 +77,7 @@
  * Sends a request, with a JSON body if there is one. A timeout closes the connection, because the other side may never
  * send anything on it again.
  */
-export const callHttp = async (pool: Pool, call: HttpCall): Promise<HttpOutcome> => {
+export const callHttp = async (pool: HttpPool, call: HttpCall): Promise<HttpOutcome> => {
     const { timeoutMs, signal } = call;
     try {
         return await withTimeoutSignal(
--- a/platform/tests/httpCall.test.ts
+++ b/packages/http/tests/httpCall.test.ts
@@ -1,8 +1,8 @@
+import { ScriptedHttpServer } from "@persimmonpitch/standins/scriptedHttpServer.js";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import t from "tap";
 import { callHttp, openPool } from "../src/httpCall.js";
-import { ScriptedHttpServer } from "./scriptedHttpServer.js";
 
 const TIMEOUT_MS = 1_000;
 const COLLECTION_INTERVAL_MS = 20;
