fix(dispatch): count only occurrences with tasks to place against the limit of a pass

Cause: a pass considers 100 due occurrences of a job, the earliest first, and those that already run used up the places.

Change: occurrences that only run are considered and do not count.

Measured: the new case of packages/dispatch/tests/openOccurrences.test.ts fails before (100 of 220 occurrences are considered, none of them waiting) and passes with the change; the bound on waiting occurrences is the same and its test unchanged.

--- a/packages/dispatch/src/openOccurrences.ts
+++ b/packages/dispatch/src/openOccurrences.ts
@@ -31,11 +31,23 @@
     doneSteps: view.job.steps.map((step, index) => isStepDone(view, occurrence, index, step)),
 });
 
-/** Maximum number of occurrences of one job that a pass considers, the earliest first; bounds the duration of a pass. */
-const MAX_OPEN_OCCURRENCES = 100;
+/**
+ * Maximum number of occurrences of one job with tasks to place that a pass considers, the earliest first; bounds the
+ * duration of a pass. Occurrences that only run do not count, or the next one would wait for them beside free room.
+ */
+const MAX_WAITING_OCCURRENCES = 100;
 
 const isOpen = ({ doneSteps }: OpenOccurrence): boolean => doneSteps.includes(false);
 
+/** Whether a task is neither placed nor done. */
+const hasTaskToPlace = ({ view, occurrence, doneSteps }: OpenOccurrence): boolean =>
+    view.job.steps.some((step, index) =>
+        doneSteps[index] === false && stepKeys(step, occurrence, index).some(key => {
+            const { placement, isDone } = progressOf(view, key);
+            return placement === undefined && !isDone;
+        })
+    );
+
 /**
  * The occurrences of a job that are due and not done. Due times are on the wall clock and are converted to the clock of
  * `now`.
@@ -47,7 +59,8 @@
     }
     const { count, firstDueAt, intervalMs } = repetition;
     const open: OpenOccurrence[] = [];
-    for (let occurrence = 0; occurrence < count && open.length < MAX_OPEN_OCCURRENCES; occurrence += 1) {
+    let waiting = 0;
+    for (let occurrence = 0; occurrence < count && waiting < MAX_WAITING_OCCURRENCES; occurrence += 1) {
         const dueAt = firstDueAt + occurrence * intervalMs;
         if (dueAt > wallTime) {
             break;
@@ -55,6 +68,7 @@
         const due = occurrenceOf(view, occurrence, now - (wallTime - dueAt));
         if (isOpen(due)) {
             open.push(due);
+            waiting += Number(hasTaskToPlace(due));
         }
     }
     return open;
