--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -51,6 +51,8 @@
     // Destinations of log lines; the programs write them themselves.
     "sonic-boom": "module.exports = class {};",
     "thread-stream": "module.exports = class {};",
+    // The HTTP/2 part of the HTTP client.
+    "./client-h2.js": "module.exports = () => { throw new Error(\"HTTP/2 is not spoken.\"); };",
     // HTTP/2 and HTTPS are not spoken, and no worker thread is started.
     "node:http2": "module.exports = { constants: {} };",
     "node:https": "module.exports = {};",
