--- a/packages/dispatch/src/adviceTurns.ts
+++ b/packages/dispatch/src/adviceTurns.ts
@@ -1,6 +1,6 @@
 import type { StepNeedingAdvice } from "./stepsNeedingAdvice.js";
 
-/** Rule by which the step of a call is chosen: by rank, by rank only if no step with room waits, or by its last call. */
+/** Rule by which the step of a call is chosen: by rank, by room before rank, or by the time since its last call. */
 type TurnRule = "rank" | "room" | "age";
 
 /**
--- a/packages/dispatch/src/attainableRoom.ts
+++ b/packages/dispatch/src/attainableRoom.ts
@@ -18,8 +18,8 @@
 };
 
 /**
- * Room that units can get at all: what neither long-running tasks that the unit may not preempt hold, nor executors that
- * it cannot use. All other runs end.
+ * Room that a unit can get at all: the capacity of the executors that it can use, without what long-running tasks hold
+ * that it may not preempt. All other runs end.
  */
 export class AttainableRoom {
     private readonly guaranteed: ReadonlySet<string>;
--- a/packages/dispatch/src/stepsNeedingAdvice.ts
+++ b/packages/dispatch/src/stepsNeedingAdvice.ts
@@ -82,7 +82,7 @@
             : [{ unit: toReadyUnit(openOccurrence, stepIndex, step, keys), name, isReady }];
     });
 
-/** The fields by which steps are ranked, the first difference decides. */
+/** The fields by which steps are ranked; the first that differs decides. */
 const rankOf = (
     { unit: { openOccurrence }, isReady }: CandidateStep,
     { calls }: AdviceHistory,
