--- a/packages/dispatch/src/attainableRoom.ts
+++ b/packages/dispatch/src/attainableRoom.ts
@@ -7,10 +7,10 @@
 import { isUrgent, type ReadyUnit, tasksAtOnce } from "./readyUnits.js";
 import type { RunStep, RunSteps } from "./runGroups.js";
 
-/** Which runs a unit may preempt: any without a guarantee, such runs of lower priorities, or none. */
+/** Which of the runs without a guarantee a unit may preempt: all, those of lower priorities, or none. */
 type PreemptionRight = "any" | "lower" | "none";
 
-/** Whether a run without a guarantee may be preempted, by the right of the unit, whose priority is 0 if it has any. */
+/** Whether a run without a guarantee may be preempted, by the right of the unit. Only units of priority 0 have one. */
 const MAY_PREEMPT: { readonly [K in PreemptionRight]: (run: RunStep) => boolean; } = {
     any: () => true,
     lower: ({ view: { queue } }) => queue.priority > 0,
