--- a/packages/dispatch/src/dispatchOptions.ts
+++ b/packages/dispatch/src/dispatchOptions.ts
@@ -50,7 +50,7 @@
      */
     readonly maxSearchTurns: number;
     /**
-     * Number of executor sets, such as racks, that such a search covers, those with the most free accelerators first.
+     * Number of executor sets, such as racks, that such a search covers first, those with the most free accelerators.
      */
     readonly maxSearchedSets: number;
     /** Number of executors of one set that such a search covers first, those with the most free accelerators. */
