--- /dev/null
+++ b/review/shared-3/wire.mjs
@@ -0,0 +1,71 @@
+// HTTP with JSON bodies on loopback, for the stand-ins and the requesters.
+import * as http from "node:http";
+
+const readBody = async req => {
+    let text = "";
+    for await (const chunk of req) {
+        text += chunk;
+    }
+    return text === "" ? {} : JSON.parse(text);
+};
+
+export const sendJson = (res, body, status = 200) => {
+    res.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+};
+
+/** Listens on a port of the loopback interface, a free one by default. The handler gets the parsed body. */
+export const listen = async (handler, port = 0) => {
+    const server = http.createServer((req, res) => {
+        void readBody(req).then(body => {
+            handler(req, body, res);
+        }, () => {
+            res.destroy();
+        });
+    });
+    await new Promise(resolve => {
+        server.listen(port, "127.0.0.1", resolve);
+    });
+    return {
+        address: `127.0.0.1:${server.address().port}`,
+        close: () => {
+            server.closeAllConnections();
+            server.close();
+        },
+    };
+};
+
+/** Free ports of the loopback interface, which the programs then listen on. */
+export const freePorts = async count => {
+    const servers = await Promise.all(Array.from({ length: count }, () => listen(() => undefined)));
+    servers.forEach(({ close }) => {
+        close();
+    });
+    return servers.map(({ address }) => Number(address.split(":")[1]));
+};
+
+/** Sends a request and resolves to its status and text; the status is 0 without an answer. */
+export const request = (address, path, { method = "GET", headers = {}, body, timeoutMs = 3_000 } = {}) =>
+    new Promise(resolve => {
+        const req = http.request(`http://${address}${path}`, { method, headers, agent: false }, res => {
+            let text = "";
+            res.on("data", chunk => {
+                text += chunk;
+            });
+            res.once("end", () => {
+                resolve({ status: res.statusCode, text });
+            });
+            res.once("error", () => {
+                resolve({ status: 0, text: "" });
+            });
+        });
+        req.setTimeout(timeoutMs, () => req.destroy());
+        req.once("error", () => {
+            resolve({ status: 0, text: "" });
+        });
+        req.end(body === undefined ? undefined : JSON.stringify(body));
+    });
+
+export const sleep = ms =>
+    new Promise(resolve => {
+        setTimeout(resolve, ms);
+    });
