--- a/review/shared-3/executor.mjs
+++ b/review/shared-3/executor.mjs
@@ -11,10 +11,11 @@
 const keyOf = (task, number) => `${task} ${number}`;
 
 /**
- * Starts an executor. `note` is called with each start and each end of a run. `port` is the port to listen on, `announcements`
- * the address that it sends its heartbeats to.
+ * Starts an executor. `note` is called with each start and each end of a run. `announcements` is the address that it sends its
+ * heartbeats to, at once or first after the interval between them.
  */
-export const startExecutor = async ({ id, service, zone, labels, capacity, announcements, note, port = 0 }) => {
+export const startExecutor = async ({ id, service, zone, labels, capacity, announcements, note, ...options }) => {
+    const { port = 0, heartbeatMs = HEARTBEAT_MS, isPingAtStart = true } = options;
     const born = Date.now();
     const startedAt = performance.now();
     const clock = () => Math.round(performance.now() - startedAt);
@@ -150,7 +151,7 @@
             body: heartbeat(),
             timeoutMs: 1_000,
         });
-    const beats = setInterval(() => void sendHeartbeat(), HEARTBEAT_MS);
+    const beats = setInterval(() => void sendHeartbeat(), heartbeatMs);
     const leases = setInterval(() => {
         if (clock() > deadline) {
             [...running.values()].forEach(run => {
@@ -158,7 +159,9 @@
             });
         }
     }, LEASE_CHECK_MS);
-    void sendHeartbeat();
+    if (isPingAtStart) {
+        void sendHeartbeat();
+    }
     return {
         id,
         born,
