--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,6 +1,7 @@
 // One executor runs a job. A ping of another writer, whose service no config names, bears the same address.
 import { fileURLToPath } from "node:url";
 import { startExecutor } from "../shared-3/executor.mjs";
+import { findOverlap } from "../shared-3/overlap.mjs";
 import { createRequester, HOST, runCase, startSystem } from "../shared-3/system.mjs";
 import { request, sleep } from "../shared-3/wire.mjs";
 
@@ -15,25 +16,6 @@
 };
 const SIZE = { capacity: { cpu: 8_000, task_memory_mb: 8_192, gpus: 8 }, labels: ["a", "r1"] };
 
-/** Says where two runs of one task were at work at the same time. */
-const findOverlap = events => {
-    const running = new Map();
-    for (const { what, details } of events) {
-        const runs = running.get(details.task) ?? [];
-        if (what === "start") {
-            if (runs.length > 0) {
-                return `run ${details.run} of ${details.task} began on ${details.executor} while run ${runs[0].run} went on `
-                    + `on ${runs[0].executor}`;
-            }
-            running.set(details.task, [...runs, details]);
-        }
-        else {
-            running.set(details.task, runs.filter(({ run }) => run !== details.run));
-        }
-    }
-    return undefined;
-};
-
 await runCase(fileURLToPath(new URL("record.txt", import.meta.url)), async ({ record, onEnd }) => {
     const events = [];
     const note = (what, details) => {
--- a/review/shared-3/executor.mjs
+++ b/review/shared-3/executor.mjs
@@ -12,10 +12,11 @@
 
 /**
  * Starts an executor. `note` is called with each start and each end of a run. `announcements` is the address that it sends its
- * heartbeats to, at once or first after the interval between them.
+ * heartbeats to, at once or first after the interval between them. `announcedAddress` gives the address of a proxy before the
+ * executor, and `isCut` tells whether its heartbeats are lost.
  */
 export const startExecutor = async ({ id, service, zone, labels, capacity, announcements, note, ...options }) => {
-    const { port = 0, heartbeatMs = HEARTBEAT_MS, isPingAtStart = true } = options;
+    const { port = 0, heartbeatMs = HEARTBEAT_MS, isPingAtStart = true, isCut = () => false, announcedAddress } = options;
     const born = Date.now();
     const startedAt = performance.now();
     const clock = () => Math.round(performance.now() - startedAt);
@@ -132,7 +133,7 @@
     }, port);
     const heartbeat = () => ({
         service,
-        address: server.address,
+        address: announcedAddress?.(server.address) ?? server.address,
         zone,
         version: "v1",
         slots: 8,
@@ -144,13 +145,17 @@
         sequence: sequence++,
         born,
     });
-    const sendHeartbeat = () =>
-        request(announcements, `/-/Instances.Heartbeat/${id}`, {
+    const sendHeartbeat = async () => {
+        if (isCut()) {
+            return;
+        }
+        await request(announcements, `/-/Instances.Heartbeat/${id}`, {
             method: "POST",
             headers: { "content-type": "application/json" },
             body: heartbeat(),
             timeoutMs: 1_000,
         });
+    };
     const beats = setInterval(() => void sendHeartbeat(), heartbeatMs);
     const leases = setInterval(() => {
         if (clock() > deadline) {
--- a/review/shared-3/wire.mjs
+++ b/review/shared-3/wire.mjs
@@ -22,7 +22,8 @@
             res.destroy();
         });
     });
-    await new Promise(resolve => {
+    await new Promise((resolve, reject) => {
+        server.once("error", reject);
         server.listen(port, "127.0.0.1", resolve);
     });
     return {
@@ -34,13 +35,32 @@
     };
 };
 
+/** Each process looks for ports in a block of its own, below those that the system hands out for connections. */
+const FIRST_PORT = 12_000;
+const BLOCK = 40;
+const BLOCKS = 500;
+
+const isFree = async port => {
+    try {
+        const { close } = await listen(() => undefined, port);
+        close();
+        return true;
+    }
+    catch {
+        return false;
+    }
+};
+
 /** Free ports of the loopback interface, which the programs then listen on. */
 export const freePorts = async count => {
-    const servers = await Promise.all(Array.from({ length: count }, () => listen(() => undefined)));
-    servers.forEach(({ close }) => {
-        close();
-    });
-    return servers.map(({ address }) => Number(address.split(":")[1]));
+    const first = FIRST_PORT + process.pid % BLOCKS * BLOCK;
+    const ports = [];
+    for (let port = first; ports.length < count && port < first + BLOCK; port += 1) {
+        if (await isFree(port)) {
+            ports.push(port);
+        }
+    }
+    return ports;
 };
 
 /** Sends a request and resolves to its status and text; the status is 0 without an answer. */
