--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,65 +1,62 @@
-// A tenant's job runs on a private queue. A caller without a key deletes the same id on a public queue.
+// One executor runs a job. A ping of another writer, whose service no config names, bears the same address.
 import { fileURLToPath } from "node:url";
 import { startExecutor } from "../shared-3/executor.mjs";
+import { findOverlap } from "../shared-3/overlap.mjs";
 import { createRequester, HOST, runCase, startSystem } from "../shared-3/system.mjs";
-import { sleep } from "../shared-3/wire.mjs";
+import { request, sleep } from "../shared-3/wire.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-const TASK_MS = 8_000;
-const STOP_MS = 1_000;
-const ID = "00000000000000b2";
-const PRIVATE_JOB = `/batches/${ID}`;
-const PUBLIC_JOB = `/guests/${ID}`;
+const TASK_MS = 15_000;
+const JOB = "/batches/00000000000000a1";
 const CONFIG = {
     version: 1,
-    routes: [
-        { name: "batches", host: HOST, path_prefix: "/batches/", service: "desk", max_attempts: 4 },
-        { name: "guests", host: HOST, path_prefix: "/guests/", service: "desk", max_attempts: 4, public: true },
-    ],
+    routes: [{ name: "batches", host: HOST, path_prefix: "/batches/", service: "desk", max_attempts: 4 }],
     services: [{ name: "desk" }],
     tenants: [{ name: "weavers", api_keys: ["key"] }],
 };
+const SIZE = { capacity: { cpu: 8_000, task_memory_mb: 8_192, gpus: 8 }, labels: ["a", "r1"] };
 
 await runCase(fileURLToPath(new URL("record.txt", import.meta.url)), async ({ record, onEnd }) => {
-    const ends = [];
+    const events = [];
     const note = (what, details) => {
-        if (what === "end") {
-            ends.push(details.how);
-        }
+        events.push({ what, details });
         record.note(what, details);
     };
-    const system = await startSystem({ config: CONFIG, machines: ["side-1"] });
+    const system = await startSystem({ config: CONFIG, machines: ["side-1", "side-2"] });
     onEnd(system.stop);
-    const executor = await startExecutor({
-        id: "i-1",
-        service: "desk",
-        zone: "a",
-        labels: ["a", "r1"],
-        capacity: { cpu: 8_000, task_memory_mb: 8_192, gpus: 8 },
-        announcements: system.announcements[0],
-        note,
-    });
-    onEnd(executor.crash);
-    const owner = createRequester(system.requesters, "key", record.note, "owner");
-    const guest = createRequester(system.requesters, undefined, record.note, "guest without a key");
-    const steps = [{ count: 1, cpu: 1_000, task_memory_mb: 64, gpus: 1, estimated_ms: TASK_MS }];
-    if (!await owner.submit(PRIVATE_JOB, { task_spec: String(TASK_MS), steps })) {
+    const common = { service: "desk", zone: "a", note, ...SIZE };
+    const executors = [
+        await startExecutor({ ...common, id: "i-1", announcements: system.announcements[0] }),
+        await startExecutor({ ...common, id: "i-2", announcements: system.announcements[1] }),
+    ];
+    executors.forEach(executor => onEnd(executor.crash));
+    const requester = createRequester(system.requesters, "key", record.note, "requester");
+    const steps = [{ count: 1, cpu: 8_000, task_memory_mb: 64, gpus: 8, estimated_ms: TASK_MS }];
+    if (!await requester.submit(JOB, { task_spec: String(TASK_MS), steps })) {
         throw new Error("The job was not accepted.");
     }
-    await sleep(2_000);
+    while (!events.some(({ what }) => what === "start")) {
+        await sleep(50);
+    }
+    await sleep(3_000);
+    const index = executors.findIndex(({ running }) => running.size > 0);
     if (HAS_TROUBLE) {
-        await guest.call("GET", PUBLIC_JOB);
-        await guest.call("DELETE", PUBLIC_JOB);
+        const ping = {
+            ...executors[index].heartbeat(),
+            service: "other-desk",
+            born: Date.now(),
+            sequence: 1,
+        };
+        const { status } = await request(system.announcements[index], "/-/Instances.Heartbeat/x-9", {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: ping,
+        });
+        record.note("ping", `another writer, to the agent of ${executors[index].id}: ${JSON.stringify(ping)} -> ${status}`);
     }
-    const until = performance.now() + 20_000;
-    let state = await owner.state(PRIVATE_JOB);
-    while (performance.now() < until && (state === "queued" || state === "running")) {
+    const until = performance.now() + 30_000;
+    while (performance.now() < until && await requester.state(JOB) !== "completed") {
         await sleep(1_000);
-        state = await owner.state(PRIVATE_JOB);
     }
-    await sleep(STOP_MS);
-    return state === "completed"
-        ? undefined
-        : `the owner's job, which nobody with its tenant's key has cancelled, is shown as ${state}; its run ended `
-            + `${ends.join(", ")}`;
+    return findOverlap(events);
 });
--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -1,55 +1,65 @@
-// The only executor of a service crashes and starts again under its id, beside the agent of another machine.
+// A tenant's job runs on a private queue. A caller without a key deletes the same id on a public queue.
 import { fileURLToPath } from "node:url";
 import { startExecutor } from "../shared-3/executor.mjs";
 import { createRequester, HOST, runCase, startSystem } from "../shared-3/system.mjs";
 import { sleep } from "../shared-3/wire.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-const TASK_MS = 2_000;
+const TASK_MS = 8_000;
+const STOP_MS = 1_000;
+const ID = "00000000000000b2";
+const PRIVATE_JOB = `/batches/${ID}`;
+const PUBLIC_JOB = `/guests/${ID}`;
 const CONFIG = {
     version: 1,
-    routes: [{ name: "batches", host: HOST, path_prefix: "/batches/", service: "desk", max_attempts: 4 }],
+    routes: [
+        { name: "batches", host: HOST, path_prefix: "/batches/", service: "desk", max_attempts: 4 },
+        { name: "guests", host: HOST, path_prefix: "/guests/", service: "desk", max_attempts: 4, public: true },
+    ],
     services: [{ name: "desk" }],
     tenants: [{ name: "weavers", api_keys: ["key"] }],
 };
 
 await runCase(fileURLToPath(new URL("record.txt", import.meta.url)), async ({ record, onEnd }) => {
-    const system = await startSystem({ config: CONFIG, machines: ["side-1", "side-2"] });
-    onEnd(system.stop);
-    const start = announcements =>
-        startExecutor({
-            id: "i-1",
-            service: "desk",
-            zone: "a",
-            labels: ["a", "r1"],
-            capacity: { cpu: 8_000, task_memory_mb: 8_192, gpus: 8 },
-            announcements,
-            note: record.note,
-        });
-    const first = await start(system.announcements[0]);
-    onEnd(first.crash);
-    const requester = createRequester(system.requesters, "key", record.note, "requester");
-    const steps = [{ count: 1, cpu: 1_000, task_memory_mb: 64, gpus: 1, estimated_ms: TASK_MS }];
-    const runJob = async (path, timeoutMs) => {
-        if (!await requester.submit(path, { task_spec: String(TASK_MS), steps })) {
-            throw new Error("The job was not accepted.");
+    const ends = [];
+    const note = (what, details) => {
+        if (what === "end") {
+            ends.push(details.how);
         }
-        const until = performance.now() + timeoutMs;
-        let state = "queued";
-        while (performance.now() < until && state !== "completed") {
-            await sleep(1_000);
-            state = await requester.state(path);
-        }
-        return state;
+        record.note(what, details);
     };
-    if (await runJob("/batches/00000000000000c1", 20_000) !== "completed") {
-        throw new Error("The first job did not complete.");
+    const system = await startSystem({ config: CONFIG, machines: ["side-1"] });
+    onEnd(system.stop);
+    const executor = await startExecutor({
+        id: "i-1",
+        service: "desk",
+        zone: "a",
+        labels: ["a", "r1"],
+        capacity: { cpu: 8_000, task_memory_mb: 8_192, gpus: 8 },
+        announcements: system.announcements[0],
+        note,
+    });
+    onEnd(executor.crash);
+    const owner = createRequester(system.requesters, "key", record.note, "owner");
+    const guest = createRequester(system.requesters, undefined, record.note, "guest without a key");
+    const steps = [{ count: 1, cpu: 1_000, task_memory_mb: 64, gpus: 1, estimated_ms: TASK_MS }];
+    if (!await owner.submit(PRIVATE_JOB, { task_spec: String(TASK_MS), steps })) {
+        throw new Error("The job was not accepted.");
     }
-    first.crash();
     await sleep(2_000);
-    const second = await start(system.announcements[HAS_TROUBLE ? 1 : 0]);
-    onEnd(second.crash);
-    await sleep(4_000);
-    const state = await runJob("/batches/00000000000000c2", 25_000);
-    return state === "completed" ? undefined : `the second job is ${state} after 25 s beside an idle executor`;
+    if (HAS_TROUBLE) {
+        await guest.call("GET", PUBLIC_JOB);
+        await guest.call("DELETE", PUBLIC_JOB);
+    }
+    const until = performance.now() + 20_000;
+    let state = await owner.state(PRIVATE_JOB);
+    while (performance.now() < until && (state === "queued" || state === "running")) {
+        await sleep(1_000);
+        state = await owner.state(PRIVATE_JOB);
+    }
+    await sleep(STOP_MS);
+    return state === "completed"
+        ? undefined
+        : `the owner's job, which nobody with its tenant's key has cancelled, is shown as ${state}; its run ended `
+            + `${ends.join(", ")}`;
 });
