--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -1,4 +1,5 @@
-// A tenant's job runs on a private queue. A caller without a key deletes the same id on a public queue.
+// A tenant's job runs on a private queue. A caller of a public queue hands in a job of its own, with an ID that it chose
+// and that happens to be the same, and cancels it.
 import { fileURLToPath } from "node:url";
 import { startExecutor } from "../shared-3/executor.mjs";
 import { createRequester, HOST, runCase, startSystem } from "../shared-3/system.mjs";
@@ -48,7 +49,9 @@
     }
     await sleep(2_000);
     if (HAS_TROUBLE) {
+        await guest.call("POST", PUBLIC_JOB, { task_spec: String(TASK_MS), steps });
         await guest.call("GET", PUBLIC_JOB);
+        await sleep(1_000);
         await guest.call("DELETE", PUBLIC_JOB);
     }
     const until = performance.now() + 20_000;
