--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -23,7 +23,7 @@
         events.push({ what, details });
         record.note(what, details);
     };
-    const machines = ["side-1", "side-2", "side-3", "side-4", "side-5"];
+    const machines = ["side-1", "side-2", "side-3", "side-4", "side-5", "side-6"];
     const system = await startSystem({ config: CONFIG, machines });
     onEnd(system.stop);
     const links = [];
