--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -4,7 +4,7 @@
 import { findOverlap } from "../shared-3/overlap.mjs";
 import { startProxy } from "../shared-3/proxy.mjs";
 import { createRequester, HOST, runCase, startSystem } from "../shared-3/system.mjs";
-import { sleep } from "../shared-3/wire.mjs";
+import { sleep, waitUntil } from "../shared-3/wire.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const TASK_MS = 9_000;
@@ -53,9 +53,7 @@
     if (!await requester.submit(JOB, { task_spec: String(TASK_MS), steps })) {
         throw new Error("The job was not accepted.");
     }
-    while (!events.some(({ what }) => what === "start")) {
-        await sleep(50);
-    }
+    await waitUntil(() => events.some(({ what }) => what === "start"), "The first start");
     await sleep(2_000);
     const link = links.find(({ executor }) => executor.running.size > 0);
     if (HAS_TROUBLE) {
--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -3,7 +3,7 @@
 import { startExecutor } from "../shared-3/executor.mjs";
 import { findOverlap } from "../shared-3/overlap.mjs";
 import { createRequester, HOST, runCase, startSystem } from "../shared-3/system.mjs";
-import { request, sleep } from "../shared-3/wire.mjs";
+import { request, sleep, waitUntil } from "../shared-3/wire.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const TASK_MS = 15_000;
@@ -35,9 +35,7 @@
     if (!await requester.submit(JOB, { task_spec: String(TASK_MS), steps })) {
         throw new Error("The job was not accepted.");
     }
-    while (!events.some(({ what }) => what === "start")) {
-        await sleep(50);
-    }
+    await waitUntil(() => events.some(({ what }) => what === "start"), "The first start");
     await sleep(3_000);
     const index = executors.findIndex(({ running }) => running.size > 0);
     if (HAS_TROUBLE) {
--- a/review/shared-3/wire.mjs
+++ b/review/shared-3/wire.mjs
@@ -89,3 +89,14 @@
     new Promise(resolve => {
         setTimeout(resolve, ms);
     });
+
+/** Waits until the condition holds; a case that never comes so far could not run. */
+export const waitUntil = async (condition, what, timeoutMs = 20_000) => {
+    const until = performance.now() + timeoutMs;
+    while (!condition()) {
+        if (performance.now() > until) {
+            throw new Error(`${what} did not happen in time.`);
+        }
+        await sleep(50);
+    }
+};
