fix(executor,control): a refused connection does not end an executor's runs

Cause: a refused connection was reported as `gone` and taken for the end of the process, in the list of runs, in starts without an answer, in stops and in paces. A partition may refuse connections as well.

Change: a call that could not be sent has no effect, and nothing else is concluded from it. The executor is detached from the first refusal on: it gets no work, and its lease is not extended. Its runs are lost once the lease has lapsed, a later incarnation or a newer executor answers at its address, or it had deregistered before. An executor that attaches again keeps its deadline rather than getting the longest one.

Messages: `agent.report` has `isUnreachable` and `hasLeft` in place of `isGone`; a report without a list, as an agent of an earlier release sends it, detaches as well. `agent.stop` and `agent.pace` no longer answer `gone`.

--- a/packages/control/src/clusterState.ts
+++ b/packages/control/src/clusterState.ts
@@ -88,13 +88,12 @@
     }
 
     /**
-     * Records that nothing listens at the executor's address. Runs with an unanswered start order stay: the order may
-     * reach the next incarnation.
+     * Records that the executor deregistered and cannot be reached any more, so that its runs are over. Runs with an
+     * unanswered start order stay: the order may reach the next incarnation.
      */
-    markGone(state: ExecutorState): void {
-        state.isAttached = false;
+    markLeft(state: ExecutorState): void {
         for (const tracked of [...state.runs.values()].filter(({ unansweredStarts }) => unansweredStarts === 0)) {
-            this.markRunLost(tracked, "gone");
+            this.markRunLost(tracked, "left");
         }
         state.unclaimedRuns.clear();
     }
--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -244,18 +244,18 @@
         state.address = report.executor.address;
         this.cluster.startIncarnation(state, report.executor.born);
         this.cluster.markReplacedRunsLost(state);
-        state.isGone = report.isGone;
-        if (report.isGone) {
-            this.cluster.markGone(state);
-            state.runs.forEach(tracked => {
-                this.orders.stop(tracked);
-            });
+        state.isUnreachable = report.isUnreachable;
+        if (report.isUnreachable || report.list === undefined) {
+            this.detach(state, "unreachable");
         }
-        else if (report.list !== undefined) {
+        if (report.list !== undefined) {
             this.applyList(state, report.list);
         }
+        if (report.hasLeft) {
+            this.cluster.markLeft(state);
+        }
         // Mere progress changes no decision at once, and reports come from each executor every second.
-        if (isDescriptionChanged || report.isGone || state.runs.size < runCount) {
+        if (isDescriptionChanged || state.runs.size < runCount) {
             this.requestPass();
         }
     }
@@ -301,15 +301,17 @@
 
     private applyList(state: ExecutorState, list: NonNullable<ExecutorReport["list"]>): void {
         if (state.isOutdatedList(list, this.context.clock.now())) {
-            this.detachSilent(state);
+            this.detach(state, "silent");
             return;
         }
         const isFirstList = !state.isAttached || state.born !== list.born;
         this.cluster.applyRunList(state, list);
-        if (isFirstList) {
+        if (isFirstList && !state.isUnreachable) {
             state.isAttached = true;
-            // An earlier controller may have granted a lease up to the longest that the executor accepts.
-            state.deadlineMs = Math.max(state.deadlineMs, list.clockMs + this.context.timings.maxLeaseMs);
+            if (state.deadlineMs === 0) {
+                // An earlier controller may have granted a lease up to the longest that the executor accepts.
+                state.deadlineMs = list.clockMs + this.context.timings.maxLeaseMs;
+            }
             this.orders.resendOrders(state);
         }
         const lastEndNumber = Math.max(0, ...list.ends.map(({ number }) => number));
@@ -319,13 +321,18 @@
     }
 
     /**
-     * Treats an executor that does not answer its agent like one whose agent is away: it gets no work, its lease is not
-     * extended, and its runs are lost once the lease has lapsed. The next list that it answers attaches it again.
+     * Treats an executor that does not answer its agent, or that its agent cannot connect to, like one whose agent is
+     * away: it gets no work, its lease is not extended, and its runs are lost once the lease has lapsed. The next list
+     * that it answers attaches it again.
      */
-    private detachSilent(state: ExecutorState): void {
+    private detach(state: ExecutorState, reason: "silent" | "unreachable"): void {
         if (state.isAttached) {
             state.isAttached = false;
-            this.context.logger.log("info", "executor.silent", { executor: state.executorId, runs: state.runs.size });
+            this.context.logger.log("info", "executor.detached", {
+                executor: state.executorId,
+                reason,
+                runs: state.runs.size,
+            });
             this.requestPass();
         }
     }
--- a/packages/control/src/executorState.ts
+++ b/packages/control/src/executorState.ts
@@ -77,8 +77,8 @@
     info: ExecutorInfo | undefined;
     /** Whether this incarnation has listed its runs to this controller over the current connection. */
     isAttached = false;
-    /** Whether nothing listened at the executor's address when its agent last reported. */
-    isGone = false;
+    /** Whether connections to the executor were refused when its agent last reported. */
+    isUnreachable = false;
     readonly runs = new Map<string, TrackedRun>();
     readonly unclaimedRuns = new Map<string, UnclaimedRun>();
     readonly recentEnds: EndView[] = [];
--- a/packages/control/src/leaseRenewer.ts
+++ b/packages/control/src/leaseRenewer.ts
@@ -48,18 +48,13 @@
 
     /** Extends the lease of one executor. Returns whether its agent responded. */
     async renew(state: ExecutorState, connection: AgentConnection): Promise<boolean> {
-        const { clock, controllerLease, epoch, onRenewalNeeded, onFenced } = this.options;
+        const { epoch, onFenced } = this.options;
         if (state.clock === undefined) {
             return true;
         }
-        if (controllerLease.isValid && state.controllerLeaseEndMs !== undefined) {
-            const now = state.clock.readingMs + clock.now() - state.clock.at;
-            const deadlineMs = Math.floor(Math.min(now, state.controllerLeaseEndMs) + EXECUTOR_LEASE_MS);
-            state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
-        }
-        else {
-            state.isAwaitingRenewal = true;
-            onRenewalNeeded();
+        // Ends of an executor that does not answer are acknowledged, but its lease has to lapse for its runs to be lost.
+        if (state.isAttached) {
+            this.extendDeadline(state, state.clock);
         }
         const answer = await connection.call("agent.lease", {
             epoch,
@@ -73,4 +68,16 @@
         }
         return answer.isOk;
     }
+
+    private extendDeadline(state: ExecutorState, { readingMs, at }: NonNullable<ExecutorState["clock"]>): void {
+        const { clock, controllerLease, onRenewalNeeded } = this.options;
+        if (!controllerLease.isValid || state.controllerLeaseEndMs === undefined) {
+            state.isAwaitingRenewal = true;
+            onRenewalNeeded();
+            return;
+        }
+        const now = readingMs + clock.now() - at;
+        const deadlineMs = Math.floor(Math.min(now, state.controllerLeaseEndMs) + EXECUTOR_LEASE_MS);
+        state.deadlineMs = Math.max(state.deadlineMs, deadlineMs);
+    }
 }
--- a/packages/control/src/orderSender.ts
+++ b/packages/control/src/orderSender.ts
@@ -112,7 +112,7 @@
     stop(tracked: TrackedRun): void {
         tracked.isStopping = true;
         const state = this.stateOf(tracked);
-        const canSend = state?.isAttached === true || state?.isGone === true;
+        const canSend = state?.isAttached === true || state?.isUnreachable === true;
         // A run whose claim is not durable yet is dropped when the claim becomes durable.
         if (canSend && tracked.isClaimDurable && !tracked.isStopSent) {
             tracked.isStopSent = true;
@@ -229,21 +229,12 @@
             tracked.stopAnswerClockMs = result.clockMs;
         }
         else if (this.stateOf(tracked) !== undefined) {
-            await this.retryStop(tracked, result);
+            await this.options.context.clock.sleep(STOP_RETRY_MS);
+            tracked.isStopSent = false;
         }
         this.options.onChanged();
     }
 
-    private async retryStop(tracked: TrackedRun, result: StopResult | undefined): Promise<void> {
-        if (result?.kind === "gone") {
-            // The agent has given up the start order, and nothing is left at the address that could have received it.
-            this.options.cluster.markRunLost(tracked, "gone");
-            return;
-        }
-        await this.options.context.clock.sleep(STOP_RETRY_MS);
-        tracked.isStopSent = false;
-    }
-
     /** Returns `undefined` if the agent did not answer. */
     private async callStop(
         state: ExecutorState,
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -261,6 +261,12 @@
         });
     }
 
+    /** Has an executor deregister and end. */
+    leave(name: string): void {
+        this.agents.get(name)?.onLeave(name, this.executor(name).born);
+        this.crash(name);
+    }
+
     executor(name: string): MemoryStepExecutor {
         const executor = this.executors.get(name);
         if (executor === undefined) {
--- a/packages/executor/src/controllerConnection.ts
+++ b/packages/executor/src/controllerConnection.ts
@@ -46,13 +46,14 @@
  * The fields of a report whose changes are sent immediately, as are new ends. Other changes wait for the next periodic
  * report.
  */
-const reportSignature = ({ executor, isGone, list }: ExecutorReport): string =>
+const reportSignature = ({ executor, isUnreachable, hasLeft, list }: ExecutorReport): string =>
     JSON.stringify([
         executor.born,
         executor.capacity,
         executor.isDraining,
         isCold(executor),
-        isGone,
+        isUnreachable,
+        hasLeft,
         list?.running.map(({ task, run }) => [task, run]),
     ]);
 
--- a/packages/executor/src/executorPort.ts
+++ b/packages/executor/src/executorPort.ts
@@ -48,8 +48,11 @@
 export type ExecutorFailure =
     /** The executor refused the call, which will not take effect later either. */
     | { readonly kind: "refused"; readonly reason: StartRefusal; }
-    /** Nothing listens at its address: the executor is down and nothing runs there. */
-    | { readonly kind: "gone"; }
+    /**
+     * No connection could be opened, so this call has no effect. That does not show that the executor is down: a
+     * partition may refuse connections, too.
+     */
+    | { readonly kind: "notSent"; readonly detail: string; }
     /** No answer: the call may have taken effect, or may take effect seconds later. */
     | { readonly kind: "unanswered"; readonly detail: string; };
 
--- a/packages/executor/src/forwardPace.ts
+++ b/packages/executor/src/forwardPace.ts
@@ -6,14 +6,8 @@
 type PaceParams = ParamsOf<ControllerToAgentMethods["agent.pace"]>;
 type PaceResult = ResultOf<ControllerToAgentMethods["agent.pace"]>;
 
-/** Result of a pace change that failed without a refusal. */
-const PACE_RESULT_BY_FAILURE: { readonly [Kind in Exclude<ExecutorFailure["kind"], "refused">]: PaceResult; } = {
-    gone: { kind: "gone" },
-    unanswered: { kind: "unclear" },
-};
-
 const toPaceResult = (failure: ExecutorFailure): PaceResult =>
-    failure.kind === "refused" ? { kind: "refused", reason: failure.reason } : PACE_RESULT_BY_FAILURE[failure.kind];
+    failure.kind === "refused" ? { kind: "refused", reason: failure.reason } : { kind: "unclear" };
 
 /** Forwards a pace change without retries: the controller resends its latest pace, which may differ by then. */
 export const forwardPace = async (
--- a/packages/executor/src/observedExecutor.ts
+++ b/packages/executor/src/observedExecutor.ts
@@ -26,8 +26,11 @@
 /** Longest wait while no controller has attached; a wake ends it early. */
 const IDLE_WAIT_MS: Millis = 60_000;
 
-/** An executor that left and is gone stays in reports longer than any lease, for controllers that attach late. */
-const DEPARTED_RETENTION_MS: Millis = 60_000;
+/**
+ * An executor that cannot be reached stays in reports longer than any lease, for controllers that attach late, and stop
+ * orders for its runs are repeated.
+ */
+const UNREACHABLE_RETENTION_MS: Millis = 60_000;
 
 /** A lease extension from the controller for one incarnation of an executor, with an acknowledgement of ends. */
 export interface LeaseGrant {
@@ -54,7 +57,9 @@
      * are only acknowledged to a confirmed incarnation.
      */
     isConfirmed: boolean;
-    isGone: boolean;
+    /** Since when connections to the executor are refused; undefined if the last one was not. */
+    unreachableSinceMs: Millis | undefined;
+    /** Whether the executor has deregistered. */
     isLeaving: boolean;
     deadlineMs: Millis | undefined;
     /** Number of the last end that the controller has written durably. */
@@ -70,7 +75,7 @@
     listedAtMs: 0,
     isListCurrent: false,
     isConfirmed: false,
-    isGone: false,
+    unreachableSinceMs: undefined,
     isLeaving: false,
     deadlineMs: undefined,
     durableEnd: 0,
@@ -88,7 +93,6 @@
     private pendingRequest: ListRequest | undefined;
     private listAbort = new AbortController();
     private consecutiveFailures = 0;
-    private goneSinceMs: Millis = 0;
     private heartbeatAtMs: Millis;
 
     constructor(
@@ -131,15 +135,20 @@
         this.context.onReportChange();
     }
 
-    /** Whether the executor left and went down so long ago that its state can be dropped. */
+    /** Whether the executor has been unreachable and silent for so long that its state can be dropped. */
     get isExpired(): boolean {
-        const { isLeaving, isGone } = this.state;
-        return isLeaving && isGone && this.context.clock.now() - this.goneSinceMs >= DEPARTED_RETENTION_MS;
+        const { unreachableSinceMs } = this.state;
+        const expiresAt = Math.max(unreachableSinceMs ?? Infinity, this.heartbeatAtMs) + UNREACHABLE_RETENTION_MS;
+        return this.context.clock.now() >= expiresAt;
     }
 
     /** Whether the executor is reachable and has listed its runs since the last controller attached. */
     get isListed(): boolean {
-        return this.currentList() !== undefined;
+        return this.currentList() !== undefined && !this.isUnreachable;
+    }
+
+    private get isUnreachable(): boolean {
+        return this.state.unreachableSinceMs !== undefined;
     }
 
     /** Why no run can be started on the incarnation `born`; undefined if one can. */
@@ -182,7 +191,7 @@
         this.state.isConfirmed = false;
     }
 
-    /** Invalidates the list; resolves once the executor has answered a new list call or turns out to be down. */
+    /** Invalidates the list; resolves once the executor has answered a new list call or refuses connections. */
     refresh(): Promise<void> {
         this.state.isListCurrent = false;
         const listed = new Promise<void>(resolve => {
@@ -194,11 +203,13 @@
 
     report(): ExecutorReport {
         const list = this.currentList();
-        const { isGone, durableEnd } = this.state;
+        const { isUnreachable } = this;
+        const { durableEnd, isLeaving } = this.state;
         const executor = { ...this.info, ...this.coldRemaining(), isDraining: this.isDraining() };
+        const report = { executor, isUnreachable, hasLeft: isLeaving && isUnreachable };
         return list === undefined
-            ? { executor, isGone }
-            : { executor, isGone, list: { ...list, ends: list.ends.filter(({ number }) => number > durableEnd) } };
+            ? report
+            : { ...report, list: { ...list, ends: list.ends.filter(({ number }) => number > durableEnd) } };
     }
 
     /** Lists the executor's runs repeatedly until the agent shuts down or the executor expires. */
@@ -277,7 +288,8 @@
         const { state } = this;
         const lastEnd = list.ends.at(-1)?.number ?? 0;
         const hasNewEnd = lastEnd > state.lastListedEnd;
-        Object.assign(state, { list, listedAtMs: this.context.clock.now(), isConfirmed: true, isGone: false });
+        Object.assign(state, { list, listedAtMs: this.context.clock.now(), isConfirmed: true });
+        this.markReachable();
         state.lastListedEnd = Math.max(state.lastListedEnd, lastEnd);
         state.isListCurrent ||= request.fencingToken === this.context.controllerEpoch.current
             && this.satisfiesAllWaiters(callNumber);
@@ -291,24 +303,33 @@
         const { logger, random, onReportChange } = this.context;
         this.consecutiveFailures += 1;
         this.markUnconfirmed();
-        if (failure.kind === "gone") {
-            this.onGone();
+        if (failure.kind === "notSent") {
+            this.onNotSent(failure.detail);
         }
         logger.log("debug", "executor.listFailed", { executor: this.executorId, kind: failure.kind });
         onReportChange();
         return Math.max(MIN_RETRY_DELAY_MS, backoffDelay(RETRY_BACKOFF, this.consecutiveFailures, random));
     }
 
-    private onGone(): void {
-        if (!this.state.isGone) {
-            this.goneSinceMs = this.context.clock.now();
-            this.context.logger.log("info", "executor.gone", { executor: this.executorId });
+    /**
+     * Keeps the last list: only a lapsed lease or a new incarnation shows that its runs are over, and its ends may not be
+     * reported yet.
+     */
+    private onNotSent(detail: string): void {
+        if (!this.isUnreachable) {
+            this.context.logger.log("info", "executor.unreachable", { executor: this.executorId, detail });
         }
-        this.state.isGone = true;
-        this.state.list = undefined;
+        this.state.unreachableSinceMs ??= this.context.clock.now();
         this.resolveWaiters(this.callNumber);
     }
 
+    private markReachable(): void {
+        if (this.isUnreachable) {
+            this.context.logger.log("info", "executor.reachable", { executor: this.executorId });
+        }
+        this.state.unreachableSinceMs = undefined;
+    }
+
     /** Whether the response to that call is recent enough for the last controller that attached. */
     private satisfiesAllWaiters(callNumber: number): boolean {
         return this.waiters.every(waiter => waiter.firstCall <= callNumber);
--- a/packages/executor/src/orderForwarder.ts
+++ b/packages/executor/src/orderForwarder.ts
@@ -4,7 +4,7 @@
 import type { StartRefusal } from "@persimmonpitch/workload/executorReport.js";
 import type { AgentContext } from "./agentContext.js";
 import type { ObservedExecutor } from "./observedExecutor.js";
-import type { OrderOutcome, OrderResponse } from "./retryOrder.js";
+import type { OrderOutcome, OrderResponse, RetryOptions } from "./retryOrder.js";
 import { retryOrder } from "./retryOrder.js";
 
 type StartParams = ParamsOf<ControllerToAgentMethods["agent.start"]>;
@@ -91,6 +91,7 @@
             timeLeft: () =>
                 executor.startRefusalFor(params.born) === undefined ? startTimeLeft(executor, deadlineMs) : 0,
             signals: [abandonSignal, supersededSignal, signal],
+            endsIfNotSent: true,
         });
         if (outcome.response?.isOk === true) {
             return { kind: "started", clockMs: executor.clockAtAnswer(outcome.response.value) };
@@ -101,18 +102,9 @@
         if (supersededSignal.aborted) {
             return refuseStart("fence");
         }
-        const reason = refusalReason(outcome.response) ?? executor.startRefusalFor(params.born) ?? "late";
-        return this.mayHaveStarted(outcome) ? this.stopThenRefuse(executor, params, reason) : refuseStart(reason);
-    }
-
-    /**
-     * Whether the run may have started, or may still start: from an attempt that was not answered, or from an order
-     * that a previous agent process forwarded.
-     */
-    private mayHaveStarted({ response, attempts }: OrderOutcome): boolean {
-        const isExecutorGone = response?.isErr === true && response.error.kind === "gone";
-        const isRunOrderedBefore = refusalReason(response) === "old";
-        return !isExecutorGone && (isRunOrderedBefore || attempts > (response === undefined ? 0 : 1));
+        const reason = refusalReason(outcome.response) ?? executor.startRefusalFor(params.born)
+            ?? (startTimeLeft(executor, deadlineMs) > 0 ? "unhealthy" : "late");
+        return mayHaveStarted(outcome) ? this.stopThenRefuse(executor, params, reason) : refuseStart(reason);
     }
 
     private async stopThenRefuse(
@@ -149,6 +141,7 @@
             send: attemptSignal => port.stop({ executorId, fencingToken: epoch, task, run }, attemptSignal),
             timeLeft: () => executor.isExpired ? 0 : Infinity,
             signals: [supersededSignal, signal],
+            endsIfNotSent: false,
         });
         if (response?.isOk === true) {
             return { kind: "stopped", clockMs: executor.clockAtAnswer(response.value) };
@@ -156,12 +149,12 @@
         if (supersededSignal.aborted || refusalReason(response) === "fence") {
             return { kind: "refused", reason: "fence" };
         }
-        return response?.error.kind === "gone" ? { kind: "gone" } : { kind: "unclear" };
+        return { kind: "unclear" };
     }
 
     private async retryUntilAnswered(
         executor: ObservedExecutor,
-        options: Pick<Parameters<typeof retryOrder>[0], "send" | "timeLeft" | "signals">,
+        options: Omit<RetryOptions, "clock" | "onUnanswered">,
     ): Promise<OrderOutcome> {
         const { clock, logger } = this.context;
         const outcome = await retryOrder({
@@ -183,7 +176,6 @@
 const START_RESULT_BY_STOP_FAILURE: {
     readonly [Kind in Exclude<StopResult["kind"], "stopped">]: (reason: StartRefusal) => StartResult;
 } = {
-    gone: refuseStart,
     refused: () => refuseStart("fence"),
     unclear: () => ({ kind: "unclear" }),
 };
@@ -194,9 +186,12 @@
     return now === undefined ? 0 : deadlineMs - now;
 };
 
-const refusalReason = (response: OrderResponse | undefined): StartRefusal | undefined => {
-    if (response?.isErr !== true) {
-        return undefined;
-    }
-    return response.error.kind === "refused" ? response.error.reason : "incarnation";
-};
+const refusalReason = (response: OrderResponse | undefined): StartRefusal | undefined =>
+    response?.isErr === true ? response.error.reason : undefined;
+
+/**
+ * Whether the run may have started, or may still start: from an attempt that was not answered, or from an order that a
+ * previous agent process forwarded.
+ */
+const mayHaveStarted = ({ response, unansweredAttempts }: OrderOutcome): boolean =>
+    refusalReason(response) === "old" || unansweredAttempts > 0;
--- a/packages/http/src/httpCall.ts
+++ b/packages/http/src/httpCall.ts
@@ -10,7 +10,7 @@
 export type HttpOutcome =
     | { readonly kind: "answered"; readonly status: number; readonly body: unknown; }
     /** The connection could not be opened, so nothing was sent. */
-    | { readonly kind: "notSent"; readonly isConnectionRefused: boolean; readonly detail: string; }
+    | { readonly kind: "notSent"; readonly detail: string; }
     /** No complete response was received; the server may have processed the request. */
     | { readonly kind: "unanswered"; readonly detail: string; };
 
@@ -89,7 +89,7 @@
         const code = errorCode(err);
         const detail = describeError(err, call);
         return NOT_SENT_CODES.has(code)
-            ? { kind: "notSent", isConnectionRefused: code === "ECONNREFUSED", detail }
+            ? { kind: "notSent", detail }
             : { kind: "unanswered", detail };
     }
 };
--- a/packages/protocol/src/executorMessages.ts
+++ b/packages/protocol/src/executorMessages.ts
@@ -15,8 +15,10 @@
     executor: executorInfoSchema,
     /** Runs in progress and unacknowledged ends, as last listed by the executor. */
     list: runListSchema.optional(),
-    /** Whether no process listens on the executor's address, so that no run exists there. */
-    isGone: z.boolean().default(false),
+    /** Whether connections to the executor are refused; `list` is then the last one before, which may be outdated. */
+    isUnreachable: z.boolean().default(false),
+    /** Whether the executor deregistered before connections to it were refused, so that nothing runs there any more. */
+    hasLeft: z.boolean().default(false),
 });
 export type ExecutorReport = z.infer<typeof executorReportSchema>;
 
@@ -86,8 +88,6 @@
             /** A list read after `clockMs` shows the run as running only if it has not ended yet. */
             z.object({ kind: z.literal("stopped"), clockMs: executorClockMsSchema }),
             z.object({ kind: z.literal("refused"), reason: z.literal("fence") }),
-            /** No process listens on the executor's address, so that no run exists there. */
-            z.object({ kind: z.literal("gone") }),
             /** The agent does not know the executor, or is shutting down. */
             z.object({ kind: z.literal("unclear") }),
         ]),
@@ -98,8 +98,6 @@
         result: z.discriminatedUnion("kind", [
             z.object({ kind: z.literal("paced"), clockMs: executorClockMsSchema }),
             z.object({ kind: z.literal("refused"), reason: startRefusalSchema }),
-            /** No process listens on the executor's address, so that no run exists there. */
-            z.object({ kind: z.literal("gone") }),
             /** The executor did not answer; the change may still take effect seconds later. */
             z.object({ kind: z.literal("unclear") }),
         ]),
--- a/packages/standins/src/executorFailures.ts
+++ b/packages/standins/src/executorFailures.ts
@@ -5,8 +5,9 @@
 export const refusal = <T>(reason: "fence" | "old" | "late" | "room" | "ticket"): Result<T, ExecutorFailure> =>
     Result.err({ kind: "refused", reason });
 
-/** Nobody listens at the address of the executor. */
-export const gone = <T>(): Result<T, ExecutorFailure> => Result.err({ kind: "gone" });
+/** The connection to the executor is refused. */
+export const connectionRefused = <T>(): Result<T, ExecutorFailure> =>
+    Result.err({ kind: "notSent", detail: "The connection was refused." });
 
 /** A call that may have taken effect was not answered. */
 export const unanswered = <T>(detail: string): Result<T, ExecutorFailure> => Result.err({ kind: "unanswered", detail });
--- a/packages/standins/src/stepExecutorFaults.ts
+++ b/packages/standins/src/stepExecutorFaults.ts
@@ -2,8 +2,8 @@
 
 /** Faults that a test can cause. */
 export const stepExecutorFaultsSchema = z.object({
-    /** Every call answers `gone`; the runs go on until the lease ends. */
-    gone: z.boolean(),
+    /** Connections are refused, as by a partition that resets them; the runs go on until the lease ends. */
+    refusesConnections: z.boolean(),
     /** No call is answered or has an effect. */
     silent: z.boolean(),
     /** Number of next orders that are not answered and are carried out later. */
@@ -28,7 +28,7 @@
 
 /** An executor without faults. */
 export const NO_FAULTS: StepExecutorFaults = {
-    gone: false,
+    refusesConnections: false,
     silent: false,
     unansweredOrders: 0,
     orderDelayMs: 0,
