fix(executor,control): a heartbeat counts once its executor has answered

The run counted as replaced and was started elsewhere while it went on.

Cause: the agent kept the sender of any heartbeat as an executor, directed calls to the address in it and let a later start time replace the present incarnation, though nobody had answered under that ID (421 each time). The controller took older executors at the address for gone.

Change: `AnnouncedIncarnations` holds what heartbeats announce. An incarnation counts once a list call at its address and under its ID is answered with its start time. The controller takes an executor for replaced only by one whose list it has.

In outdatedMessages the new address of an incarnation is looked at after the call that confirms it.

--- a/packages/control/src/controller.ts
+++ b/packages/control/src/controller.ts
@@ -243,7 +243,10 @@
         state.info = report.executor;
         state.address = report.executor.address;
         this.cluster.startIncarnation(state, report.executor.born);
-        this.cluster.markReplacedRunsLost(state);
+        // Only an executor that has answered at its address shows that no other one listens there any more.
+        if (report.list !== undefined) {
+            this.cluster.markReplacedRunsLost(state);
+        }
         state.isUnreachable = report.isUnreachable;
         if (report.isUnreachable || report.list === undefined) {
             this.detach(state, "unreachable");
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -17,7 +17,7 @@
 import type { AdvicePolicy } from "@persimmonpitch/workload/clusterConfig.js";
 import type { ClusterConfig } from "@persimmonpitch/workload/clusterConfig.js";
 import { clusterConfigSchema, queueSchema } from "@persimmonpitch/workload/clusterConfig.js";
-import type { RunEnd, RunList } from "@persimmonpitch/workload/executorReport.js";
+import type { ExecutorInfo, RunEnd, RunList } from "@persimmonpitch/workload/executorReport.js";
 import { progressRowSchema } from "@persimmonpitch/workload/progressRow.js";
 import type { StepJob } from "@persimmonpitch/workload/stepJob.js";
 import { stepJobSchema, submissionSchema } from "@persimmonpitch/workload/stepJob.js";
@@ -59,6 +59,10 @@
     maxBodyBytes: 262_144,
 };
 const STEP_MS: Millis = 100;
+/** Higher than the sequence number of any heartbeat of the executors. */
+const FOREIGN_SEQUENCE = 1_000_000;
+
+const addressOf = (executorId: string): string => `${executorId}:8080`;
 
 export interface DeploymentOptions {
     /** Makes the queue require advice, which the entries get from this service. */
@@ -142,6 +146,8 @@
     /** Entries to which the store tells no changes of the operator table. */
     readonly withoutOperatorChanges = new Set<string>();
     private readonly agents = new Map<string, ExecutorAgent>();
+    /** The address to which the agents direct the calls for each executor. */
+    private readonly addresses = new Map<string, string>();
     private readonly processes = new Map<string, PausableProcess>();
     private readonly links = new Map<string, Set<Link>>();
     /** Number of starts and ends already recorded for each executor. */
@@ -165,6 +171,7 @@
                     executorId: name,
                     born: 1_000,
                     gangs,
+                    address: addressOf(name),
                     dataCentre: this.options.dataCentres?.[name] ?? "dc1",
                     ...this.ticketCheck(),
                 }),
@@ -239,6 +246,7 @@
             logger: silentLogger,
             port: this.recordedPort(name),
             random: () => 0.5,
+            setAddress: (executorId, address) => this.addresses.set(executorId, address),
         });
         this.agents.set(name, agent);
         const row = { vm: name, host: name, port: 1, dataCentre: "dc1", instanceId: name };
@@ -261,6 +269,11 @@
         });
     }
 
+    /** Sends a heartbeat to the agent of a VM that another process than its executor has written. */
+    announceForeign(vm: string, heartbeat: Partial<ExecutorInfo>): void {
+        this.agents.get(vm)?.onHeartbeat({ ...this.executor(vm).info(), ...heartbeat }, FOREIGN_SEQUENCE);
+    }
+
     /** Has an executor deregister and end. */
     leave(name: string): void {
         this.agents.get(name)?.onLeave(name, this.executor(name).born);
@@ -480,7 +493,12 @@
 
     private recordedPort(name: string): ExecutorPort {
         const { orderLimits } = this.options;
-        const direct = routeToExecutors([this.executor(name)]);
+        const direct = routeToExecutors([this.executor(name)], {
+            isReached: target => {
+                const address = "address" in target ? target.address : this.addresses.get(target.executorId);
+                return (address ?? addressOf(name)) === addressOf(name);
+            },
+        });
         const port = orderLimits === undefined ? direct : limitOrders(direct, orderLimits);
         return {
             start: (order, signal) => port.start(order, signal),
@@ -493,6 +511,7 @@
                 }
                 return listed;
             },
+            probe: (request, signal) => port.probe(request, signal),
         };
     }
 
--- a/packages/executor/src/controllerHandlers.ts
+++ b/packages/executor/src/controllerHandlers.ts
@@ -1,8 +1,9 @@
-import type { Clock, Millis } from "@persimmonpitch/clock/clock.js";
+import type { Millis } from "@persimmonpitch/clock/clock.js";
 import { withTimeout } from "@persimmonpitch/clock/deadline.js";
 import type { ControllerToAgentMethods, ExecutorReport } from "@persimmonpitch/protocol/executorMessages.js";
 import type { HandlerTable } from "@persimmonpitch/protocol/method.js";
 import type { AgentContext } from "./agentContext.js";
+import type { AnnouncedIncarnations } from "./announcedIncarnations.js";
 import { forwardPace } from "./forwardPace.js";
 import type { ObservedExecutor } from "./observedExecutor.js";
 import type { OrderForwarder } from "./orderForwarder.js";
@@ -10,17 +11,30 @@
 /** Dependencies of the handlers for a controller's calls. */
 export interface ControllerHandlerContext extends AgentContext {
     readonly executors: ReadonlyMap<string, ObservedExecutor>;
+    readonly announcedIncarnations: Pick<AnnouncedIncarnations, "confirmAll">;
     readonly orderForwarder: OrderForwarder;
 }
 
 /** Called when the controller of a connection has attached. */
 export type OnAttached = (epoch: number, reports: readonly ExecutorReport[]) => void;
 
-/** While a controller attaches, an executor that does not answer within this time is reported without a list. */
+/**
+ * While a controller attaches, an executor that does not answer within this time is reported without a list, and one that
+ * is not confirmed within it is not reported.
+ */
 const ATTACH_REFRESH_TIMEOUT_MS: Millis = 1_000;
 
-const refreshAll = async (clock: Clock, executors: readonly ObservedExecutor[]): Promise<void> => {
-    await Promise.all(executors.map(executor => withTimeout(clock, ATTACH_REFRESH_TIMEOUT_MS, executor.refresh())));
+type RefreshContext = Pick<ControllerHandlerContext, "clock" | "executors" | "announcedIncarnations">;
+
+const refreshAll = async ({ clock, executors, announcedIncarnations }: RefreshContext): Promise<void> => {
+    const refreshed = new Set<ObservedExecutor>();
+    const refreshOthers = async (): Promise<void> => {
+        const others = [...executors.values()].filter(executor => !refreshed.has(executor));
+        others.forEach(executor => refreshed.add(executor));
+        await Promise.all(others.map(executor => executor.refresh()));
+    };
+    const work = [refreshOthers(), announcedIncarnations.confirmAll().then(refreshOthers)];
+    await Promise.all(work.map(part => withTimeout(clock, ATTACH_REFRESH_TIMEOUT_MS, part)));
 };
 
 /** Creates the handlers for the methods that an agent serves on a controller's connection. */
@@ -28,7 +42,7 @@
     context: ControllerHandlerContext,
     onAttached: OnAttached,
 ): HandlerTable<ControllerToAgentMethods> => {
-    const { clock, logger, controllerEpoch, executors, orderForwarder } = context;
+    const { logger, controllerEpoch, executors, orderForwarder } = context;
     return {
         "agent.attach": async ({ epoch }) => {
             if (!controllerEpoch.accept(epoch)) {
@@ -36,7 +50,7 @@
                 return { kind: "refused", epoch: controllerEpoch.current };
             }
             // Once an executor has answered with the new fencing token, it refuses late orders of an older controller.
-            await refreshAll(clock, [...executors.values()]);
+            await refreshAll(context);
             if (controllerEpoch.current !== epoch) {
                 return { kind: "refused", epoch: controllerEpoch.current };
             }
--- a/packages/executor/src/executorAgent.ts
+++ b/packages/executor/src/executorAgent.ts
@@ -4,6 +4,8 @@
 import type { Link } from "@persimmonpitch/protocol/link.js";
 import type { ExecutorInfo } from "@persimmonpitch/workload/executorReport.js";
 import type { AgentContext } from "./agentContext.js";
+import type { Announcement } from "./announcedIncarnations.js";
+import { AnnouncedIncarnations } from "./announcedIncarnations.js";
 import type { ControllerConnectionHandle } from "./controllerConnection.js";
 import { runControllerConnection } from "./controllerConnection.js";
 import { ControllerEpoch } from "./controllerEpoch.js";
@@ -24,7 +26,9 @@
 export class ExecutorAgent {
     private readonly shutdownAbort = createSharedAbortController();
     private readonly openConnections = new Set<ControllerConnectionHandle>();
+    /** Executors of which an incarnation has been confirmed. */
     private readonly executors = new Map<string, ObservedExecutor>();
+    private readonly announcedIncarnations: AnnouncedIncarnations;
     private readonly tasks = new Set<Promise<void>>();
     private readonly context: AgentContext;
     private readonly orderForwarder: OrderForwarder;
@@ -48,12 +52,16 @@
                 });
             },
         };
+        this.announcedIncarnations = new AnnouncedIncarnations(this.context, announcement => {
+            this.onConfirmed(announcement);
+        });
         this.orderForwarder = new OrderForwarder(this.context, executorId => this.executors.get(executorId));
     }
 
     /**
-     * Applies a heartbeat of an executor; `sequence` increases within an incarnation. An outdated heartbeat, for example
-     * one that was delayed until the executor had restarted at another address, has no effect at all.
+     * Applies a heartbeat of an executor; `sequence` increases within an incarnation. One that announces another
+     * incarnation than the present one, or another address, takes effect once that is confirmed. An outdated heartbeat,
+     * for example one that was delayed until the executor had restarted at another address, has no effect at all.
      */
     onHeartbeat(info: ExecutorInfo, sequence: number): void {
         const knownExecutor = this.executors.get(info.executorId);
@@ -65,18 +73,11 @@
             });
             return;
         }
-        if (info.address !== undefined) {
-            this.setAddress(info.executorId, info.address);
-        }
-        if (knownExecutor !== undefined) {
+        if (knownExecutor?.isPresentIncarnation(info) === true) {
             knownExecutor.onHeartbeat(info, sequence);
             return;
         }
-        const executor = new ObservedExecutor(this.context, info, sequence);
-        this.executors.set(info.executorId, executor);
-        this.context.logger.log("info", "executor.seen", { executor: info.executorId, born: info.born });
-        void this.trackTask(this.runExecutorTask(executor));
-        this.context.onReportChange();
+        void this.trackTask(this.announcedIncarnations.announce({ info, sequence }));
     }
 
     /** Called when an executor announces that it is leaving; `born` tells its incarnation if it says so. */
@@ -89,9 +90,12 @@
 
     /** Serves a controller until its connection closes. */
     serve(link: Link): Promise<void> {
-        const { context, executors, orderForwarder, openConnections } = this;
+        const { context, executors, announcedIncarnations, orderForwarder, openConnections } = this;
         return this.trackTask(
-            runControllerConnection({ ...context, executors, orderForwarder, openConnections }, link),
+            runControllerConnection(
+                { ...context, executors, announcedIncarnations, orderForwarder, openConnections },
+                link,
+            ),
         );
     }
 
@@ -105,6 +109,25 @@
         await Promise.all(this.tasks);
     }
 
+    private onConfirmed({ info, sequence }: Announcement): void {
+        const knownExecutor = this.executors.get(info.executorId);
+        if (knownExecutor?.isOutdated(info, sequence) === true) {
+            return;
+        }
+        if (info.address !== undefined) {
+            this.setAddress(info.executorId, info.address);
+        }
+        if (knownExecutor !== undefined) {
+            knownExecutor.onHeartbeat(info, sequence);
+            return;
+        }
+        const executor = new ObservedExecutor(this.context, info, sequence);
+        this.executors.set(info.executorId, executor);
+        this.context.logger.log("info", "executor.seen", { executor: info.executorId, born: info.born });
+        void this.trackTask(this.runExecutorTask(executor));
+        this.context.onReportChange();
+    }
+
     private async runExecutorTask(executor: ObservedExecutor): Promise<void> {
         await executor.run();
         this.executors.delete(executor.executorId);
--- a/packages/executor/src/executorPort.ts
+++ b/packages/executor/src/executorPort.ts
@@ -34,6 +34,12 @@
     readonly percentage: number;
 }
 
+/** A request for the runs of an executor at an address that a heartbeat named for it. */
+export interface ProbeRequest extends OrderTarget {
+    /** Undefined for an executor whose address is fixed. */
+    readonly address: string | undefined;
+}
+
 /** A request for the running and ended runs of an executor. */
 export interface ListRequest extends OrderTarget {
     /** On the executor's clock. Extends the lease of everything on the executor. */
@@ -67,4 +73,6 @@
     stop(order: StopOrder, signal?: AbortSignal): Promise<Result<OrderConfirmation, ExecutorFailure>>;
     pace(order: PaceOrder): Promise<Result<OrderConfirmation, ExecutorFailure>>;
     list(request: ListRequest, signal?: AbortSignal): Promise<Result<RunList, ExecutorFailure>>;
+    /** Lists runs at the given address; other calls to the executor go to its present address. */
+    probe(request: ProbeRequest, signal?: AbortSignal): Promise<Result<RunList, ExecutorFailure>>;
 }
--- a/packages/executor/src/limitOrders.ts
+++ b/packages/executor/src/limitOrders.ts
@@ -43,5 +43,6 @@
             await slotsOf(order.executorId).stops.run(() => port.stop(order, signal), signal) ?? NEVER_SENT,
         pace: order => port.pace(order),
         list: (request, signal) => port.list(request, signal),
+        probe: (request, signal) => port.probe(request, signal),
     };
 };
--- a/packages/executor/src/observedExecutor.ts
+++ b/packages/executor/src/observedExecutor.ts
@@ -94,6 +94,8 @@
     private listAbort = new AbortController();
     private consecutiveFailures = 0;
     private heartbeatAtMs: Millis;
+    /** Whether a heartbeat of the present incarnation has told its service, labels and capacity. */
+    private isDescribed = true;
 
     constructor(
         private readonly context: AgentContext,
@@ -109,12 +111,17 @@
         return this.isEarlierIncarnation(born) || (born === this.info.born && sequence <= this.heartbeatSequence);
     }
 
+    /** Whether a heartbeat is of the present incarnation, at its present address. */
+    isPresentIncarnation({ born, address }: ExecutorInfo): boolean {
+        return born === this.info.born && address === this.info.address;
+    }
+
     /** Whether a message is of an incarnation before the one that the last heartbeat was of. */
     isEarlierIncarnation(born: number): boolean {
         return born < this.info.born;
     }
 
-    /** Applies a heartbeat of the executor that is not outdated. */
+    /** Applies a heartbeat that is not outdated, of the present incarnation or one that has been confirmed. */
     onHeartbeat(info: ExecutorInfo, sequence: number): void {
         if (info.born > this.info.born) {
             this.resetIncarnation(info.born);
@@ -124,6 +131,7 @@
             this.wakeSignal.wake();
         }
         this.info = info;
+        this.isDescribed = true;
         this.heartbeatAtMs = this.context.clock.now();
         this.heartbeatSequence = sequence;
         this.context.onReportChange();
@@ -281,6 +289,7 @@
         }
         if (list.born > this.info.born) {
             this.resetIncarnation(list.born);
+            this.isDescribed = false;
         }
         else {
             this.state.acknowledgedEnd = Math.max(this.state.acknowledgedEnd, request.acknowledgedEnd);
@@ -363,8 +372,9 @@
         this.wakeSignal.wake();
     }
 
+    /** Undefined also for an incarnation without a heartbeat: nothing may start there under the labels of the last one. */
     private currentList(): RunList | undefined {
-        return this.state.isListCurrent ? this.state.list : undefined;
+        return this.state.isListCurrent && this.isDescribed ? this.state.list : undefined;
     }
 
     /** Counts down from the last heartbeat, so that an executor without heartbeats does not stay cold. */
--- a/packages/executor/tests/agentFixture.ts
+++ b/packages/executor/tests/agentFixture.ts
@@ -197,6 +197,12 @@
                     await port.pace(order),
                     () => "ok",
                 ),
+            probe: async (request, signal) =>
+                traceResult(
+                    `probe ${request.executorId} fence=${request.fencingToken}`,
+                    await port.probe(request, signal),
+                    formatList,
+                ),
             list: async (request, signal) => {
                 this.listRequests.push(request);
                 this.onListRequest(request);
--- a/packages/executor/tests/limitOrders.test.ts
+++ b/packages/executor/tests/limitOrders.test.ts
@@ -22,6 +22,10 @@
             sent.push(`list ${executorId}`);
             return Promise.resolve(Result.err({ kind: "notSent", detail: "refused" }));
         },
+        probe: ({ executorId }) => {
+            sent.push(`probe ${executorId}`);
+            return Promise.resolve(Result.err({ kind: "notSent", detail: "refused" }));
+        },
     };
     const port = limitOrders(inner, { starts: 2, stops: 1 });
     const orderFor = (task: string, executorId = "x1") => ({ executorId, fencingToken: 1, task, run: 1 });
--- a/packages/executor/tests/outdatedMessages.test.ts
+++ b/packages/executor/tests/outdatedMessages.test.ts
@@ -30,6 +30,7 @@
     t.same(fixture.addresses, [LATER.address], "addresses");
     t.equal(controller.reports.slice(reports).filter(({ executor }) => executor.born !== LATER.born).length, 0);
     fixture.agent.onHeartbeat({ ...info, ...LATER, address: "10.0.0.1:8082" }, 6);
+    await fixture.clock.advance(0);
     t.same(fixture.addresses, [LATER.address, "10.0.0.1:8082"], "a newer heartbeat counts");
     await fixture.agent.stop();
 });
@@ -46,3 +47,21 @@
     t.same(executor.starts.map(({ task }) => task), ["a"]);
     await fixture.agent.stop();
 });
+
+// Guards against work that starts on a new incarnation of another kind because of the labels of the one before.
+void t.test("an incarnation without a heartbeat gets no work", async t => {
+    const { fixture, executor, controller } = await seeLaterIncarnation();
+    executor.restart();
+    await fixture.clock.advance(500);
+    void controller.start(executor, "a", LONG_RUNNING);
+    await fixture.clock.advance(500);
+    t.same(executor.starts, [], "before its first heartbeat");
+    const { info, sequence } = executor.heartbeat();
+    fixture.agent.onHeartbeat({ ...info, address: LATER.address, labels: ["b"] }, sequence);
+    await fixture.clock.advance(500);
+    t.same(controller.reports.at(-1)?.executor.labels, ["b"]);
+    void controller.start(executor, "b", LONG_RUNNING);
+    await fixture.clock.advance(500);
+    t.same(executor.starts.map(({ task }) => task), ["b"], "after it");
+    await fixture.agent.stop();
+});
--- a/packages/standins/src/memoryStepExecutor.ts
+++ b/packages/standins/src/memoryStepExecutor.ts
@@ -6,6 +6,7 @@
     ListRequest,
     OrderConfirmation,
     PaceOrder,
+    ProbeRequest,
     StartOrder,
     StopOrder,
 } from "@persimmonpitch/executor/executorPort.js";
@@ -105,11 +106,13 @@
     }
 
     info(): ExecutorInfo {
-        const { service = "steps", dataCentre = "dc1", labels = [], capacity = DEFAULT_CAPACITY } = this.options;
+        const { service = "steps", address, dataCentre = "dc1", labels = [], capacity = DEFAULT_CAPACITY } =
+            this.options;
         return {
             executorId: this.executorId,
             born: this.born,
             service,
+            ...(address === undefined ? {} : { address }),
             dataCentre,
             isDraining: this.isDraining,
             ...(this.remainingMs === undefined ? {} : { remainingMs: this.remainingMs }),
@@ -217,6 +220,10 @@
         return signal?.aborted === true ? unanswered("The call was aborted.") : Result.ok(this.runList());
     }
 
+    probe(request: ProbeRequest, signal?: AbortSignal): Promise<Result<RunList, ExecutorFailure>> {
+        return this.list({ ...request, acknowledgedEnd: 0, waitMs: 0 }, signal);
+    }
+
     private runList(): RunList {
         return {
             born: this.born,
--- a/packages/standins/src/stepExecutorOptions.ts
+++ b/packages/standins/src/stepExecutorOptions.ts
@@ -10,6 +10,8 @@
     readonly executorId: string;
     readonly born?: number;
     readonly service?: string;
+    /** Address that the heartbeats name; by default they name none. */
+    readonly address?: string;
     readonly dataCentre?: string;
     readonly labels?: readonly string[];
     readonly capacity?: Demand;
--- a/tap-snapshots/packages/control/dist/tests/evacuation.test.js.test.cjs
+++ b/tap-snapshots/packages/control/dist/tests/evacuation.test.js.test.cjs
@@ -10,8 +10,8 @@
   3006 a.0.0.3#1 on x2: done 4506
   3006 a.0.0.4#1 on x3: done 4506
   3006 a.0.0.5#1 on x3: done 4506
- 10048 a.0.0.0#2 on x2: done 11548
- 10048 a.0.0.1#2 on x2: done 11548
+  9048 a.0.0.0#2 on x2: done 10548
+  9048 a.0.0.1#2 on x2: done 10548
 `
 
 exports[`packages/control/dist/tests/evacuation.test.js > TAP > a claim that becomes durable guards against a start that is sent because its claim was decided before the evacuation > must match snapshot 1`] = `
--- a/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
+++ b/tap-snapshots/packages/executor/dist/tests/executorAgent.test.js.test.cjs
@@ -6,6 +6,8 @@
  */
 'use strict'
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > agent restart (guards against runs and ends that are lost when the agent restarts) > agent restart 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -17,8 +19,10 @@
   100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[a#1] ends=[1:b#1:done]
   100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[a#1] ends=[1:b#1:done]
   100 c1 < report e1 born=1000 running=[a#1] ends=[1:b#1:done]
+  100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[a#1] ends=[1:b#1:done]
   200 c1 closed
   400 c1 < attach: attached []
+  500     probe e1 fence=1: born=1000 running=[a#1] ends=[1:b#1:done]
   500     list e1 fence=1 ack=0 wait=0: born=1000 running=[a#1] ends=[1:b#1:done]
   500 c1 < report e1 born=1000 no list
   500     list e1 fence=1 ack=0 wait=1000: born=1000 running=[a#1] ends=[1:b#1:done]
@@ -27,6 +31,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > crash and restart under the same id (guards against an acknowledgement for the old incarnation that is applied to an end of the new one with the same number) > crash and restart under the same id 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -35,6 +41,7 @@
   100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   100 c1 < report e1 born=1000 running=[] ends=[1:a#1:done]
+  100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   200 c1 > agent.lease e1
   200     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[1:a#1:done]
   200     list e1 fence=1 ack=1 wait=0: born=1000 running=[] ends=[]
@@ -43,14 +50,17 @@
   260 c1 < report e1 born=1000 running=[] ends=[] unreachable
   310     list e1 fence=1 ack=0 wait=0: born=1001 running=[] ends=[1:b#1:done]
   310     list e1 fence=1 ack=0 wait=1000: born=1001 running=[] ends=[1:b#1:done]
-  310 c1 < report e1 born=1001 running=[] ends=[1:b#1:done]
+  310 c1 < report e1 born=1001 no list
   510     list e1 fence=1 ack=0 wait=1000: born=1001 running=[] ends=[1:b#1:done]
   550 c1 > agent.lease e1
+  550 c1 < report e1 born=1001 running=[] ends=[1:b#1:done]
   550 c1 < agent.lease e1: {"kind":"refused","reason":"incarnation"}
   710     list e1 fence=1 ack=0 wait=1000: born=1001 running=[] ends=[1:b#1:done]
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > deadline passes before an answer (guards against a start order that takes effect after it was reported as refused) > deadline passes before an answer 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -66,6 +76,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > delayed order (guards against a task that runs twice because its first order takes effect after the retry) > delayed order 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -75,6 +87,10 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > draining executor and its successor (guards against a start on a leaving executor, or an old executor that is reported in place of its successor) > draining executor and its successor 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     probe e2 fence=1: born=2000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
+    0     list e2 fence=1 ack=0 wait=0: born=2000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e2 fence=1 ack=0 wait=0: born=2000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[], e2 born=2000 running=[] ends=[]]
@@ -90,6 +106,7 @@
   500     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   500     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   500 c1 < report e1 born=1000 running=[] ends=[1:a#1:done] draining
+  500     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   700     list e1 fence=1 ack=0 wait=1000: notSent
   700 c1 < report e1 born=1000 running=[] ends=[1:a#1:done] draining unreachable left
   750     list e1 fence=1 ack=0 wait=0: notSent
@@ -104,6 +121,10 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > executor that does not answer while a controller attaches (guards against an attach that waits for an unresponsive executor, or returns a list from before the new epoch) > executor that does not answer while a controller attaches 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     probe e2 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
+    0     list e2 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e2 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[], e2 born=1000 running=[] ends=[]]
@@ -131,32 +152,37 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > executor that is down (guards against an executor failure that is reported late, or retries without a delay) > executor that is down 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
     0     start e1 a#1 fence=1: ok
     0 c1 < agent.start e1 a#1: {"kind":"started","clockMs":0}
   100     list e1 fence=1 ack=0 wait=1000: notSent
+  100     list e1 fence=1 ack=0 wait=0: notSent
   100 c1 < report e1 born=1000 running=[] ends=[] unreachable
-  150     list e1 fence=1 ack=0 wait=0: notSent
-  250     list e1 fence=1 ack=0 wait=0: notSent
-  450     list e1 fence=1 ack=0 wait=0: notSent
-  850     list e1 fence=1 ack=0 wait=0: notSent
+  200     list e1 fence=1 ack=0 wait=0: notSent
+  400     list e1 fence=1 ack=0 wait=0: notSent
+  800     list e1 fence=1 ack=0 wait=0: notSent
  1100 c1 < report e1 born=1000 running=[] ends=[] unreachable
- 1350     list e1 fence=1 ack=0 wait=0: notSent
- 1850     list e1 fence=1 ack=0 wait=0: notSent
+ 1300     list e1 fence=1 ack=0 wait=0: notSent
+ 1800     list e1 fence=1 ack=0 wait=0: notSent
  2100 c1 < report e1 born=1000 running=[] ends=[] unreachable
  2100 c1 > agent.start e1 b#1
  2100 c1 > agent.stop e1 a#1
+ 2100     probe e1 fence=1: born=1001 running=[] ends=[]
+ 2100     stop e1 a#1 fence=1: ok
  2100     list e1 fence=1 ack=0 wait=0: born=1001 running=[] ends=[]
  2100 c1 < report e1 born=1001 no list
- 2100     stop e1 a#1 fence=1: ok
  2100 c1 < agent.start e1 b#1: {"kind":"refused","reason":"incarnation"}
- 2100 c1 < report e1 born=1001 running=[] ends=[]
  2100 c1 < agent.stop e1 a#1: {"kind":"stopped","clockMs":2100}
+ 2100 c1 < report e1 born=1001 running=[] ends=[]
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > fencing of an older controller (guards against an order of an older controller that takes effect after a newer one has read the lists) > fencing of an older controller 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -177,6 +203,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > lost answer (guards against a run that is reported as refused although it is running) > lost answer 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -186,6 +214,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > only durable ends are acknowledged (guards against an end that the executor discards before the controller has written it) > only durable ends are acknowledged 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -197,6 +227,7 @@
   100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[b#1] ends=[1:a#1:done]
   100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[b#1] ends=[1:a#1:done]
   100 c1 < report e1 born=1000 running=[b#1] ends=[1:a#1:done]
+  100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[b#1] ends=[1:a#1:done]
   300     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done 2:b#1:done]
   300     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done 2:b#1:done]
   300 c1 < report e1 born=1000 running=[] ends=[1:a#1:done 2:b#1:done]
@@ -216,16 +247,21 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > out-of-order heartbeats (guards against an outdated heartbeat that reverts a drain or restores an old incarnation) > out-of-order heartbeats 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 < report e1 born=1000 running=[] ends=[] draining
+  100     probe e1 fence=1: born=1001 running=[] ends=[]
+  100 c1 < report e1 born=1000 running=[] ends=[]
   100     list e1 fence=1 ack=0 wait=1000: notSent
-  100 c1 < report e1 born=1001 no list
   100     list e1 fence=1 ack=0 wait=0: born=1001 running=[] ends=[]
   100 c1 < report e1 born=1001 running=[] ends=[]
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > pace change (guards against a pace change that is reported as applied although the executor refused or never answered it) > pace change 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -257,6 +293,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > partitioned controller (guards against a connection that stays open although its controller does not answer) > partitioned controller 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
  1000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
@@ -267,6 +305,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > refusal after an unanswered attempt (guards against a first attempt that takes effect after the second one was refused) > refusal after an unanswered attempt 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -283,6 +323,7 @@
  1100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:b#1:done]
  1100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:b#1:done]
  1100 c1 < report e1 born=1000 running=[] ends=[1:b#1:done]
+ 1100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:b#1:done]
  1300     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:b#1:done]
  1500     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:b#1:done]
  1700     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:b#1:done]
@@ -290,6 +331,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > start after its deadline (guards against a start from a paused controller that is forwarded after another may have taken the role) > start after its deadline 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
  1000     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[]
@@ -299,6 +342,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > start on an executor that begins to drain (guards against an unanswered start that is retried on a draining executor) > start on an executor that begins to drain 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -311,18 +356,23 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > start that a previous agent process forwarded (guards against a run that is reported as refused, so that its task starts again before its end is listed) > start that a previous agent process forwarded 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
     0     start e1 a#1 fence=1: ok
     0 c1 < agent.start e1 a#1: {"kind":"started","clockMs":0}
    50     list e1 fence=1 ack=0 wait=1000: unanswered
+   50     probe e1 fence=1: born=1000 running=[a#1] ends=[]
    50 c1 closed
    50     list e1 fence=1 ack=0 wait=0: born=1000 running=[a#1] ends=[]
+   50     list e1 fence=1 ack=0 wait=0: born=1000 running=[a#1] ends=[]
    50 c1 < attach: attached [e1 born=1000 running=[a#1] ends=[]]
   100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   100 c1 < report e1 born=1000 running=[] ends=[1:a#1:done]
+  100     list e1 fence=1 ack=0 wait=1000: born=1000 running=[] ends=[1:a#1:done]
   150 c1 > agent.start e1 a#1
   150     start e1 a#1 fence=1: refused old
   150     stop e1 a#1 fence=1: ok
@@ -330,6 +380,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > stop while a start is retried (guards against a cancelled task that starts after its stop was answered) > stop while a start is retried 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
@@ -347,6 +399,8 @@
 `
 
 exports[`packages/executor/dist/tests/executorAgent.test.js > TAP > stop while the executor does not answer a start (guards against a withdrawn start that the agent sends again, as on an executor of an evacuated data centre) > stop while the executor does not answer a start 1`] = `
+    0     probe e1 fence=1: born=1000 running=[] ends=[]
+    0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0     list e1 fence=1 ack=0 wait=0: born=1000 running=[] ends=[]
     0 c1 < attach: attached [e1 born=1000 running=[] ends=[]]
     0 c1 > agent.start e1 a#1
