fix(gateway,control): a job is reached only through its own queue

The check of access let each call without a team reach every job and compared no queues, so the id selected the team's job. For the same reason the second submission was answered 200 though nothing was stored, and a tombstone of a team held in all its queues.

Change: `jobAccess.ts` is the one rule. A request names a job if it came through the job's queue, by its name or its path, and from its team or as a public queue allows; while the queue is not configured at all, its own team follows it through any queue. Tombstones belong to a queue and a team; those of earlier releases hold in their queue.

--- a/packages/control/src/replica.ts
+++ b/packages/control/src/replica.ts
@@ -13,8 +13,8 @@
     cancelRowSchema,
     processRowSchema,
     roleRowSchema,
-    rowKeys,
     termRowSchema,
+    tombstoneKeys,
     tombstoneRowSchema,
 } from "./rows.js";
 import type { RowSink } from "./tableFollower.js";
@@ -95,7 +95,9 @@
 
     /** Whether the owner cancelled the job before it was stored. */
     hasTombstone(jobId: string, owner: JobOwner): boolean {
-        return this.tombstones.has(splitKey(rowKeys.tombstone(jobId, owner)).name);
+        return tombstoneKeys(jobId, owner).some(key =>
+            this.tombstones.get(splitKey(key).name)?.value.queue === owner.queue
+        );
     }
 
     get progress(): ReadonlyMap<string, Versioned<JobProgress>> {
--- a/packages/control/src/rows.ts
+++ b/packages/control/src/rows.ts
@@ -44,7 +44,7 @@
 });
 export type TombstoneRow = z.infer<typeof tombstoneRowSchema>;
 
-/** Who may cancel a job before it is stored: its team, or the callers of its queue if it has no team. */
+/** Who may cancel a job before it is stored: its team, or callers without a key, both through its queue alone. */
 export interface JobOwner {
     readonly queue: string;
     readonly team?: string | undefined;
@@ -53,13 +53,21 @@
 /** Number of hexadecimal digits that tell owners apart; names may be longer than a key. */
 const OWNER_DIGITS = 32;
 
+const ownerDigest = (owner: string): string => digestOf(owner).slice(0, OWNER_DIGITS);
+
 /** Returns the part of a tombstone's key that names the owner. */
-export const ownerKeyOf = ({ queue, team }: JobOwner): string =>
-    digestOf(team === undefined ? `queue/${queue}` : `team/${team}`).slice(0, OWNER_DIGITS);
+const ownerKeyOf = ({ queue, team }: JobOwner): string =>
+    ownerDigest(team === undefined ? `queue/${queue}` : `queueTeam/${JSON.stringify([queue, team])}`);
 
 /** Returns the key of a tombstone by its name, which consists of the job's id and the owner. */
 export const tombstoneKey = (name: string): string => `tombstone/${name}`;
 
+/** Keys that a tombstone of the owner may have; earlier releases named a team without its queue. */
+export const tombstoneKeys = (jobId: string, owner: JobOwner): readonly string[] => {
+    const key = rowKeys.tombstone(jobId, owner);
+    return owner.team === undefined ? [key] : [key, tombstoneKey(`${jobId}/${ownerDigest(`team/${owner.team}`)}`)];
+};
+
 export const rowKeys = {
     role: "role",
     term: "term",
--- a/packages/control/src/tombstoneSweeper.ts
+++ b/packages/control/src/tombstoneSweeper.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "@persimmonpitch/logging/logger.js";
 import type { Timings } from "@persimmonpitch/workload/timings.js";
 import type { Replica } from "./replica.js";
-import { rowKeys, tombstoneKey } from "./rows.js";
+import { rowKeys, tombstoneKey, tombstoneKeys } from "./rows.js";
 import type { RowStore } from "./rowStore.js";
 
 const SWEEP_INTERVAL_MS: Millis = 1_000;
@@ -80,6 +80,6 @@
         const [, jobId = ""] = key.split("/");
         const job = replica.jobs.get(jobId)?.value;
         const outcome = replica.progress.get(jobId)?.value.outcome ?? "open";
-        return job !== undefined && rowKeys.tombstone(jobId, job) === key && outcome === "open";
+        return job !== undefined && tombstoneKeys(jobId, job).includes(key) && outcome === "open";
     }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { AdmissionGate } from "./admissionGate.js";
 import type { CommitOutcome } from "./commitWithRetry.js";
 import { commitWithRetry } from "./commitWithRetry.js";
+import { mayAccessJob, namesJob } from "./jobAccess.js";
 import { deriveJobState } from "./jobState.js";
 import { findQueue, findTeamByApiKey } from "./queueLookup.js";
 import type { RequestOperation } from "./requestLog.js";
@@ -240,7 +241,7 @@
         const { rows } = committed.value;
         const job = findJobRow(rows, jobId);
         if (job !== undefined) {
-            return checkJobAccess(job, request).isOk ? this.cancelStoredJob(request) : err("unknownJob");
+            return this.checkAccess(job, request).isOk ? this.cancelStoredJob(request) : err("unknownJob");
         }
         return err(rows.some(row => row.key === key) ? "unknownJob" : "unclear");
     }
@@ -249,7 +250,7 @@
         const { replica, isReady, store } = this.options;
         const replicatedJob = replica.jobs.get(request.jobId)?.value;
         if (replicatedJob !== undefined) {
-            return checkJobAccess(replicatedJob, request);
+            return this.checkAccess(replicatedJob, request);
         }
         if (!isReady()) {
             return err("unavailable");
@@ -261,7 +262,12 @@
         }
         const row = page.value.rows[0];
         const job = row === undefined ? undefined : parseRow(stepJobSchema, row.value);
-        return job === undefined ? err("unknownJob") : checkJobAccess(job, request);
+        return job === undefined ? err("unknownJob") : this.checkAccess(job, request);
+    }
+
+    /** Reports a job that the request may not access as unknown, so that its existence is not disclosed. */
+    private checkAccess(job: StepJob, request: AuthorizedRequest): Result<StepJob, GatewayError> {
+        return mayAccessJob(job, request, this.options.config.current) ? ok(job) : err("unknownJob");
     }
 
     /** Commits a transaction and shares the rows that it wrote. */
@@ -288,9 +294,9 @@
     return row === undefined ? undefined : parseRow(stepJobSchema, row.value);
 };
 
-/** A submission is idempotent, unless its id belongs to a job that its requester has no access to. */
+/** A submission is idempotent, unless its id belongs to the job of another queue or team. */
 const checkRepeatedSubmission = (job: StepJob, request: AuthorizedRequest): Result<void, GatewayError> =>
-    checkJobAccess(job, request).isOk ? ok(undefined) : err("idInUse");
+    namesJob(job, request) ? ok(undefined) : err("idInUse");
 
 /** Answers a submission by the rows that its conditions exclude. */
 const explainRefusedSubmission = (
@@ -305,10 +311,3 @@
     const isCancelled = rows.some(({ key }) => key === rowKeys.tombstone(jobId, ownerOf(request)));
     return err(isCancelled ? "cancelled" : "unclear");
 };
-
-/**
- * Reports a job of another team as unknown, so that its existence is not disclosed. In public queues, jobs and requests
- * may have no team; then access is not restricted.
- */
-const checkJobAccess = (job: StepJob, request: AuthorizedRequest): Result<StepJob, GatewayError> =>
-    job.team === undefined || request.team === undefined || job.team === request.team ? ok(job) : err("unknownJob");
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -11,7 +11,7 @@
     | "unknownJob"
     /** The requester cancelled the job before it was stored. It is not stored and never runs. */
     | "cancelled"
-    /** The id belongs to another requester's job. The submitted job is not stored and never runs. */
+    /** The id belongs to the job of another queue or team. The submitted job is not stored and never runs. */
     | "idInUse"
     /** The requester has cancelled too many jobs that are not stored; this one is not cancelled. */
     | "tooManyCancellations"
