fix(control): a refused connection counts against the holder of the role only until it renews its term

Cause: an entry that once refused a connection counted as down for good.

Change: the refusal is kept with the version of the term at that moment and counts only while the term is the same. An entry that is down renews nothing, so it is still succeeded at once. The log line `peer.down` is `peer.refused` now, which is what is known.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -87,8 +87,8 @@
             logger,
             connect,
             random,
-            onDown: instance => {
-                this.election.markDown(instance);
+            onRefused: instanceId => {
+                this.election.markRefused(instanceId);
             },
         });
         const forwarding = (name: keyof DirectStores): ForwardingStore =>
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -35,17 +35,20 @@
     private termUnchangedSince: Millis;
     private lastAnswerAt: Millis;
     private observedTerm = 0;
-    /** Instance ids of entries whose process is known to be down. */
-    private readonly downInstances = new Set<string>();
+    /**
+     * Versions of the term when an entry refused a connection, by its instance id. The entry may be down, or a partition
+     * may refuse connections to it: then it renews the term.
+     */
+    private readonly refusedAtTerm = new Map<string, number>();
 
     constructor(private readonly options: ElectionOptions) {
         this.termUnchangedSince = options.clock.now();
         this.lastAnswerAt = this.termUnchangedSince;
     }
 
-    /** Records that the process with this instance id is down and therefore does not hold the role. */
-    markDown(instanceId: string): void {
-        this.downInstances.add(instanceId);
+    /** Records that the process with this instance id refuses connections, and so may be down. */
+    markRefused(instanceId: string): void {
+        this.refusedAtTerm.set(instanceId, this.termVersion);
         this.wake.wake();
     }
 
@@ -82,9 +85,14 @@
         }
     }
 
+    /** 0 before the first term. */
+    private get termVersion(): number {
+        return this.options.replica.term?.version ?? 0;
+    }
+
     private observeTerm(): void {
-        const { replica, follower, clock } = this.options;
-        const term = replica.term?.version ?? 0;
+        const { follower, clock } = this.options;
+        const term = this.termVersion;
         const answeredAt = follower.answeredAt ?? this.lastAnswerAt;
         if (term !== this.observedTerm || answeredAt - this.lastAnswerAt > MAX_ANSWER_GAP_MS) {
             this.observedTerm = term;
@@ -106,7 +114,8 @@
         const isSuperseded = role.vm === vm
             ? role.instanceId !== instanceId
             : currentInstance !== undefined && currentInstance !== role.instanceId;
-        if (isSuperseded || this.downInstances.has(role.instanceId)) {
+        const isRefusedSinceRenewal = this.refusedAtTerm.get(role.instanceId) === this.termVersion;
+        if (isSuperseded || isRefusedSinceRenewal) {
             return true;
         }
         return clock.now() - this.termUnchangedSince > TERM_TIMEOUT_MS
@@ -118,8 +127,8 @@
      * the store drops its history.
      */
     private async isTermUnchanged(): Promise<boolean> {
-        const { store, replica, clock } = this.options;
-        const observedVersion = replica.term?.version ?? 0;
+        const { store, clock } = this.options;
+        const observedVersion = this.termVersion;
         const page = await store.scan({ from: rowKeys.term, to: `${rowKeys.term}\u0000`, limit: 1 });
         if (page.isErr) {
             return false;
--- a/packages/control/src/peerLinks.ts
+++ b/packages/control/src/peerLinks.ts
@@ -24,8 +24,8 @@
     readonly logger: Logger;
     readonly connect: ConnectLink;
     readonly random: () => number;
-    /** Called when the process of a peer is known to be down. */
-    readonly onDown: (instanceId: string) => void;
+    /** Called when a peer that was connected refuses a connection: it is down, or a partition refuses it. */
+    readonly onRefused: (instanceId: string) => void;
 }
 
 type PeerConnection = Connection<Record<string, never>, StoreMethods>;
@@ -128,7 +128,7 @@
     }
 
     private async keepConnected(peer: string, signal: AbortSignal): Promise<void> {
-        const { replica, clock, connect, random, logger, onDown } = this.options;
+        const { replica, clock, connect, random, logger, onRefused } = this.options;
         let failures = 0;
         let lastInstance: string | undefined;
         while (!signal.aborted) {
@@ -140,8 +140,8 @@
             if (link.isErr) {
                 failures += 1;
                 if (link.error.isRefused && lastInstance !== undefined) {
-                    logger.log("info", "peer.down", { vm: peer });
-                    onDown(lastInstance);
+                    logger.log("info", "peer.refused", { vm: peer });
+                    onRefused(lastInstance);
                     lastInstance = undefined;
                 }
                 await clock.sleep(backoffDelay(RETRY_BACKOFF, failures, random), signal);
--- a/packages/control/tests/deploymentFixture.ts
+++ b/packages/control/tests/deploymentFixture.ts
@@ -146,6 +146,7 @@
     /** Entries to which the store tells no changes of the operator table. */
     readonly withoutOperatorChanges = new Set<string>();
     private readonly agents = new Map<string, ExecutorAgent>();
+    private readonly refusingNodes = new Set<string>();
     /** The address to which the agents direct the calls for each executor. */
     private readonly addresses = new Map<string, string>();
     private readonly processes = new Map<string, PausableProcess>();
@@ -240,6 +241,14 @@
         this.resetConnections(name);
     }
 
+    /** Resets and refuses the connections between an entry and the others for a time, while all of them work on. */
+    async refuseConnections(name: string, duration: Millis): Promise<void> {
+        this.refusingNodes.add(name);
+        this.resetConnections(name);
+        await this.advance(duration);
+        this.refusingNodes.delete(name);
+    }
+
     startAgent(name: string): void {
         const agent = new ExecutorAgent({
             clock: this.clock,
@@ -479,7 +488,8 @@
             }
             const agent = this.agents.get(host);
             const node = this.nodes.get(host);
-            if (agent === undefined && node === undefined) {
+            const isRefused = [from, host].some(part => this.refusingNodes.has(part) && this.nodes.has(host));
+            if (isRefused || (agent === undefined && node === undefined)) {
                 return Result.err({ isRefused: true, detail: "refused" });
             }
             const [localLink, remoteLink] = createMemoryLink(this.clock, { delayMs: () => 1, isPartitioned: isCut });
