refactor(gateway): one fixture of an entry for the tests of submissions and access

Cause: two tests had a copy of the same entry, its gateway and its calls.

Change: both use tests/testEntry.ts, with their own configurations.

--- a/packages/gateway/tests/lateSubmission.test.ts
+++ b/packages/gateway/tests/lateSubmission.test.ts
@@ -1,20 +1,14 @@
 import { FakeClock } from "@persimmonpitch/clock/fakeClock.js";
-import { ConfigHolder } from "@persimmonpitch/control/configHolder.js";
-import { Replica } from "@persimmonpitch/control/replica.js";
 import { rowKeys } from "@persimmonpitch/control/rows.js";
-import { silentLogger } from "@persimmonpitch/logging/logger.js";
 import type { RowStoreFaults } from "@persimmonpitch/standins/memoryRowStore.js";
 import { MemoryRowStore } from "@persimmonpitch/standins/memoryRowStore.js";
 import { clusterConfigSchema } from "@persimmonpitch/workload/clusterConfig.js";
-import { submissionSchema } from "@persimmonpitch/workload/stepJob.js";
 import fc from "fast-check";
 import t from "tap";
-import type { Result } from "true-myth/result";
-import { Gateway } from "../src/gateway.js";
-import type { AuthorizedRequest, GatewayError } from "../src/requests.js";
+import type { Caller } from "./testEntry.js";
+import { TEST_HOST, TestEntry } from "./testEntry.js";
 
-const SUBMISSION = submissionSchema.parse({ payload: "p", steps: [{ count: 1, demand: {} }] });
-const QUEUE = { name: "q", host: "q.example", pathPrefix: "/jobs/", service: "steps" };
+const QUEUE = { name: "q", host: TEST_HOST, pathPrefix: "/jobs/", service: "steps" };
 const CONFIG = clusterConfigSchema.parse({
     version: 1,
     queues: [QUEUE, { ...QUEUE, name: "open", pathPrefix: "/open/", isPublic: true }],
@@ -24,78 +18,16 @@
 /** Longer than any call and any write that is done late. */
 const SETTLED_MS = 20_000;
 
-interface Caller {
-    readonly path: string;
-    readonly apiKey: string | undefined;
-}
 const OWNER: Caller = { path: "/jobs/a", apiKey: "k1" };
 const OTHER_TEAM: Caller = { path: "/jobs/a", apiKey: "k2" };
 const KEYLESS: Caller = { path: "/open/a", apiKey: undefined };
 
-/** One entry; entries do not hear of each other's rows, as if each row took long to reach the others. */
-class Entry {
-    private readonly config = new ConfigHolder(silentLogger);
-    private readonly replica = new Replica(silentLogger);
-    private readonly gateway: Gateway;
-
-    constructor(private readonly clock: FakeClock, store: MemoryRowStore) {
-        this.config.applyIfNewer(CONFIG);
-        this.gateway = new Gateway({
-            store: store.client("entry"),
-            replica: this.replica,
-            config: this.config,
-            clock,
-            logger: silentLogger,
-            timeSinceStoreResponseMs: () => 0,
-            isReady: () => true,
-            storeClockOffsetMs: () => 0,
-            publishRows: rows => {
-                this.replica.apply(rows);
-            },
-        });
-    }
-
-    submit(caller = OWNER): Promise<string> {
-        return describe(this.gateway.submit(this.authorize(caller), SUBMISSION));
-    }
-
-    cancel(caller = OWNER): Promise<string> {
-        return describe(this.gateway.cancel(this.authorize(caller)));
-    }
-
-    /** Cancels while the clock runs on. */
-    async cancelNow(caller = OWNER): Promise<string> {
-        const answer = this.cancel(caller);
-        await this.clock.advance(3_000);
-        return answer;
-    }
-
-    /** Submits while the clock runs on. */
-    async submitNow(caller = OWNER): Promise<string> {
-        const answer = this.submit(caller);
-        await this.clock.advance(3_000);
-        return answer;
-    }
-
-    private authorize({ path, apiKey }: Caller): AuthorizedRequest {
-        const authorized = this.gateway.authorize({ host: QUEUE.host, path, apiKey });
-        if (authorized.isErr) {
-            throw new Error(`The request was not authorized: ${authorized.error}.`);
-        }
-        return authorized.value;
-    }
-}
-
-const describe = async (answer: Promise<Result<unknown, GatewayError>>): Promise<string> => {
-    const result = await answer;
-    return result.isOk ? "ok" : result.error;
-};
-
 const createEntries = () => {
     const clock = new FakeClock();
     const store = new MemoryRowStore(clock);
     const keys = () => store.snapshot().map(({ key }) => key);
-    return { clock, store, first: new Entry(clock, store), second: new Entry(clock, store), keys };
+    const [first, second] = [new TestEntry(clock, store, CONFIG), new TestEntry(clock, store, CONFIG)];
+    return { clock, store, first, second, keys };
 };
 
 const JOB_KEY = rowKeys.job("a");
@@ -107,9 +39,9 @@
 void t.test("a job is not stored by a late write after its cancellation was answered", async t => {
     const { clock, store, first, second, keys } = createEntries();
     store.setFaults({ delayCommits: 50, commitDelayMs: 6_000 });
-    t.equal(await first.submitNow(), "unclear");
+    t.equal(await first.submitNow(OWNER), "unclear");
     store.setFaults({ delayCommits: 0 });
-    t.equal(await second.cancelNow(), "unknownJob");
+    t.equal(await second.cancelNow(OWNER), "unknownJob");
     await clock.advance(SETTLED_MS);
     t.notOk(keys().includes(JOB_KEY));
 });
@@ -118,9 +50,9 @@
 void t.test("a job is not stored by the entry's own retry after its cancellation was answered", async t => {
     const { clock, store, first, second, keys } = createEntries();
     store.setFaults({ delayCommits: 1, commitDelayMs: 6_000 });
-    const submission = first.submit();
+    const submission = first.submit(OWNER);
     await clock.advance(50);
-    const cancellation = second.cancel();
+    const cancellation = second.cancel(OWNER);
     await clock.advance(SETTLED_MS);
     t.equal(await cancellation, "unknownJob");
     t.equal(await submission, "cancelled");
@@ -131,7 +63,7 @@
 void t.test("a paused entry does not repeat a submission", async t => {
     const { clock, store, first } = createEntries();
     store.setFaults({ slow: 60_000, loseAnswers: 1 });
-    const submission = first.submit();
+    const submission = first.submit(OWNER);
     await clock.advance(60_000);
     store.setFaults({ slow: 0 });
     await clock.advance(SETTLED_MS);
@@ -142,9 +74,9 @@
 // Guards against an answer that reports a job as stored although it was cancelled before.
 void t.test("a submission that is repeated after its cancellation is answered as cancelled on each entry", async t => {
     const { first, second, keys } = createEntries();
-    t.equal(await first.cancelNow(), "unknownJob");
-    t.equal(await first.submitNow(), "cancelled", "the entry knows the cancellation");
-    t.equal(await second.submitNow(), "cancelled", "only the store knows the cancellation");
+    t.equal(await first.cancelNow(OWNER), "unknownJob");
+    t.equal(await first.submitNow(OWNER), "cancelled", "the entry knows the cancellation");
+    t.equal(await second.submitNow(OWNER), "cancelled", "only the store knows the cancellation");
     t.notOk(keys().includes(JOB_KEY));
 });
 
@@ -152,9 +84,9 @@
 void t.test("a job that is stored between the read and the write of its cancellation is cancelled", async t => {
     const { clock, store, first, second, keys } = createEntries();
     store.setFaults({ delayCommits: 50, commitDelayMs: 1_000 });
-    t.equal(await first.submitNow(), "unclear");
+    t.equal(await first.submitNow(OWNER), "unclear");
     store.setFaults({ delayCommits: 0 });
-    t.equal(await second.cancelNow(), "ok", "the late write was done before");
+    t.equal(await second.cancelNow(OWNER), "ok", "the late write was done before");
     store.setFaults({ slow: 100 });
     const cancellation = second.cancel({ ...OWNER, path: "/jobs/b" });
     await clock.advance(50);
@@ -170,7 +102,7 @@
     void t.test(`a cancellation by ${name} does not stop a job that is stored later`, async t => {
         const { first, second, keys } = createEntries();
         t.equal(await first.cancelNow(caller), "unknownJob");
-        t.equal(await second.submitNow(), "ok");
+        t.equal(await second.submitNow(OWNER), "ok");
         t.ok(keys().includes(JOB_KEY));
         t.notOk(keys().includes(rowKeys.cancel("a")));
     });
@@ -179,10 +111,10 @@
 // Guards against an answer that reports a job as stored although the id belongs to a job of another team.
 void t.test("a submission with the id of another team's job is refused on each entry", async t => {
     const { first, second } = createEntries();
-    t.equal(await first.submitNow(), "ok");
+    t.equal(await first.submitNow(OWNER), "ok");
     t.equal(await first.submitNow(OTHER_TEAM), "idInUse", "the entry knows the job");
     t.equal(await second.submitNow(OTHER_TEAM), "idInUse", "only the store knows the job");
-    t.equal(await second.submitNow(), "ok", "a repeat by the owner is idempotent");
+    t.equal(await second.submitNow(OWNER), "ok", "a repeat by the owner is idempotent");
 });
 
 const UNREACHED: readonly (readonly [string, Partial<RowStoreFaults>, string])[] = [
@@ -196,7 +128,7 @@
     void t.test(`the cancellation of an unknown job fails while the store ${name}`, async t => {
         const { store, first, keys } = createEntries();
         store.setFaults(faults);
-        t.equal(await first.cancelNow(), expected);
+        t.equal(await first.cancelNow(OWNER), expected);
         t.same(keys(), []);
     });
 }
@@ -211,7 +143,7 @@
     t.equal(answers.filter(answer => answer === "unknownJob").length, 500);
     t.equal(answers.filter(answer => answer === "tooManyCancellations").length, 100);
     t.equal(keys().length, 500);
-    t.equal(await first.cancelNow(), "unknownJob", "another team");
+    t.equal(await first.cancelNow(OWNER), "unknownJob", "another team");
     t.equal(await first.cancel({ ...OTHER_TEAM, path: "/jobs/0" }), "unknownJob", "a repeated cancellation");
     t.equal(store.counts.commits, 501);
 });
@@ -245,10 +177,10 @@
             store.setFaults({ delayCommits, loseAnswers, slow, commitDelayMs: 6_000 });
             const entry = isOnSecond ? second : first;
             if (isCancellation) {
-                cancellations.push(entry.cancel());
+                cancellations.push(entry.cancel(OWNER));
             }
             else {
-                submissions.push(entry.submit());
+                submissions.push(entry.submit(OWNER));
             }
             await clock.advance(pauseMs);
         }
