--- a/packages/control/tests/refusedConnections.test.ts
+++ b/packages/control/tests/refusedConnections.test.ts
@@ -49,7 +49,7 @@
     t.same(overlaps(deployment), [], "runs of the task at one time");
 });
 
-// Guards against a cancelled gang or a stopped run whose room is given away while it still works behind a partition.
+// Guards against a cancelled run that goes on after a partition, because a refused stop counted as its end.
 void t.test("a stop that is refused does not count as answered", async t => {
     const { deployment, executor } = await startJob({ runMs: 60 * SECOND });
     executor.setFaults({ refusesConnections: true });
